--- /dev/null
+++ b/cmd/marlwood/main.go
@@ -0,0 +1,111 @@
+// Command marlwood is a cluster scheduler: every controller of a deployment
+// runs it with its own settings file.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/marlwood/marlwood/internal/controller"
+	"github.com/marlwood/marlwood/internal/settings"
+)
+
+// version is what "marlwood version" prints.
+const version = "0.1.0"
+
+type cli struct {
+	Serve   serveCmd   `cmd:"" help:"Run a controller."`
+	Check   checkCmd   `cmd:"" help:"Check settings without starting."`
+	Version versionCmd `cmd:"" help:"Print the version."`
+}
+
+type serveCmd struct {
+	Config   string `required:"" placeholder:"FILE" help:"The platform's settings (JSON)."`
+	Settings string `placeholder:"FILE" help:"Operators' settings (S-expressions) that change the defaults."`
+}
+
+type checkCmd struct {
+	Config   string `arg:"" placeholder:"FILE" help:"The platform's settings (JSON)."`
+	Settings string `placeholder:"FILE" help:"Operators' settings (S-expressions) that change the defaults."`
+}
+
+type versionCmd struct{}
+
+// badSettings ends the program with status 2.
+type badSettings struct{ error }
+
+func load(config, operator string) (*settings.Platform, *settings.Operator, error) {
+	p, err := settings.LoadPlatform(config)
+	if err != nil {
+		return nil, nil, badSettings{err}
+	}
+	o, err := settings.LoadOperator(operator)
+	if err != nil {
+		return nil, nil, badSettings{err}
+	}
+	if _, err := p.Act(o); err != nil {
+		return nil, nil, badSettings{err}
+	}
+	return p, o, nil
+}
+
+// Run serves until the process is told to end.
+func (c *serveCmd) Run() error {
+	p, o, err := load(c.Config, c.Settings)
+	if err != nil {
+		return err
+	}
+	level := slog.LevelInfo
+	if text := os.Getenv("LOG_LEVEL"); text != "" {
+		if err := level.UnmarshalText([]byte(text)); err != nil {
+			return badSettings{fmt.Errorf("LOG_LEVEL: %w", err)}
+		}
+	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	node, err := controller.New(p, o, log)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	return node.Run(ctx)
+}
+
+// Run checks both files and says what it read.
+func (c *checkCmd) Run() error {
+	p, o, err := load(c.Config, c.Settings)
+	if err != nil {
+		return err
+	}
+	act, err := p.Act(o)
+	if err != nil {
+		return badSettings{err}
+	}
+	fmt.Printf("%s in %s: %d siblings, %d teams; a leader acts %v after its last check\n",
+		p.Member, p.Zone, len(p.Siblings), len(p.Teams), act)
+	return nil
+}
+
+// Run prints the version.
+func (versionCmd) Run() error {
+	fmt.Println("marlwood " + version)
+	return nil
+}
+
+func main() {
+	var c cli
+	ctx := kong.Parse(&c, kong.Name("marlwood"), kong.Description("A cluster scheduler for rented machines."), kong.UsageOnError())
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "marlwood: "+err.Error())
+		if _, bad := err.(badSettings); bad {
+			os.Exit(2)
+		}
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/controller/node.go
@@ -0,0 +1,415 @@
+// Package controller joins the slices into one running node: a single loop
+// owns all state, and everything slow happens outside it and comes back as an
+// event.
+package controller
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"runtime"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/fleet"
+	"github.com/marlwood/marlwood/internal/httpwire"
+	"github.com/marlwood/marlwood/internal/intake"
+	"github.com/marlwood/marlwood/internal/leadership"
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/peers"
+	"github.com/marlwood/marlwood/internal/peers/peerspb"
+	"github.com/marlwood/marlwood/internal/placement"
+	"github.com/marlwood/marlwood/internal/settings"
+	"github.com/marlwood/marlwood/internal/store"
+	"github.com/marlwood/marlwood/internal/workers"
+)
+
+// typesKey keeps the machine types for nodes that cannot reach the cloud.
+const typesKey = "types"
+
+// tick is the loop's own rhythm.
+const tick = 50 * time.Millisecond
+
+// Node is one controller.
+type Node struct {
+	cfg   *settings.Platform
+	op    *settings.Operator
+	log   *slog.Logger
+	boot  string
+	act   time.Duration
+	start time.Time
+
+	events chan func()
+	ctx    context.Context
+
+	store  *store.Client
+	cloud  *fleet.Cloud
+	intake *intake.Intake
+	desk   *workers.Desk
+	lead   *leadership.Machine
+	links  []*link
+	term   *term
+
+	types     atomic.Pointer[map[string]model.MachineType]
+	storeSeen atomic.Int64 // last answer of the state service, in time since start
+	users     chan struct{}
+	lastState leadership.State
+}
+
+// New makes a node from checked settings.
+func New(cfg *settings.Platform, op *settings.Operator, log *slog.Logger) (*Node, error) {
+	act, err := cfg.Act(op)
+	if err != nil {
+		return nil, err
+	}
+	var id [8]byte
+	if _, err := crand.Read(id[:]); err != nil {
+		return nil, fmt.Errorf("boot id: %w", err)
+	}
+	n := &Node{cfg: cfg, op: op, log: log, boot: hex.EncodeToString(id[:]), act: act, start: time.Now(),
+		events: make(chan func(), 1024), users: make(chan struct{}, 64)}
+	n.store = store.New(cfg.StateAddr, op.Service.Call)
+	n.cloud = fleet.NewCloud(cfg.CloudAddr, cfg.CloudRPS*0.7, op.Service.CloudCall)
+	n.desk = workers.NewDesk(workers.Options{Member: cfg.Member, Lease: cfg.Lease, Margin: time.Second / 2},
+		n.boot, n.start, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	n.lead = leadership.New(leadership.Options{Member: cfg.Member, Boot: n.boot, Poll: op.Leadership.Poll,
+		Hold: op.Leadership.Hold, Act: act})
+	n.intake, err = intake.New(intake.Options{Teams: cfg.Teams, ValueBytes: cfg.ValueBytes - 1024, FinalCache: op.Service.FinalCache,
+		Types: n.knownTypes, View: n.view, Now: time.Now}, n.store)
+	if err != nil {
+		return nil, err
+	}
+	n.links = append(n.links, &link{member: cfg.Member, zone: cfg.Zone, local: true})
+	for _, s := range cfg.Siblings {
+		l, err := peers.Dial(s.Addr, op.Service.PeerCall)
+		if err != nil {
+			return nil, err
+		}
+		n.links = append(n.links, &link{member: s.Member, zone: s.Zone, addr: s.Addr, peer: l})
+	}
+	n.setBudgets(false)
+	return n, nil
+}
+
+func (n *Node) setBudgets(leading bool) {
+	share := 0.4 / float64(max(1, len(n.links)))
+	if leading {
+		share += 0.5
+	}
+	n.store.SetBudgets(n.cfg.StateRPS*share, n.cfg.StateWriteRPS*share, n.cfg.TxnOps)
+}
+
+// Run serves until ctx ends or a listener fails.
+func (n *Node) Run(ctx context.Context) error {
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(int64(n.cfg.MemoryMB * n.op.Service.MemoryShare * (1 << 20)))
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	n.ctx = ctx
+	stopPeers, err := peers.Serve(n.cfg.PeerListen, n.serveRound)
+	if err != nil {
+		return err
+	}
+	defer stopPeers()
+	server := httpwire.NewServer(httpwire.ServerOptions{
+		Limits:      httpwire.Limits{Head: 8 << 10, Body: 64 << 10},
+		MaxConns:    int(float64(n.cfg.MaxConns) * n.op.Service.UserConnsShare),
+		PartialWait: 10 * time.Second, IdleWait: 2 * time.Minute, Log: n.log,
+	}, n.handle)
+	failed := make(chan error, 1)
+	go func() { failed <- server.Run(n.cfg.Listen) }()
+	go n.learnTypes()
+	n.log.Info("started", "member", n.cfg.Member, "boot", n.boot, "act", n.act)
+
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			stop, done := context.WithTimeout(context.Background(), time.Second)
+			defer done()
+			return server.Stop(stop)
+		case err := <-failed:
+			return fmt.Errorf("listener: %w", err)
+		case f := <-n.events:
+			f()
+		case <-ticker.C:
+			n.onTick(time.Now())
+		}
+	}
+}
+
+// post hands an event to the loop.
+func (n *Node) post(f func()) {
+	select {
+	case n.events <- f:
+	case <-n.ctx.Done():
+	}
+}
+
+func (n *Node) knownTypes() map[string]model.MachineType {
+	if p := n.types.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
+
+// learnTypes asks the cloud and the state service in turn until one of them
+// knows the machine types.
+func (n *Node) learnTypes() {
+	wait := 200 * time.Millisecond
+	for {
+		var cat model.Catalogue
+		it, err := n.store.Get(n.ctx, typesKey)
+		if err == nil {
+			err = json.Unmarshal(it.Value, &cat)
+		}
+		if err != nil || len(cat.Types) == 0 {
+			cat, err = n.cloud.Types(n.ctx)
+		}
+		if err == nil {
+			table := cat.Table()
+			n.post(func() { n.setTypes(table) })
+			wait = time.Minute
+		} else {
+			n.log.Debug("machine types", "err", err)
+			wait = min(wait*2, 5*time.Second)
+		}
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-time.After(wait/2 + rand.N(wait)):
+		}
+	}
+}
+
+func (n *Node) setTypes(table map[string]model.MachineType) {
+	n.types.Store(&table)
+	n.desk.SetTypes(table)
+	if n.term != nil {
+		n.term.book.SetTypes(table)
+	}
+}
+
+// view is called by user requests, outside the loop.
+func (n *Node) view(id string) (placement.View, bool) {
+	type result struct {
+		v  placement.View
+		ok bool
+	}
+	ch := make(chan result, 1)
+	n.post(func() {
+		var r result
+		if n.term != nil && n.lead.State() == leadership.Leading {
+			r.v, r.ok = n.term.book.View(id)
+		}
+		ch <- r
+	})
+	select {
+	case r := <-ch:
+		return r.v, r.ok
+	case <-time.After(500 * time.Millisecond):
+		return placement.View{}, false
+	}
+}
+
+// handle serves one HTTP request; it runs on the listener's loop.
+func (n *Node) handle(req *httpwire.Request, reply httpwire.Reply) {
+	switch req.Path {
+	case "/checkin":
+		if req.Method != "POST" {
+			reply(intake.Fail(405, "only POST is allowed here"))
+			return
+		}
+		n.checkIn(req, reply)
+		return
+	case "/up":
+		if req.Method != "GET" {
+			reply(intake.Fail(405, "only GET is allowed here"))
+			return
+		}
+		n.enqueue(reply, func() { reply(n.up(time.Now())) })
+		return
+	}
+	call, ok := n.intake.Route(req)
+	switch {
+	case !ok:
+		reply(intake.Fail(404, "no such path"))
+	case call == nil:
+		reply(intake.Fail(405, "method not allowed"))
+	default:
+		select {
+		case n.users <- struct{}{}:
+		default:
+			reply(intake.Fail(429, "too many requests under way"))
+			return
+		}
+		go func() {
+			defer func() { <-n.users }()
+			ctx, cancel := context.WithTimeout(n.ctx, 4*time.Second)
+			defer cancel()
+			reply(call(ctx))
+		}()
+	}
+}
+
+// enqueue passes work to the loop without ever blocking the listener.
+func (n *Node) enqueue(reply httpwire.Reply, f func()) {
+	select {
+	case n.events <- f:
+	default:
+		reply(intake.Fail(503, "overloaded"))
+	}
+}
+
+func (n *Node) checkIn(req *httpwire.Request, reply httpwire.Reply) {
+	var r model.Report
+	if err := json.Unmarshal(req.Body, &r); err != nil {
+		reply(intake.Fail(400, "not a report: "+err.Error()))
+		return
+	}
+	if err := workers.CheckReport(&r); err != nil {
+		reply(intake.Fail(400, err.Error()))
+		return
+	}
+	n.enqueue(reply, func() {
+		v := n.desk.CheckIn(time.Now(), &r)
+		a := httpwire.Answer{Status: v.Status}
+		switch v.Status {
+		case 200:
+			if v.Commands == nil {
+				v.Commands = []model.Command{}
+			}
+			a.Body, _ = json.Marshal(model.CheckInAnswer{Token: v.Token, Commands: v.Commands})
+		case 421:
+			a.Body, _ = json.Marshal(map[string]string{"foreman": v.Foreman})
+		default:
+			a = intake.Fail(v.Status, "not entitled to act")
+		}
+		reply(a)
+		if v.Changed && n.term != nil {
+			n.term.beatSoon()
+		}
+	})
+}
+
+// up answers health checks. A node that the state service alone refuses is
+// of no use to users; in a general outage the others are no better.
+func (n *Node) up(now time.Time) httpwire.Answer {
+	seen := n.storeSeen.Load()
+	if seen == 0 || n.knownTypes() == nil {
+		return intake.Fail(503, "starting")
+	}
+	if now.Sub(n.start)-time.Duration(seen) > 3*time.Second && now.Sub(n.desk.StoreSeen()) < 2500*time.Millisecond {
+		return intake.Fail(503, "the state service refuses this node alone")
+	}
+	return httpwire.Answer{Status: 200, Body: []byte(`{"status":"ok"}`)}
+}
+
+// serveRound answers a leader; it runs on gRPC's goroutines.
+func (n *Node) serveRound(r *peerspb.RoundRequest) *peerspb.RoundResponse {
+	ch := make(chan *peerspb.RoundResponse, 1)
+	n.post(func() {
+		now := time.Now()
+		n.lead.Heard(now, r.Token)
+		ch <- n.desk.Round(now, r)
+	})
+	select {
+	case out := <-ch:
+		return out
+	case <-n.ctx.Done():
+		return &peerspb.RoundResponse{}
+	}
+}
+
+// onTick does what is due.
+func (n *Node) onTick(now time.Time) {
+	n.perform(n.lead.Tick(now))
+	n.follow(now)
+	if n.term != nil && n.lead.MayAct(now) {
+		n.term.onTick(now)
+	}
+}
+
+// follow begins and ends terms as leadership comes and goes.
+func (n *Node) follow(now time.Time) {
+	state := n.lead.State()
+	if state != n.lastState {
+		n.log.Info("leadership", "from", n.lastState.String(), "to", state.String(), "token", n.lead.Token())
+		n.lastState = state
+		n.setBudgets(state == leadership.Leading)
+	}
+	switch {
+	case state != leadership.Leading && n.term != nil:
+		n.term.end()
+		n.term = nil
+	case state == leadership.Leading && n.term == nil && n.knownTypes() != nil:
+		n.term = newTerm(n, n.lead.Token(), now)
+	case state == leadership.Leading && n.term != nil && n.term.token != n.lead.Token():
+		n.term.renewed(n.lead.Token(), now)
+	}
+}
+
+// perform carries out the actions of the leadership machine.
+func (n *Node) perform(actions []leadership.Action) {
+	for _, a := range actions {
+		go n.performOne(a)
+	}
+}
+
+func (n *Node) performOne(a leadership.Action) {
+	sent := time.Now()
+	switch a.Op {
+	case leadership.ReadKey:
+		it, err := n.store.Get(n.ctx, leadership.Key)
+		var v leadership.Value
+		if err == nil {
+			if jerr := json.Unmarshal(it.Value, &v); jerr != nil {
+				err = jerr
+			}
+		}
+		n.post(func() {
+			now := time.Now()
+			switch {
+			case err == nil:
+				n.sawStore(now)
+				n.perform(n.lead.KeyRead(now, sent, true, v, it.Stamp))
+			case errors.Is(err, store.ErrNotFound):
+				n.sawStore(now)
+				n.perform(n.lead.KeyRead(now, sent, false, v, 0))
+			default:
+				n.lead.ReadFailed(now)
+			}
+			n.follow(now)
+		})
+	case leadership.GetHold:
+		hold, err := n.store.Hold(n.ctx, n.op.Leadership.Hold)
+		n.post(func() {
+			if err != nil {
+				n.lead.HoldFailed(time.Now())
+				return
+			}
+			n.perform(n.lead.HoldMade(time.Now(), hold))
+		})
+	case leadership.Write:
+		w := store.Put(leadership.Key, a.Claim)
+		w.Hold = a.Hold
+		out, err := n.store.Do(n.ctx, store.Txn{Guards: []store.Guard{{Key: leadership.Key, Stamp: a.Guard}}, Writes: []store.Write{w}})
+		n.post(func() {
+			now := time.Now()
+			n.lead.Written(now, sent, err == nil, out.OK(), out.Revision)
+			n.follow(now)
+		})
+	case leadership.Touch:
+		err := n.store.Touch(n.ctx, a.Hold)
+		n.post(func() { n.lead.Touched(time.Now(), errors.Is(err, store.ErrNoHold)) })
+	}
+}
+
+func (n *Node) sawStore(now time.Time) { n.storeSeen.Store(int64(now.Sub(n.start)) + 1) }
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,346 @@
+// Package fleet rents machines for demand that finds no room and returns the
+// idle ones. It is pure: the demand, the machines and the time go in, actions
+// for the cloud come out.
+package fleet
+
+import (
+	"fmt"
+	"math"
+	"sort"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/placement"
+)
+
+// MaxRent bounds one rental request.
+const MaxRent = 12
+
+// CharterPrefix begins the keys of rental intents.
+const CharterPrefix = "charter/"
+
+// Options are the fleet's bounds.
+type Options struct {
+	Idle        time.Duration
+	Horizon     time.Duration
+	RefusedWait time.Duration
+	BootFactor  float64
+	SilentWait  time.Duration
+	ListLag     time.Duration
+	Errors      int
+}
+
+// Source is a kind of machine, ordinary or spot.
+type Source struct {
+	Kind model.Kind
+	Spot bool
+}
+
+// ChartState is where a rental request stands.
+type ChartState int
+
+// The states of a charter.
+const (
+	Intended ChartState = iota // its record is being stored
+	Stored                     // it may be sent, and must be resolved
+	Sent                       // an answer is awaited
+)
+
+// Charter is one rental request. Its record is stored before it is sent, and
+// its name is never used again.
+type Charter struct {
+	Name  string     `json:"name"`
+	Kind  model.Kind `json:"kind"`
+	Spot  bool       `json:"spot"`
+	Count int        `json:"count"`
+	state ChartState
+	since time.Time
+}
+
+// rented is a machine that has not yet been heard of.
+type rented struct {
+	source Source
+	since  time.Time
+	listed bool
+}
+
+// Listed is a machine in the cloud's list.
+type Listed struct {
+	Name            string
+	Kind            model.Kind
+	Spot            bool
+	Booting, Failed bool
+	Age             time.Duration
+}
+
+// Fleet is the state of renting.
+type Fleet struct {
+	opt      Options
+	token    uint64
+	n        int
+	charters map[string]*Charter
+	booting  map[string]*rented
+	refused  map[Source]time.Time
+	leaving  map[string]bool // a release is under way
+}
+
+// New makes a fleet that names its charters after the token.
+func New(opt Options, token uint64) *Fleet {
+	return &Fleet{opt: opt, token: token, charters: map[string]*Charter{}, booting: map[string]*rented{},
+		refused: map[Source]time.Time{}, leaving: map[string]bool{}}
+}
+
+// Adopt takes over an unresolved charter of an earlier leader.
+func (f *Fleet) Adopt(c Charter, now time.Time) {
+	c.state, c.since = Stored, now
+	f.charters[c.Name] = &c
+}
+
+// Action is something to do at the cloud or in the store.
+type Action struct {
+	Store   *Charter // store the intent
+	Rent    *Charter // send the request
+	Release []string
+}
+
+// to is the one place where a charter's state changes.
+func (c *Charter) to(s ChartState, now time.Time) { c.state, c.since = s, now }
+
+// IntentStored takes in whether a charter's record was stored.
+func (f *Fleet) IntentStored(name string, ok bool, now time.Time) {
+	c := f.charters[name]
+	if c == nil {
+		return
+	}
+	if !ok {
+		delete(f.charters, name) // never sent
+		return
+	}
+	c.to(Stored, now)
+}
+
+// Result is a rental request's outcome.
+type Result int
+
+// The outcomes.
+const (
+	Granted  Result = iota
+	Refused         // none to be had
+	Unknown         // no answer: to be sent again under the same name
+	Rejected        // malformed: never to be sent again
+)
+
+func (r Result) String() string {
+	return [...]string{"granted", "refused", "unknown", "rejected"}[r]
+}
+
+// Rented takes in a request's outcome. It reports whether the charter is
+// resolved, so that its record can be removed.
+func (f *Fleet) Rented(name string, res Result, names []string, now time.Time) bool {
+	c := f.charters[name]
+	if c == nil {
+		return true
+	}
+	src := Source{c.Kind, c.Spot}
+	switch res {
+	case Granted:
+		for _, m := range names {
+			f.booting[m] = &rented{source: src, since: now}
+		}
+		if len(names) < c.Count {
+			f.refused[src] = now
+		}
+	case Refused:
+		f.refused[src] = now
+	case Unknown:
+		c.to(Stored, now)
+		return false
+	}
+	delete(f.charters, name)
+	return true
+}
+
+// Up takes in that a machine has been heard of.
+func (f *Fleet) Up(name string) { delete(f.booting, name) }
+
+// List takes in a list of the cloud's. Machines that nobody here rented are
+// unexpected: they are watched like the others until they report. Absence
+// proves nothing, for the list lags.
+func (f *Fleet) List(all []Listed, known map[string]*placement.Machine, now time.Time) (failed []string) {
+	for _, l := range all {
+		if l.Failed {
+			if !f.leaving[l.Name] {
+				failed = append(failed, l.Name)
+			}
+			continue
+		}
+		if known[l.Name] != nil || f.leaving[l.Name] {
+			continue
+		}
+		r := f.booting[l.Name]
+		if r == nil {
+			r = &rented{source: Source{l.Kind, l.Spot}, since: now.Add(-l.Age)}
+			f.booting[l.Name] = r
+		}
+		r.listed = true
+	}
+	return failed
+}
+
+// Released takes in the outcome of a release.
+func (f *Fleet) Released(names []string, ok bool) {
+	for _, n := range names {
+		delete(f.leaving, n)
+		if ok {
+			delete(f.booting, n)
+		}
+	}
+}
+
+// Booting counts rented machines that have not reported yet.
+func (f *Fleet) Booting() int { return len(f.booting) }
+
+// Tick decides what to rent and what to return.
+func (f *Fleet) Tick(now time.Time, needs []placement.Need, machines map[string]*placement.Machine, types map[string]model.MachineType, settled bool) []Action {
+	var out []Action
+	for _, c := range f.charters {
+		if c.state == Stored && (c.since.IsZero() || now.Sub(c.since) >= time.Second) {
+			c.to(Sent, now)
+			out = append(out, Action{Rent: c})
+		}
+	}
+	if release := f.returns(now, machines, types, settled, len(needs) > 0); len(release) > 0 {
+		out = append(out, Action{Release: release})
+	}
+	if settled {
+		out = append(out, f.rent(now, needs, types)...)
+	}
+	return out
+}
+
+// returns names the machines to give back: idle, lost, suspect, or never up.
+func (f *Fleet) returns(now time.Time, machines map[string]*placement.Machine, types map[string]model.MachineType, settled, waiting bool) []string {
+	var names []string
+	give := func(name string) {
+		if !f.leaving[name] && len(names) < 100 {
+			f.leaving[name] = true
+			names = append(names, name)
+		}
+	}
+	for name, r := range f.booting {
+		boot := types[r.source.Kind.Type].Boot
+		if now.Sub(r.since) > time.Duration(f.opt.BootFactor*float64(boot))+10*time.Second {
+			give(name)
+		}
+	}
+	for name, m := range machines {
+		switch {
+		case m.Phase == placement.Expired && now.Sub(m.Silent) > f.opt.SilentWait:
+			give(name)
+		case !settled || m.Phase != placement.Current || m.Busy():
+		case m.Cordoned, now.Sub(m.Idle) > f.opt.Idle:
+			give(name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// rent covers the needs, first by what is booting and then by new machines,
+// the cheapest per usable task first.
+func (f *Fleet) rent(now time.Time, needs []placement.Need, types map[string]model.MachineType) []Action {
+	type bin struct {
+		source Source
+		room   model.Size
+	}
+	var bins []*bin
+	add := func(s Source) *bin {
+		b := &bin{s, types[s.Kind.Type].Size}
+		bins = append(bins, b)
+		return b
+	}
+	for name, r := range f.booting {
+		if !f.leaving[name] && now.Sub(r.since) < 2*types[r.source.Kind.Type].Boot+5*time.Second {
+			add(r.source)
+		}
+	}
+	for _, c := range f.charters {
+		for range c.Count {
+			add(Source{c.Kind, c.Spot})
+		}
+	}
+	order := map[Source]int{}
+	var sources []Source
+	for _, need := range needs {
+		tasks := need.Tasks
+		if !need.Whole && need.Estimate > 0 && need.Estimate < f.opt.Horizon {
+			// Short tasks take turns: what is rented runs several of them.
+			tasks = int(math.Ceil(float64(tasks) * need.Estimate.Seconds() / f.opt.Horizon.Seconds()))
+		}
+		allowed := map[model.Kind]bool{}
+		for _, k := range need.Kinds {
+			allowed[k] = true
+		}
+		for _, b := range bins {
+			if !allowed[b.source.Kind] || (b.source.Spot && !need.Spot) {
+				continue
+			}
+			n := min(tasks, need.Size.Slots(b.room))
+			b.room = b.room.Sub(need.Size.Times(n))
+			tasks -= n
+		}
+		for tasks > 0 {
+			src, ok := f.cheapest(now, need, types, order)
+			if !ok {
+				break
+			}
+			if order[src] == 0 {
+				sources = append(sources, src)
+			}
+			order[src]++
+			b := add(src)
+			n := min(tasks, need.Size.Slots(b.room))
+			b.room = b.room.Sub(need.Size.Times(n))
+			tasks -= n
+		}
+	}
+	var out []Action
+	for _, src := range sources {
+		f.n++
+		c := &Charter{Name: fmt.Sprintf("c-%d-%d", f.token, f.n), Kind: src.Kind, Spot: src.Spot, Count: order[src], since: now}
+		f.charters[c.Name] = c
+		out = append(out, Action{Store: c})
+	}
+	return out
+}
+
+// cheapest picks the source with the lowest price per task that it holds.
+// Small remainders count: a machine is only worth what the need can use.
+func (f *Fleet) cheapest(now time.Time, need placement.Need, types map[string]model.MachineType, order map[Source]int) (Source, bool) {
+	var best Source
+	bestCost, found := math.Inf(1), false
+	for _, k := range need.Kinds {
+		t := types[k.Type]
+		for _, spot := range []bool{false, true} {
+			src := Source{k, spot}
+			if spot && (!need.Spot || t.SpotPrice <= 0) {
+				continue
+			}
+			if at, ok := f.refused[src]; (ok && now.Sub(at) < f.opt.RefusedWait) || order[src] >= MaxRent {
+				continue
+			}
+			slots := need.Size.Slots(t.Size)
+			if slots == 0 {
+				continue
+			}
+			price := t.Price
+			if spot {
+				price = t.SpotPrice
+			}
+			if cost := price / float64(min(slots, need.Tasks)); cost < bestCost {
+				best, bestCost, found = src, cost, true
+			}
+		}
+	}
+	return best, found
+}
--- /dev/null
+++ b/internal/httpwire/client.go
@@ -0,0 +1,115 @@
+package httpwire
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+)
+
+// Client sends requests to one address over a small pool of connections.
+type Client struct {
+	addr   string
+	limits Limits
+	slots  chan struct{}
+
+	mu   sync.Mutex
+	idle []*clientConn
+}
+
+type clientConn struct {
+	net.Conn
+	buf []byte
+}
+
+// NewClient makes a client with at most conns requests under way at once.
+func NewClient(addr string, conns int, limits Limits) *Client {
+	return &Client{addr: addr, limits: limits, slots: make(chan struct{}, conns)}
+}
+
+// Do sends one request and waits for its response until ctx ends. An error
+// means that the outcome is unknown, unless it is ErrNotSent.
+func (c *Client) Do(ctx context.Context, method, target string, body []byte) (*Response, error) {
+	select {
+	case c.slots <- struct{}{}:
+	case <-ctx.Done():
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, ctx.Err())
+	}
+	defer func() { <-c.slots }()
+	conn, err := c.take(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	resp, err := c.exchange(ctx, conn, method, target, body)
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	if resp.Close {
+		_ = conn.Close()
+	} else {
+		c.mu.Lock()
+		c.idle = append(c.idle, conn)
+		c.mu.Unlock()
+	}
+	return resp, nil
+}
+
+// ErrNotSent tells that a request never left this process.
+var ErrNotSent = errors.New("httpwire: request not sent")
+
+func (c *Client) take(ctx context.Context) (*clientConn, error) {
+	c.mu.Lock()
+	if n := len(c.idle); n > 0 {
+		conn := c.idle[n-1]
+		c.idle = c.idle[:n-1]
+		c.mu.Unlock()
+		return conn, nil
+	}
+	c.mu.Unlock()
+	d := net.Dialer{KeepAlive: -1}
+	conn, err := d.DialContext(ctx, "tcp4", c.addr)
+	if err != nil {
+		return nil, err
+	}
+	return &clientConn{Conn: conn}, nil
+}
+
+func (c *Client) exchange(ctx context.Context, conn *clientConn, method, target string, body []byte) (*Response, error) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(time.Minute)
+	}
+	if err := conn.SetDeadline(deadline); err != nil {
+		return nil, err
+	}
+	if _, err := conn.Write(appendRequest(nil, method, target, c.addr, body)); err != nil {
+		return nil, fmt.Errorf("send %s %s: %w", method, target, err)
+	}
+	conn.buf = conn.buf[:0]
+	chunk := make([]byte, 4096)
+	for {
+		n, rerr := conn.Read(chunk)
+		conn.buf = append(conn.buf, chunk[:n]...)
+		if n > 0 || rerr != nil {
+			resp, used, err := ParseResponse(conn.buf, rerr != nil, c.limits)
+			if err == nil {
+				if used != len(conn.buf) || rerr != nil {
+					resp.Close = true
+				}
+				if cap(conn.buf) > 64<<10 {
+					conn.buf = nil
+				}
+				return resp, nil
+			}
+			if !errors.Is(err, ErrIncomplete) {
+				return nil, fmt.Errorf("%s %s: %w", method, target, err)
+			}
+		}
+		if rerr != nil {
+			return nil, fmt.Errorf("%s %s: %w", method, target, rerr)
+		}
+	}
+}
--- /dev/null
+++ b/internal/model/model.go
@@ -0,0 +1,242 @@
+// Package model holds the words that every slice shares: sizes, kinds,
+// machine types, jobs and the states of tasks. Identifiers are the field's
+// words; what the wire calls them stands only in tags and constant values.
+package model
+
+import (
+	"math"
+	"time"
+)
+
+// eps absorbs rounding in sums of decimal amounts.
+const eps = 1e-6
+
+// Size is an amount of each resource.
+type Size struct {
+	CPUs     float64
+	GPUs     float64
+	MemoryGB float64
+}
+
+// Add returns the sum.
+func (s Size) Add(o Size) Size {
+	return Size{s.CPUs + o.CPUs, s.GPUs + o.GPUs, s.MemoryGB + o.MemoryGB}
+}
+
+// Sub returns the difference.
+func (s Size) Sub(o Size) Size {
+	return Size{s.CPUs - o.CPUs, s.GPUs - o.GPUs, s.MemoryGB - o.MemoryGB}
+}
+
+// Times returns n times the size.
+func (s Size) Times(n int) Size {
+	f := float64(n)
+	return Size{s.CPUs * f, s.GPUs * f, s.MemoryGB * f}
+}
+
+// Fits tells whether s fits into room.
+func (s Size) Fits(room Size) bool {
+	return s.CPUs <= room.CPUs+eps && s.GPUs <= room.GPUs+eps && s.MemoryGB <= room.MemoryGB+eps
+}
+
+// Share is the paper's occupancy over capacity for several resources: the
+// largest share in use over the resources that capacity has.
+func (s Size) Share(capacity Size) float64 {
+	share := 0.0
+	for _, r := range [][2]float64{{s.CPUs, capacity.CPUs}, {s.GPUs, capacity.GPUs}, {s.MemoryGB, capacity.MemoryGB}} {
+		if r[1] > 0 {
+			share = math.Max(share, r[0]/r[1])
+		}
+	}
+	return share
+}
+
+// Slots tells how many tasks of this size fit into room at once.
+func (s Size) Slots(room Size) int {
+	n := math.MaxInt32
+	for _, r := range [][2]float64{{s.CPUs, room.CPUs}, {s.GPUs, room.GPUs}, {s.MemoryGB, room.MemoryGB}} {
+		if r[0] > 0 {
+			n = min(n, int(math.Max(0, math.Floor((r[1]+eps)/r[0]))))
+		}
+	}
+	return n
+}
+
+// Kind is one machine type in one zone, the paper's cloud.
+type Kind struct {
+	Type string
+	Zone string
+}
+
+// MachineType is what the cloud publishes about a type.
+type MachineType struct {
+	Name        string
+	Size        Size
+	CacheGB     float64
+	FetchGBPerS float64
+	Price       float64 // an hour, ordinary
+	SpotPrice   float64 // an hour, spot, as of the last look
+	Boot        time.Duration
+	Zones       []string
+}
+
+// In tells whether the type is offered in a zone.
+func (t MachineType) In(zone string) bool {
+	for _, z := range t.Zones {
+		if z == zone {
+			return true
+		}
+	}
+	return false
+}
+
+// Shape is how a job's tasks belong together.
+type Shape string
+
+// The shapes.
+const (
+	Array   Shape = "batch"
+	Gang    Shape = "gang"
+	Service Shape = "standing"
+)
+
+// Priority ranks jobs.
+type Priority string
+
+// The priorities, highest first.
+const (
+	Production Priority = "critical"
+	High       Priority = "high"
+	Normal     Priority = "normal"
+	Low        Priority = "low"
+)
+
+// Rank orders priorities: larger goes first. Unknown ones rank -1.
+func (p Priority) Rank() int {
+	switch p {
+	case Production:
+		return 3
+	case High:
+		return 2
+	case Normal:
+		return 1
+	case Low:
+		return 0
+	}
+	return -1
+}
+
+// Stage is what a user is told of a job.
+type Stage string
+
+// The stages.
+const (
+	Queued    Stage = "queued"
+	Running   Stage = "running"
+	Done      Stage = "done"
+	Cancelled Stage = "aborted"
+)
+
+// Final tells whether a stage never changes again.
+func (s Stage) Final() bool { return s == Done || s == Cancelled }
+
+// TaskState is the state of a task on its machine. Ordered is the
+// controllers' own: a start is under way and no report has shown it yet.
+type TaskState string
+
+// The task states.
+const (
+	TaskOrdered  TaskState = "ordered"
+	TaskFetching TaskState = "fetching"
+	TaskWaiting  TaskState = "gathering"
+	TaskRunning  TaskState = "running"
+	TaskSaving   TaskState = "flushing"
+	TaskExited   TaskState = "ended"
+)
+
+// Cause tells why a task exited.
+type Cause string
+
+// The causes of an exit.
+const (
+	CauseDone    Cause = "done"
+	CauseStopped Cause = "stopped"
+	CausePeers   Cause = "peers"
+	CauseAlone   Cause = "alone"
+	CauseError   Cause = "error"
+	CauseNoRoom  Cause = "no_room"
+	CauseBusy    Cause = "busy"
+	CauseUnknown Cause = "no_such"
+)
+
+// Team is one team's guarantee and limit; a zero amount means none.
+type Team struct {
+	Name      string
+	Guarantee Size
+	Limit     Size
+}
+
+// WithinLimit tells whether used stays within the team's limit.
+func (t Team) WithinLimit(used Size) bool {
+	return within(used.CPUs, t.Limit.CPUs) && within(used.GPUs, t.Limit.GPUs)
+}
+
+// WithinGuarantee tells whether used stays within the team's guarantee. A
+// team without any guarantee is never within it.
+func (t Team) WithinGuarantee(used Size) bool {
+	if t.Guarantee.CPUs == 0 && t.Guarantee.GPUs == 0 {
+		return false
+	}
+	return used.CPUs <= t.Guarantee.CPUs+eps && used.GPUs <= t.Guarantee.GPUs+eps
+}
+
+func within(used, limit float64) bool { return limit == 0 || used <= limit+eps }
+
+// Job is what a user asked for.
+type Job struct {
+	ID              string
+	Class           string
+	Team            string
+	Shape           Shape
+	Priority        Priority
+	Tasks           int
+	Size            Size
+	Image           string
+	ImageGB         float64
+	Types           []string // nil: any
+	Zone            string   // empty: any
+	OneZone         bool
+	Spread          bool
+	Spot            bool
+	Estimate        time.Duration
+	CheckpointEvery time.Duration
+	SaveTime        time.Duration
+	Deadline        time.Duration // from submission; 0: none
+}
+
+// Allows tells whether the job's tasks may run on machines of a kind.
+func (j *Job) Allows(t MachineType, zone string) bool {
+	if j.Zone != "" && j.Zone != zone {
+		return false
+	}
+	if !t.In(zone) || !j.Size.Fits(t.Size) {
+		return false
+	}
+	if j.Types == nil {
+		return true
+	}
+	for _, name := range j.Types {
+		if name == t.Name {
+			return true
+		}
+	}
+	return false
+}
+
+// ZoneCap is how many of the job's tasks one zone may hold.
+func (j *Job) ZoneCap() int {
+	if j.Spread {
+		return (j.Tasks + 1) / 2
+	}
+	return j.Tasks
+}
--- /dev/null
+++ b/internal/model/tasks.go
@@ -0,0 +1,106 @@
+package model
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/base64"
+	"fmt"
+	"io"
+	"math/bits"
+	"strconv"
+	"strings"
+)
+
+// TaskSet is a set of task numbers, kept as a bitmap.
+type TaskSet struct {
+	words []uint64
+	n     int
+}
+
+// NewTaskSet makes an empty set for tasks 0 to size-1.
+func NewTaskSet(size int) *TaskSet { return &TaskSet{words: make([]uint64, (size+63)/64)} }
+
+// Has tells whether i is in the set.
+func (s *TaskSet) Has(i int) bool {
+	return i >= 0 && i/64 < len(s.words) && s.words[i/64]&(1<<(i%64)) != 0
+}
+
+// Add puts i into the set and tells whether it was new.
+func (s *TaskSet) Add(i int) bool {
+	if i < 0 || i/64 >= len(s.words) || s.Has(i) {
+		return false
+	}
+	s.words[i/64] |= 1 << (i % 64)
+	s.n++
+	return true
+}
+
+// Len is the number of tasks in the set.
+func (s *TaskSet) Len() int { return s.n }
+
+// Encode packs tasks from up to below to. The text is never longer than
+// MaxEncoded says for that many tasks.
+func (s *TaskSet) Encode(from, to int) string {
+	raw := make([]byte, 0, (to-from)/8+8)
+	for i := from / 64; i < (to+63)/64 && i < len(s.words); i++ {
+		for k := 0; k < 8; k++ {
+			raw = append(raw, byte(s.words[i]>>(8*k)))
+		}
+	}
+	raw = bytes.TrimRight(raw, "\x00")
+	if len(raw) == 0 {
+		return ""
+	}
+	var buf bytes.Buffer
+	w, _ := flate.NewWriter(&buf, flate.BestSpeed)
+	_, _ = w.Write(raw)
+	_ = w.Close()
+	if buf.Len() < len(raw) {
+		return "z" + base64.RawStdEncoding.EncodeToString(buf.Bytes())
+	}
+	return "b" + base64.RawStdEncoding.EncodeToString(raw)
+}
+
+// PartTasks is how many tasks' marks surely fit into a text of size bytes, a
+// multiple of 64.
+func PartTasks(size int) int { return max(64, (size-1)*3/4*8/64*64) }
+
+// Merge adds a packed set that starts at task from.
+func (s *TaskSet) Merge(from int, text string) error {
+	if text == "" {
+		return nil
+	}
+	raw, err := base64.RawStdEncoding.DecodeString(text[1:])
+	if err != nil {
+		return fmt.Errorf("task set: %w", err)
+	}
+	if text[0] == 'z' {
+		if raw, err = io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(raw)), MaxTasks/8+8)); err != nil {
+			return fmt.Errorf("task set: %w", err)
+		}
+	}
+	for k, b := range raw {
+		for b != 0 {
+			i := bits.TrailingZeros8(b)
+			s.Add(from + 8*k + i)
+			b &^= 1 << i
+		}
+	}
+	return nil
+}
+
+// TaskName is the wire's name of a task.
+func TaskName(job string, index int) string { return job + "/" + strconv.Itoa(index) }
+
+// SplitTask takes a task's name apart.
+func SplitTask(name string) (job string, index int, ok bool) {
+	i := strings.LastIndexByte(name, '/')
+	if i < 0 || !ValidID(name[:i]) {
+		return "", 0, false
+	}
+	n, err := strconv.Atoi(name[i+1:])
+	if err != nil || n < 0 || n >= MaxTasks || strconv.Itoa(n) != name[i+1:] {
+		return "", 0, false
+	}
+	return name[:i], n, true
+}
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,69 @@
+// Package peers carries the conversation between controllers over gRPC.
+package peers
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/marlwood/marlwood/internal/peers/peerspb"
+)
+
+// Serve answers rounds on addr with handle until the process ends.
+func Serve(addr string, handle func(*peerspb.RoundRequest) *peerspb.RoundResponse) (stop func(), err error) {
+	l, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return nil, fmt.Errorf("peers: %w", err)
+	}
+	s := grpc.NewServer(grpc.ReadBufferSize(8<<10), grpc.WriteBufferSize(8<<10), grpc.MaxConcurrentStreams(16))
+	peerspb.RegisterPeersServer(s, &server{handle: handle})
+	go func() { _ = s.Serve(l) }()
+	return s.Stop, nil
+}
+
+type server struct {
+	peerspb.UnimplementedPeersServer
+	handle func(*peerspb.RoundRequest) *peerspb.RoundResponse
+}
+
+// Round passes one message of the leader on.
+func (s *server) Round(_ context.Context, r *peerspb.RoundRequest) (*peerspb.RoundResponse, error) {
+	return s.handle(r), nil
+}
+
+// Link is a connection to one sibling; it reconnects by itself.
+type Link struct {
+	client  peerspb.PeersClient
+	conn    *grpc.ClientConn
+	timeout time.Duration
+}
+
+// Dial makes a link. Nothing is sent before the first call.
+func Dial(addr string, timeout time.Duration) (*Link, error) {
+	conn, err := grpc.NewClient("passthrough:///"+addr,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithReadBufferSize(8<<10), grpc.WithWriteBufferSize(8<<10), grpc.WithNoProxy(),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: 200 * time.Millisecond, Multiplier: 1.5, Jitter: 0.2, MaxDelay: time.Second},
+			MinConnectTimeout: time.Second,
+		}))
+	if err != nil {
+		return nil, fmt.Errorf("peers: %w", err)
+	}
+	return &Link{client: peerspb.NewPeersClient(conn), conn: conn, timeout: timeout}, nil
+}
+
+// Round sends one message and waits for its answer.
+func (l *Link) Round(ctx context.Context, r *peerspb.RoundRequest) (*peerspb.RoundResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.timeout)
+	defer cancel()
+	return l.client.Round(ctx, r)
+}
+
+// Close ends the link.
+func (l *Link) Close() error { return l.conn.Close() }
--- /dev/null
+++ b/internal/placement/book.go
@@ -0,0 +1,567 @@
+// Package placement is the leader's book: which jobs there are, which tasks
+// are bound to which machines, and where the next ones go by the paper's
+// rule. The book is pure: events and the time go in; orders, wishes for
+// samples and records to store come out.
+package placement
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/peers/peerspb"
+)
+
+// Options are the book's bounds.
+type Options struct {
+	Draws         int
+	ScanAfter     int
+	TasksPerRound int
+	PreemptWait   time.Duration
+	GangPeer      time.Duration
+	ReportEvery   time.Duration
+	Errors        int
+	PartTasks     int // tasks whose marks one stored value holds
+	Log           *slog.Logger
+}
+
+// MachinePhase is where a machine stands for the leader.
+type MachinePhase int
+
+// The phases.
+const (
+	Unseen  MachinePhase = iota // has a host record; not heard of under our token
+	Joining                     // heard of, its report may still be incomplete
+	Current                     // all of its tasks are known
+	Expired                     // its lease has run out: it has no tasks
+)
+
+func (p MachinePhase) String() string {
+	return [...]string{"unseen", "joining", "current", "expired"}[p]
+}
+
+type taskKey struct {
+	job   string
+	index int
+}
+
+// Task is a task bound to a machine: ordered there, there, or possibly there.
+type Task struct {
+	job      *Job
+	index    int
+	attempt  uint64
+	machine  *Machine
+	state    model.TaskState
+	token    uint64 // under which it was ordered
+	order    uint64
+	since    time.Time // when it entered its state
+	stopping bool
+	grace    time.Duration
+	told     uint64 // token under which the stop was ordered last
+}
+
+// to is the one place where a bound task's state changes.
+func (t *Task) to(s model.TaskState, now time.Time) {
+	if t.state != s {
+		t.state, t.since = s, now
+	}
+}
+
+// Job is a job that is not over.
+type Job struct {
+	Spec      *model.Job
+	Accepted  time.Time // by the wall clock of the node that took it in
+	Stamp     uint64
+	Started   bool
+	Cancelled bool
+
+	finished *model.TaskSet
+	stored   *model.TaskSet // what the state service has
+	bound    map[int]*Task
+	next     int   // tasks from here on were never tried
+	again    []int // tasks to be tried again
+	retryAt  time.Time
+	errors   int
+	empty    int // rounds without room in a row
+	tried    uint64
+	waiting  time.Time // since when it has had work without room
+	writing  bool
+	wroteAt  time.Time
+	dirty    bool
+	attempt  uint64 // gang: the present attempt
+}
+
+// Finished counts the finished tasks.
+func (j *Job) Finished() int { return j.finished.Len() }
+
+// Unplaced counts the tasks that are neither finished nor bound.
+func (j *Job) Unplaced() int {
+	if j.Cancelled {
+		return 0
+	}
+	return j.Spec.Tasks - j.finished.Len() - len(j.bound)
+}
+
+// Machine is a machine as the leader knows it.
+type Machine struct {
+	Name     string
+	Addr     string
+	Kind     model.Kind
+	Spot     bool
+	Phase    MachinePhase
+	Hosted   bool // its host record is stored
+	Cordoned bool
+	Notice   time.Duration // -1: none
+	NoticeAt time.Time
+	Seen     time.Time // first heard of by this leader
+	Idle     time.Time // without tasks since
+	Silent   time.Time // expired since
+	Errors   int       // failed tasks in a row
+	failed   map[string]bool
+
+	session, seq uint64
+	current      uint64 // token under which it was last current
+	tasks        map[taskKey]*Task
+	reported     []*peerspb.Task
+	strays       int // running tasks of jobs the book does not know
+	reserved     map[string]reservation
+}
+
+type reservation struct {
+	size  model.Size
+	until time.Time
+}
+
+// Book is the leader's whole knowledge.
+type Book struct {
+	opt      Options
+	token    uint64
+	complete bool
+	types    map[string]model.MachineType
+	teams    map[string]model.Team
+	jobs     map[string]*Job
+	machines map[string]*Machine
+	owners   map[model.Kind]string
+	out      map[string][]*peerspb.Order
+	orderID  uint64
+	attempts uint64
+	room     uint64 // counts events that may have made room
+	gone     map[string]time.Time
+	plan     []*planned
+}
+
+// NewBook makes an empty book under a token.
+func NewBook(opt Options, token uint64, teams map[string]model.Team, types map[string]model.MachineType) *Book {
+	return &Book{opt: opt, token: token, teams: teams, types: types, jobs: map[string]*Job{},
+		machines: map[string]*Machine{}, owners: map[model.Kind]string{}, out: map[string][]*peerspb.Order{},
+		gone: map[string]time.Time{}}
+}
+
+// SetTypes replaces what is known of machine types.
+func (b *Book) SetTypes(types map[string]model.MachineType) { b.types = types }
+
+// Token is the token that the book's orders carry.
+func (b *Book) Token() uint64 { return b.token }
+
+// Complete tells whether every task that may run anywhere is in the book.
+func (b *Book) Complete() bool { return b.complete }
+
+// Renewed goes on under a fresh token of the same leader. All bindings are
+// kept; a start of the old token is decided by the machine's first complete
+// report under the new one.
+func (b *Book) Renewed(token uint64) {
+	b.token = token
+	b.out = map[string][]*peerspb.Order{}
+	for _, m := range b.machines {
+		if m.Phase != Expired {
+			m.Phase = Unseen
+		}
+	}
+}
+
+// SetOwners says which member owns each kind.
+func (b *Book) SetOwners(owners map[model.Kind]string) { b.owners = owners }
+
+// Owners returns the owner of each kind.
+func (b *Book) Owners() map[model.Kind]string { return b.owners }
+
+// AddHost takes in a host record: a machine on which tasks may run.
+func (b *Book) AddHost(name string, kind model.Kind, spot bool, now time.Time) {
+	if b.machines[name] == nil {
+		b.machines[name] = &Machine{Name: name, Kind: kind, Spot: spot, Hosted: true, Notice: -1, Seen: now, Idle: now,
+			tasks: map[taskKey]*Task{}}
+	}
+}
+
+// HostStored marks a machine's host record as written.
+func (b *Book) HostStored(name string) {
+	if m := b.machines[name]; m != nil {
+		m.Hosted = true
+		b.room++
+	}
+}
+
+// Machines returns the machines by name.
+func (b *Book) Machines() map[string]*Machine { return b.machines }
+
+// Jobs returns the jobs that are not over.
+func (b *Book) Jobs() map[string]*Job { return b.jobs }
+
+// Orders returns the orders for a member that it has not acknowledged.
+func (b *Book) Orders(member string) []*peerspb.Order { return b.out[member] }
+
+// Acknowledged drops the orders that a member has taken in.
+func (b *Book) Acknowledged(member string, applied uint64) {
+	q := b.out[member]
+	i := 0
+	for i < len(q) && q[i].Id <= applied {
+		i++
+	}
+	b.out[member] = q[i:]
+}
+
+func (b *Book) give(m *Machine, o *peerspb.Order) uint64 {
+	owner := b.owners[m.Kind]
+	if owner == "" {
+		return 0
+	}
+	b.orderID++
+	o.Id, o.Machine = b.orderID, m.Name
+	b.out[owner] = append(b.out[owner], o)
+	return o.Id
+}
+
+// Cordon keeps new tasks off a machine.
+func (b *Book) Cordon(m *Machine) {
+	if !m.Cordoned {
+		m.Cordoned = true
+		b.give(m, &peerspb.Order{Op: peerspb.Op_OP_CORDON})
+	}
+}
+
+// Gone takes in that a machine no longer exists.
+func (b *Book) Gone(name string, now time.Time) {
+	m := b.machines[name]
+	if m == nil {
+		return
+	}
+	b.releaseAll(m, now)
+	b.give(m, &peerspb.Order{Op: peerspb.Op_OP_DROP})
+	delete(b.machines, name)
+	b.gone[name] = now
+}
+
+// Lost tells whether a machine is known to be gone.
+func (b *Book) Lost(name string) bool { _, ok := b.gone[name]; return ok }
+
+func (b *Book) releaseAll(m *Machine, now time.Time) {
+	for _, t := range m.tasks {
+		b.release(t, now)
+	}
+	m.reported, m.strays = nil, 0
+}
+
+// release frees a bound task's place and puts it back into its job's queue
+// unless it is finished.
+func (b *Book) release(t *Task, now time.Time) {
+	m, j := t.machine, t.job
+	delete(m.tasks, taskKey{j.Spec.ID, t.index})
+	delete(j.bound, t.index)
+	b.room++
+	if len(m.tasks) == 0 {
+		m.Idle = now
+	}
+	if !j.finished.Has(t.index) {
+		j.again = append(j.again, t.index)
+	}
+	if j.Cancelled && len(j.bound) == 0 {
+		delete(b.jobs, j.Spec.ID)
+	}
+}
+
+// Machine takes in what an owner says of a machine. trusted tells that an
+// expiry may be believed even for a machine that was not yet current under
+// our token.
+func (b *Book) Machine(now time.Time, pm *peerspb.Machine, trusted bool) {
+	if _, lost := b.gone[pm.Name]; lost {
+		return
+	}
+	m := b.machines[pm.Name]
+	if m == nil {
+		if pm.Phase == "expired" {
+			return
+		}
+		m = &Machine{Name: pm.Name, Kind: model.Kind{Type: pm.Kind.GetType(), Zone: pm.Kind.GetZone()}, Notice: -1,
+			Seen: now, Idle: now, tasks: map[taskKey]*Task{}}
+		b.machines[pm.Name] = m
+	}
+	switch pm.Phase {
+	case "joining":
+		m.Spot, m.Addr = pm.Spot, pm.Addr
+		b.setPhase(m, Joining, now)
+	case "expired":
+		if trusted || m.current == b.token {
+			b.releaseAll(m, now)
+			b.setPhase(m, Expired, now)
+		}
+	case "current":
+		m.Spot, m.Addr, m.session, m.seq = pm.Spot, pm.Addr, pm.Session, pm.Seq
+		if m.Notice < 0 && pm.NoticeMs >= 0 {
+			m.NoticeAt = now
+		}
+		m.Notice = time.Duration(pm.NoticeMs) * time.Millisecond
+		if pm.NoticeMs < 0 {
+			m.Notice = -1
+		}
+		m.reported = pm.Tasks
+		m.current = b.token
+		b.setPhase(m, Current, now)
+		b.reconcile(now, m, pm.Delivered)
+	}
+}
+
+// setPhase is the one place where a machine's phase changes.
+func (b *Book) setPhase(m *Machine, p MachinePhase, now time.Time) {
+	if m.Phase == p {
+		return
+	}
+	m.Phase = p
+	b.room++
+	if p == Expired {
+		m.Silent = now
+	}
+}
+
+// UnseenExpired takes in that machines of a member's kinds which it has not
+// mentioned have surely run out of their leases.
+func (b *Book) UnseenExpired(member string, now time.Time) {
+	for _, m := range b.machines {
+		if m.Phase == Unseen && b.owners[m.Kind] == member {
+			b.releaseAll(m, now)
+			b.setPhase(m, Expired, now)
+		}
+	}
+}
+
+// Settle tells whether the book has become complete: each machine with a
+// host record has answered under our token, is gone, or has expired.
+func (b *Book) Settle() bool {
+	if b.complete {
+		return true
+	}
+	for _, m := range b.machines {
+		if m.Hosted && (m.Phase == Unseen || m.Phase == Joining) {
+			return false
+		}
+	}
+	b.complete = true
+	b.room++
+	return true
+}
+
+// reconcile compares a complete report with what is bound to the machine.
+func (b *Book) reconcile(now time.Time, m *Machine, delivered uint64) {
+	seen := make(map[taskKey]bool, len(m.reported))
+	strays := 0
+	for _, r := range m.reported {
+		key := taskKey{r.Job, int(r.Index)}
+		state := model.TaskState(r.State)
+		j := b.jobs[r.Job]
+		if j == nil || int(r.Index) >= j.Spec.Tasks {
+			// No such job is open: it is done, cancelled or unknown.
+			if state == model.TaskExited {
+				b.forget(m, r)
+			} else {
+				strays++
+				b.stopReported(m, r)
+			}
+			continue
+		}
+		t := j.bound[key.index]
+		if t != nil && t.machine == m && t.attempt == r.Attempt {
+			seen[key] = true
+			if state == model.TaskExited {
+				b.exited(now, t, r)
+			} else {
+				b.shown(now, t, state)
+			}
+			continue
+		}
+		switch {
+		case state == model.TaskExited:
+			if model.Cause(r.Cause) == model.CauseDone {
+				b.finish(j, key.index)
+			}
+			b.settleExited(m, j, r)
+		case t == nil && !j.finished.Has(key.index):
+			// Started by an earlier leader.
+			t = &Task{job: j, index: key.index, attempt: r.Attempt, machine: m, state: state, token: b.token, since: now}
+			b.bind(t)
+			seen[key] = true
+			b.shown(now, t, state)
+		default:
+			// A second copy, or one of a finished task: it only takes room.
+			strays++
+			b.stopReported(m, r)
+		}
+	}
+	m.strays = strays
+	for key, t := range m.tasks {
+		if seen[key] {
+			continue
+		}
+		// Guard: a start that this report had no chance to show stays bound,
+		// for it may be on its way.
+		if t.token == b.token && t.order > delivered && t.state == model.TaskOrdered {
+			continue
+		}
+		b.release(t, now)
+	}
+}
+
+func (b *Book) bind(t *Task) {
+	t.job.bound[t.index] = t
+	t.machine.tasks[taskKey{t.job.Spec.ID, t.index}] = t
+}
+
+// shown takes in a bound task's state from a report.
+func (b *Book) shown(now time.Time, t *Task, state model.TaskState) {
+	j := t.job
+	t.to(state, now)
+	if state == model.TaskRunning {
+		if !j.Started {
+			j.Started, j.dirty = true, true
+		}
+	}
+	if j.Spec.Shape == model.Gang {
+		j.attempt = t.attempt
+	}
+	if (j.Cancelled || j.finished.Has(t.index)) && !t.stopping {
+		t.stopping, t.grace, t.told = true, 0, 0
+	}
+	if t.stopping && t.told != b.token {
+		b.tellStop(t)
+	}
+}
+
+func (b *Book) tellStop(t *Task) {
+	t.told = b.token
+	b.give(t.machine, &peerspb.Order{Op: peerspb.Op_OP_STOP, Job: t.job.Spec.ID, Index: uint32(t.index),
+		Attempt: t.attempt, GraceMs: t.grace.Milliseconds()})
+}
+
+// stop stops a bound task; of a gang, all of its tasks.
+func (b *Book) stop(t *Task, grace time.Duration) {
+	if t.job.Spec.Shape == model.Gang {
+		for _, o := range t.job.bound {
+			b.stopOne(o, grace)
+		}
+		return
+	}
+	b.stopOne(t, grace)
+}
+
+func (b *Book) stopOne(t *Task, grace time.Duration) {
+	if t.stopping && t.grace <= grace && t.told == b.token {
+		return
+	}
+	t.stopping, t.grace = true, grace
+	b.tellStop(t)
+}
+
+func (b *Book) stopReported(m *Machine, r *peerspb.Task) {
+	b.give(m, &peerspb.Order{Op: peerspb.Op_OP_STOP, Job: r.Job, Index: r.Index, Attempt: r.Attempt})
+}
+
+func (b *Book) forget(m *Machine, r *peerspb.Task) {
+	b.give(m, &peerspb.Order{Op: peerspb.Op_OP_FORGET, Job: r.Job, Index: r.Index, Attempt: r.Attempt})
+}
+
+// settleExited forgets an exited task once nothing depends on its report: a
+// finished one only after its mark is stored.
+func (b *Book) settleExited(m *Machine, j *Job, r *peerspb.Task) {
+	if model.Cause(r.Cause) == model.CauseDone && !j.stored.Has(int(r.Index)) {
+		return
+	}
+	b.forget(m, r)
+}
+
+// exited takes in the end of a bound task.
+func (b *Book) exited(now time.Time, t *Task, r *peerspb.Task) {
+	j, m := t.job, t.machine
+	t.to(model.TaskExited, now)
+	switch model.Cause(r.Cause) {
+	case model.CauseDone:
+		b.finish(j, t.index)
+		m.Errors, j.errors, m.failed = 0, 0, nil
+	case model.CauseError:
+		m.Errors++
+		if m.failed == nil {
+			m.failed = map[string]bool{}
+		}
+		m.failed[j.Spec.ID] = true
+		j.errors++
+		j.retryAt = now.Add(min(time.Minute, time.Second<<min(j.errors/4, 6)))
+	case model.CauseNoRoom, model.CauseBusy, model.CauseUnknown, model.CauseAlone:
+		j.retryAt = now.Add(time.Second)
+	}
+	b.release(t, now)
+	b.settleExited(m, j, r)
+}
+
+// finish marks a task as finished; a gang completes as one.
+func (b *Book) finish(j *Job, index int) {
+	if j.Spec.Shape == model.Gang {
+		for i := range j.Spec.Tasks {
+			if j.finished.Add(i) {
+				j.dirty = true
+			}
+		}
+		return
+	}
+	if j.finished.Add(index) {
+		j.dirty = true
+	}
+}
+
+// used is what a machine's bound tasks take.
+func (m *Machine) used() model.Size {
+	var used model.Size
+	for _, t := range m.tasks {
+		used = used.Add(t.job.Spec.Size)
+	}
+	return used
+}
+
+// Busy tells whether anything is bound to the machine or still to be settled
+// on it.
+func (m *Machine) Busy() bool { return len(m.tasks) > 0 || m.strays > 0 || len(m.reported) > 0 }
+
+// strays counts running tasks that belong to no open job. While there are
+// any, nothing starts: their team and size are not known.
+func (b *Book) strays() int {
+	n := 0
+	for _, m := range b.machines {
+		n += m.strays
+	}
+	return n
+}
+
+// TeamUse sums what a team's tasks take, everything bound included.
+func (b *Book) TeamUse(team string) model.Size {
+	var used model.Size
+	for _, j := range b.jobs {
+		if j.Spec.Team == team {
+			used = used.Add(j.Spec.Size.Times(len(j.bound)))
+		}
+	}
+	return used
+}
+
+// Bound counts the job's bound tasks.
+func (j *Job) Bound() int { return len(j.bound) }
+
+// Suspect tells whether a machine rather than a job is at fault: several
+// failures in a row, of more than one job or more than the job's own retries
+// explain.
+func (m *Machine) Suspect(errors int) bool { return m.Errors >= errors }
--- /dev/null
+++ b/internal/placement/jobs.go
@@ -0,0 +1,239 @@
+package placement
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/model"
+)
+
+// Record is how an open job is kept under job/<id>. Finished holds the marks
+// of the first part; further parts have keys of their own.
+type Record struct {
+	Job        *model.Job `json:"job"`
+	AcceptedMS int64      `json:"accepted_ms"`
+	Started    bool       `json:"started,omitempty"`
+	Finished   string     `json:"finished,omitempty"`
+	Count      int        `json:"count,omitempty"`
+}
+
+// Final is how a job that is over is kept under done/<id>.
+type Final struct {
+	Stage model.Stage `json:"stage"`
+	Tasks int         `json:"tasks"`
+	Count int         `json:"count"`
+}
+
+// Keys of the state service.
+const (
+	JobPrefix  = "job/"
+	DonePrefix = "done/"
+	PartPrefix = "part/"
+	HostPrefix = "host/"
+)
+
+// PartKey names the key of a job's marks beyond the first part.
+func PartKey(id string, part int) string { return fmt.Sprintf("%s%s/%d", PartPrefix, id, part) }
+
+// PutJob takes in a job's record as stored with a stamp. parts are the marks
+// beyond the first part, if any are known.
+func (b *Book) PutJob(id string, value json.RawMessage, stamp uint64, parts map[int]string) error {
+	if j := b.jobs[id]; j != nil {
+		j.Stamp = max(j.Stamp, stamp)
+		return nil
+	}
+	var r Record
+	if err := json.Unmarshal(value, &r); err != nil {
+		return fmt.Errorf("record of job %s: %w", id, err)
+	}
+	if r.Job == nil || r.Job.ID != id {
+		return fmt.Errorf("record of job %s: wrong job", id)
+	}
+	j := &Job{Spec: r.Job, Accepted: time.UnixMilli(r.AcceptedMS), Stamp: stamp, Started: r.Started,
+		finished: model.NewTaskSet(r.Job.Tasks), stored: model.NewTaskSet(r.Job.Tasks), bound: map[int]*Task{}}
+	for _, set := range []*model.TaskSet{j.finished, j.stored} {
+		if err := set.Merge(0, r.Finished); err != nil {
+			return fmt.Errorf("record of job %s: %w", id, err)
+		}
+		for part, text := range parts {
+			if err := set.Merge(part*b.opt.PartTasks, text); err != nil {
+				return fmt.Errorf("record of job %s: %w", id, err)
+			}
+		}
+	}
+	j.dirty = j.finished.Len() == j.Spec.Tasks
+	b.jobs[id] = j
+	b.room++
+	return nil
+}
+
+// Cancel takes in that a job is cancelled: its tasks are stopped at once and
+// none is started any more.
+func (b *Book) Cancel(id string) {
+	j := b.jobs[id]
+	if j == nil || j.Cancelled {
+		return
+	}
+	j.Cancelled = true
+	for _, t := range j.bound {
+		b.stopOne(t, 0)
+	}
+	if len(j.bound) == 0 {
+		delete(b.jobs, id)
+	}
+}
+
+// View is a job's state for display.
+type View struct {
+	Done    int
+	Running int
+}
+
+// View returns the counts of an open job.
+func (b *Book) View(id string) (View, bool) {
+	j := b.jobs[id]
+	if j == nil {
+		return View{}, false
+	}
+	v := View{Done: j.finished.Len()}
+	for _, t := range j.bound {
+		if t.state == model.TaskRunning || t.state == model.TaskSaving {
+			v.Running++
+		}
+	}
+	return v, true
+}
+
+// Save is a change of a job's records that is due.
+type Save struct {
+	ID     string
+	Stamp  uint64
+	Over   *Final         // the job is done: its record is replaced by this
+	Record *Record        // otherwise the record
+	Parts  map[int]string // and marks beyond the first part
+	marks  []int          // parts whose marks are stored by this
+	snap   *model.TaskSet
+}
+
+// Saves returns the records that are due, at most one at a time for each job
+// and not more often than every pause unless the job is done.
+func (b *Book) Saves(now time.Time, pause time.Duration, maxParts int) []*Save {
+	var out []*Save
+	for id, j := range b.jobs {
+		if !j.dirty || j.writing || j.Cancelled {
+			continue
+		}
+		over := j.finished.Len() == j.Spec.Tasks
+		if !over && now.Sub(j.wroteAt) < pause {
+			continue
+		}
+		j.writing, j.wroteAt, j.dirty = true, now, false
+		s := &Save{ID: id, Stamp: j.Stamp}
+		if over {
+			s.Over = &Final{Stage: model.Done, Tasks: j.Spec.Tasks, Count: j.Spec.Tasks}
+			out = append(out, s)
+			continue
+		}
+		per := b.opt.PartTasks
+		s.Parts = map[int]string{}
+		s.snap = model.NewTaskSet(j.Spec.Tasks)
+		for part := 0; part*per < j.Spec.Tasks; part++ {
+			from, to := part*per, min((part+1)*per, j.Spec.Tasks)
+			changed := false
+			for i := from; i < to && !changed; i++ {
+				changed = j.finished.Has(i) != j.stored.Has(i)
+			}
+			if part > 0 && !changed {
+				continue
+			}
+			if part > 0 && len(s.Parts) >= maxParts {
+				j.dirty = true // the rest goes with the next save
+				break
+			}
+			text := j.finished.Encode(from, to)
+			for i := from; i < to; i++ {
+				if j.finished.Has(i) {
+					s.snap.Add(i)
+				}
+			}
+			if part > 0 {
+				s.Parts[part] = text
+			} else {
+				s.Record = &Record{Job: j.Spec, AcceptedMS: j.Accepted.UnixMilli(), Started: j.Started,
+					Finished: text, Count: j.finished.Len()}
+			}
+			s.marks = append(s.marks, part)
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// Saved takes in the outcome of a save. Only an answered success counts; a
+// failure is tried again with the job's then stamp.
+func (b *Book) Saved(now time.Time, s *Save, ok bool, stamp uint64) {
+	j := b.jobs[s.ID]
+	if j == nil {
+		return
+	}
+	j.writing = false
+	if !ok {
+		j.dirty = true
+		return
+	}
+	if s.Over != nil {
+		b.over(now, j)
+		return
+	}
+	j.Stamp = max(j.Stamp, stamp)
+	for i := range j.Spec.Tasks {
+		if s.snap.Has(i) {
+			j.stored.Add(i)
+		}
+	}
+	b.settleJob(s.ID)
+}
+
+// Over takes in that a job's final record is stored.
+func (b *Book) Over(now time.Time, id string) {
+	if j := b.jobs[id]; j != nil {
+		b.over(now, j)
+	}
+}
+
+// over drops a done job. Its exited tasks are forgotten as tasks of no open
+// job from here on.
+func (b *Book) over(now time.Time, j *Job) {
+	for _, t := range j.bound { // a gang's tasks whose own reports are still due
+		b.stopOne(t, 0)
+	}
+	j.Cancelled = true
+	for i := range j.Spec.Tasks {
+		j.stored.Add(i)
+	}
+	if len(j.bound) == 0 {
+		delete(b.jobs, j.Spec.ID)
+	}
+	b.settleJob(j.Spec.ID)
+}
+
+// settleJob forgets a job's exited tasks after its marks were stored.
+func (b *Book) settleJob(id string) {
+	j := b.jobs[id]
+	for _, m := range b.machines {
+		if m.Phase != Current {
+			continue
+		}
+		for _, r := range m.reported {
+			if r.Job != id || model.TaskState(r.State) != model.TaskExited {
+				continue
+			}
+			if j == nil {
+				b.forget(m, r)
+			} else {
+				b.settleExited(m, j, r)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/settings/defaults.sexp
@@ -0,0 +1,32 @@
+;; Operators' settings and their defaults. A file given with --settings has
+;; the same form and needs only what it changes. Durations are strings such
+;; as "1.5s"; all else is a number.
+(marlwood
+  (leadership
+    (hold "5s")           ; the leader key goes away this long after the last touch
+    (poll "1s")           ; how often every node looks at the leader key
+    (grant "3s")          ; how long an owner may answer workers after hearing from the leader
+    (margin "2s"))        ; held back for clock drift and slow timers
+  (placement
+    (draws 2)             ; machines drawn per fitting kind for each task
+    (round "150ms")       ; least time between two rounds that place tasks
+    (heartbeat "400ms")   ; longest time between two rounds
+    (scan-after 2)        ; empty rounds after which a job scans its kinds
+    (tasks-per-round 64)  ; most tasks drawn for in one round
+    (preempt-wait "1s"))  ; how long a job waits without room before it preempts
+  (fleet
+    (tick "1s")
+    (idle "30s")          ; a machine without tasks is returned after this
+    (horizon "45s")       ; machines are rented so that waiting arrays end their turn within this
+    (refused-wait "20s")  ; pause for a kind that had no capacity
+    (list-every "4s")
+    (boot-factor 4)       ; a machine is given up after this many times its usual boot time
+    (silent-wait "20s")   ; an expired machine is returned after this
+    (errors 3))           ; failed tasks in a row that make a machine suspect
+  (service
+    (memory-share 0.6)    ; soft limit of the Go heap, as a share of the quota
+    (user-conns-share 0.6); sockets for users and workers, as a share of the quota
+    (call "2s")           ; deadline of calls to the state service
+    (cloud-call "5s")     ; deadline of calls to the cloud
+    (peer-call "1s")      ; deadline of calls between controllers
+    (final-cache 2000)))  ; finished jobs whose answer is kept in memory
--- /dev/null
+++ b/internal/settings/operator.go
@@ -0,0 +1,174 @@
+package settings
+
+import (
+	_ "embed"
+	"errors"
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"time"
+
+	"olympos.io/encoding/edn"
+)
+
+//go:embed defaults.sexp
+var defaults []byte
+
+// Operator holds the operators' settings. The tags name the S-expression of
+// each; every field must be present in defaults.sexp.
+type Operator struct {
+	Leadership struct {
+		Hold   time.Duration `sexp:"hold"`
+		Poll   time.Duration `sexp:"poll"`
+		Grant  time.Duration `sexp:"grant"`
+		Margin time.Duration `sexp:"margin"`
+	} `sexp:"leadership"`
+	Placement struct {
+		Draws         int           `sexp:"draws"`
+		Round         time.Duration `sexp:"round"`
+		Heartbeat     time.Duration `sexp:"heartbeat"`
+		ScanAfter     int           `sexp:"scan-after"`
+		TasksPerRound int           `sexp:"tasks-per-round"`
+		PreemptWait   time.Duration `sexp:"preempt-wait"`
+	} `sexp:"placement"`
+	Fleet struct {
+		Tick        time.Duration `sexp:"tick"`
+		Idle        time.Duration `sexp:"idle"`
+		Horizon     time.Duration `sexp:"horizon"`
+		RefusedWait time.Duration `sexp:"refused-wait"`
+		ListEvery   time.Duration `sexp:"list-every"`
+		BootFactor  float64       `sexp:"boot-factor"`
+		SilentWait  time.Duration `sexp:"silent-wait"`
+		Errors      int           `sexp:"errors"`
+	} `sexp:"fleet"`
+	Service struct {
+		MemoryShare    float64       `sexp:"memory-share"`
+		UserConnsShare float64       `sexp:"user-conns-share"`
+		Call           time.Duration `sexp:"call"`
+		CloudCall      time.Duration `sexp:"cloud-call"`
+		PeerCall       time.Duration `sexp:"peer-call"`
+		FinalCache     int           `sexp:"final-cache"`
+	} `sexp:"service"`
+}
+
+// LoadOperator returns the defaults, changed by the file at path unless path
+// is empty.
+func LoadOperator(path string) (*Operator, error) {
+	var o Operator
+	seen := map[string]bool{}
+	if err := o.apply(defaults, seen); err != nil {
+		return nil, fmt.Errorf("built-in settings: %w", err)
+	}
+	if path == "" {
+		return &o, nil
+	}
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if err := o.apply(b, map[string]bool{}); err != nil {
+		return nil, fmt.Errorf("settings %s: %w", path, err)
+	}
+	return &o, nil
+}
+
+// apply reads (marlwood (section (name value) ...) ...).
+func (o *Operator) apply(text []byte, seen map[string]bool) error {
+	var doc any
+	if err := edn.Unmarshal(text, &doc); err != nil {
+		return fmt.Errorf("not an S-expression: %w", err)
+	}
+	name, sections, err := form(doc)
+	if err != nil {
+		return err
+	}
+	if name != "marlwood" {
+		return fmt.Errorf("starts with (%s, not (marlwood", name)
+	}
+	for _, s := range sections {
+		section, entries, err := form(s)
+		if err != nil {
+			return err
+		}
+		target, ok := field(reflect.ValueOf(o).Elem(), section)
+		if !ok {
+			return fmt.Errorf("%s: unknown section", section)
+		}
+		for _, e := range entries {
+			entry, values, err := form(e)
+			if err != nil {
+				return fmt.Errorf("%s: %w", section, err)
+			}
+			path := section + "." + entry
+			v, ok := field(target, entry)
+			if !ok {
+				return fmt.Errorf("%s: unknown setting", path)
+			}
+			if seen[path] {
+				return fmt.Errorf("%s: given twice", path)
+			}
+			seen[path] = true
+			if len(values) != 1 {
+				return fmt.Errorf("%s: needs one value", path)
+			}
+			if err := set(v, values[0]); err != nil {
+				return fmt.Errorf("%s: %w", path, err)
+			}
+		}
+	}
+	return nil
+}
+
+// form takes a list that starts with a symbol apart.
+func form(v any) (string, []any, error) {
+	list, ok := v.([]any)
+	if !ok || len(list) == 0 {
+		return "", nil, errors.New("expected a list (name ...)")
+	}
+	sym, ok := list[0].(edn.Symbol)
+	if !ok {
+		return "", nil, errors.New("expected a list that starts with a name")
+	}
+	return string(sym), list[1:], nil
+}
+
+func field(v reflect.Value, name string) (reflect.Value, bool) {
+	for i := range v.NumField() {
+		if v.Type().Field(i).Tag.Get("sexp") == name {
+			return v.Field(i), true
+		}
+	}
+	return reflect.Value{}, false
+}
+
+func set(v reflect.Value, value any) error {
+	switch {
+	case v.Type() == reflect.TypeFor[time.Duration]():
+		s, ok := value.(string)
+		if !ok {
+			return errors.New(`needs a duration such as "1.5s"`)
+		}
+		d, err := time.ParseDuration(strings.TrimSpace(s))
+		if err != nil || d <= 0 {
+			return errors.New(`needs a positive duration such as "1.5s"`)
+		}
+		v.SetInt(int64(d))
+	case v.Kind() == reflect.Int:
+		n, ok := value.(int64)
+		if !ok || n <= 0 {
+			return errors.New("needs a positive whole number")
+		}
+		v.SetInt(n)
+	case v.Kind() == reflect.Float64:
+		f, ok := value.(float64)
+		if n, whole := value.(int64); whole {
+			f, ok = float64(n), true
+		}
+		if !ok || f <= 0 {
+			return errors.New("needs a positive number")
+		}
+		v.SetFloat(f)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/settings/platform.go
@@ -0,0 +1,192 @@
+// Package settings reads the platform's JSON file and the operators' own
+// S-expressions, and checks both.
+package settings
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/model"
+)
+
+// Sibling is another controller.
+type Sibling struct {
+	Member string
+	Zone   string
+	Addr   string
+}
+
+// Platform is what the platform says about this node and its deployment.
+type Platform struct {
+	Member     string
+	Zone       string
+	Listen     string
+	PeerListen string
+	Siblings   []Sibling
+	CloudAddr  string
+	StateAddr  string
+	Teams      map[string]model.Team
+
+	ReportEvery time.Duration
+	Lease       time.Duration
+	GangWait    time.Duration
+	GangPeer    time.Duration
+	CancelWait  time.Duration
+
+	StateRPS      float64
+	StateWriteRPS float64
+	ValueBytes    int
+	TxnOps        int
+	CloudRPS      float64
+	ListLag       time.Duration
+	MemoryMB      float64
+	MaxConns      int
+}
+
+type wirePlatform struct {
+	Member     string `json:"member"`
+	Zone       string `json:"location"`
+	Listen     string `json:"listen"`
+	PeerListen string `json:"peer_listen"`
+	Siblings   []struct {
+		Member string `json:"member"`
+		Zone   string `json:"location"`
+		Addr   string `json:"endpoint"`
+	} `json:"siblings"`
+	Services struct {
+		Cloud string `json:"cloud"`
+		State string `json:"state"`
+	} `json:"endpoints"`
+	Params struct {
+		Teams []struct {
+			Name    string  `json:"name"`
+			CPUs    float64 `json:"cpus"`
+			CPUsMax float64 `json:"cpus_max"`
+			GPUs    float64 `json:"gpus"`
+			GPUsMax float64 `json:"gpus_max"`
+		} `json:"teams"`
+		Workers struct {
+			ReportS   float64 `json:"report_s"`
+			LeaseS    float64 `json:"lease_s"`
+			GangWaitS float64 `json:"gang_wait_s"`
+			GangPeerS float64 `json:"gang_peer_s"`
+			CancelS   float64 `json:"cancel_s"`
+		} `json:"workers"`
+		State struct {
+			RPS      float64 `json:"rps"`
+			WriteRPS float64 `json:"write_rps"`
+			ValueKB  float64 `json:"value_kb"`
+			TxnOps   int     `json:"txn_ops"`
+		} `json:"state"`
+		Cloud struct {
+			RPS      float64 `json:"rps"`
+			ListLagS float64 `json:"list_lag_s"`
+		} `json:"cloud"`
+		Limits struct {
+			MemoryMB float64 `json:"mem_mb"`
+			Sockets  int     `json:"sockets"`
+		} `json:"quota"`
+	} `json:"deployment"`
+}
+
+// LoadPlatform reads and checks the platform's file.
+func LoadPlatform(path string) (*Platform, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	p, err := ParsePlatform(b)
+	if err != nil {
+		return nil, fmt.Errorf("config %s: %w", path, err)
+	}
+	return p, nil
+}
+
+// ParsePlatform reads and checks the platform's JSON; fields it does not know
+// are ignored.
+func ParsePlatform(b []byte) (*Platform, error) {
+	var w wirePlatform
+	if err := json.Unmarshal(b, &w); err != nil {
+		var te *json.UnmarshalTypeError
+		if errors.As(err, &te) {
+			return nil, fmt.Errorf("%s: cannot be a %s", te.Field, te.Value)
+		}
+		return nil, fmt.Errorf("not JSON: %w", err)
+	}
+	p := &Platform{
+		Member: w.Member, Zone: w.Zone, Listen: w.Listen, PeerListen: w.PeerListen,
+		CloudAddr: w.Services.Cloud, StateAddr: w.Services.State, Teams: map[string]model.Team{},
+		ReportEvery: model.Seconds(w.Params.Workers.ReportS), Lease: model.Seconds(w.Params.Workers.LeaseS),
+		GangWait: model.Seconds(w.Params.Workers.GangWaitS), GangPeer: model.Seconds(w.Params.Workers.GangPeerS),
+		CancelWait: model.Seconds(w.Params.Workers.CancelS),
+		StateRPS:   w.Params.State.RPS, StateWriteRPS: w.Params.State.WriteRPS,
+		ValueBytes: int(w.Params.State.ValueKB * 1024), TxnOps: w.Params.State.TxnOps,
+		CloudRPS: w.Params.Cloud.RPS, ListLag: model.Seconds(w.Params.Cloud.ListLagS),
+		MemoryMB: w.Params.Limits.MemoryMB, MaxConns: w.Params.Limits.Sockets,
+	}
+	for _, f := range []struct{ name, v string }{{"member", p.Member}, {"location", p.Zone}} {
+		if f.v == "" {
+			return nil, fmt.Errorf("%s: missing", f.name)
+		}
+	}
+	addrs := []struct{ name, v string }{
+		{"listen", p.Listen}, {"peer_listen", p.PeerListen}, {"endpoints.cloud", p.CloudAddr}, {"endpoints.state", p.StateAddr},
+	}
+	members := map[string]bool{p.Member: true}
+	for i, s := range w.Siblings {
+		if s.Member == "" || members[s.Member] {
+			return nil, fmt.Errorf("siblings[%d].member: missing or given twice", i)
+		}
+		members[s.Member] = true
+		addrs = append(addrs, struct{ name, v string }{fmt.Sprintf("siblings[%d].endpoint", i), s.Addr})
+		p.Siblings = append(p.Siblings, Sibling{s.Member, s.Zone, s.Addr})
+	}
+	for _, f := range addrs {
+		if _, err := netip.ParseAddrPort(f.v); err != nil {
+			return nil, fmt.Errorf("%s: not an address with a port: %q", f.name, f.v)
+		}
+	}
+	for i, t := range w.Params.Teams {
+		if _, twice := p.Teams[t.Name]; t.Name == "" || twice {
+			return nil, fmt.Errorf("deployment.teams[%d].name: missing or given twice", i)
+		}
+		if t.CPUs < 0 || t.CPUsMax < 0 || t.GPUs < 0 || t.GPUsMax < 0 {
+			return nil, fmt.Errorf("deployment.teams[%d]: negative amount", i)
+		}
+		p.Teams[t.Name] = model.Team{Name: t.Name, Guarantee: model.Size{CPUs: t.CPUs, GPUs: t.GPUs},
+			Limit: model.Size{CPUs: t.CPUsMax, GPUs: t.GPUsMax}}
+	}
+	for _, f := range []struct {
+		name string
+		v    float64
+	}{
+		{"workers.report_s", p.ReportEvery.Seconds()}, {"workers.lease_s", p.Lease.Seconds()},
+		{"workers.gang_wait_s", p.GangWait.Seconds()}, {"workers.gang_peer_s", p.GangPeer.Seconds()},
+		{"workers.cancel_s", p.CancelWait.Seconds()}, {"state.rps", p.StateRPS}, {"state.write_rps", p.StateWriteRPS},
+		{"state.value_kb", float64(p.ValueBytes)}, {"state.txn_ops", float64(p.TxnOps)}, {"cloud.rps", p.CloudRPS},
+		{"quota.mem_mb", p.MemoryMB}, {"quota.sockets", float64(p.MaxConns)},
+	} {
+		if f.v <= 0 {
+			prefix := "deployment."
+			return nil, fmt.Errorf("%s%s: missing or not positive", prefix, f.name)
+		}
+	}
+	if p.ListLag < 0 {
+		return nil, errors.New("deployment.cloud.list_lag_s: negative")
+	}
+	return p, nil
+}
+
+// Act is how long a leader may act after sending its last successful check:
+// what cancel_s leaves when a lease, a grant and the margin are taken off.
+func (p *Platform) Act(o *Operator) (time.Duration, error) {
+	h := p.CancelWait - p.Lease - o.Leadership.Grant - o.Leadership.Margin
+	if h < 2*o.Leadership.Poll {
+		return 0, fmt.Errorf("deployment.workers.cancel_s: leaves the leader %v to act; needs at least two of leadership.poll", h)
+	}
+	return h, nil
+}
--- /dev/null
+++ b/internal/store/client.go
@@ -0,0 +1,297 @@
+// Package store is the client of the state service: guarded transactions,
+// reads, holds and watches, all within this node's share of the two request
+// budgets.
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/url"
+	"strconv"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/marlwood/marlwood/internal/httpwire"
+)
+
+// What a call can end with besides success.
+var (
+	ErrNotFound  = errors.New("store: no such key")
+	ErrRefused   = errors.New("store: refused, not executed")      // 429, 503, or never sent
+	ErrUnknown   = errors.New("store: no answer, may be executed") // read before believing
+	ErrCompacted = errors.New("store: revision too old")
+	ErrNoHold    = errors.New("store: no such hold")
+)
+
+// Item is one key with its value.
+type Item struct {
+	Key   string          `json:"k"`
+	Value json.RawMessage `json:"value"`
+	Stamp uint64          `json:"stamp"`
+}
+
+// Guard is one condition of a transaction; stamp 0 asks that the key be
+// absent.
+type Guard struct {
+	Key   string `json:"k"`
+	Stamp uint64 `json:"stamp"`
+}
+
+// Write is one change of a transaction.
+type Write struct {
+	Set    string          `json:"set,omitempty"`
+	Value  json.RawMessage `json:"value,omitempty"`
+	Hold   uint64          `json:"permit,omitempty"`
+	Delete string          `json:"delete,omitempty"`
+}
+
+// Put makes the change that sets a key.
+func Put(key string, value any) Write {
+	b, err := json.Marshal(value)
+	if err != nil {
+		panic("store: value of " + key + ": " + err.Error()) // a programming error: values are plain structs
+	}
+	return Write{Set: key, Value: b}
+}
+
+// Del makes the change that removes a key.
+func Del(key string) Write { return Write{Delete: key} }
+
+// Txn is one atomic transaction.
+type Txn struct {
+	Guards []Guard `json:"guards"`
+	Writes []Write `json:"writes"`
+}
+
+// Outcome is an executed transaction's result.
+type Outcome struct {
+	Revision uint64   `json:"ledgerRev"`
+	Failed   []string `json:"failed"`
+}
+
+// OK tells whether the guards held.
+func (o Outcome) OK() bool { return len(o.Failed) == 0 }
+
+// Event is one change seen by a watch.
+type Event struct {
+	Set    string          `json:"set"`
+	Delete string          `json:"delete"`
+	Value  json.RawMessage `json:"value"`
+	Stamp  uint64          `json:"stamp"`
+}
+
+// Client talks to the state service.
+type Client struct {
+	http    *httpwire.Client
+	watches *httpwire.Client
+	calls   *rate.Limiter
+	writes  *rate.Limiter
+	timeout time.Duration
+}
+
+// New makes a client. The budgets are this node's alone; see SetBudgets.
+func New(addr string, timeout time.Duration) *Client {
+	lim := httpwire.Limits{Head: 8 << 10, Body: 8 << 20}
+	return &Client{
+		http: httpwire.NewClient(addr, 12, lim), watches: httpwire.NewClient(addr, 2, lim),
+		calls: rate.NewLimiter(10, 10), writes: rate.NewLimiter(5, 16), timeout: timeout,
+	}
+}
+
+// SetBudgets sets how many requests and writes a second this node allows
+// itself.
+func (c *Client) SetBudgets(calls, writes float64, txnOps int) {
+	c.calls.SetLimit(rate.Limit(calls))
+	c.calls.SetBurst(max(4, int(calls/2)))
+	c.writes.SetLimit(rate.Limit(writes))
+	c.writes.SetBurst(max(txnOps, int(writes)))
+}
+
+func (c *Client) call(ctx context.Context, method, target string, body any) (*httpwire.Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	return c.do(ctx, c.http, method, target, body)
+}
+
+func (c *Client) do(ctx context.Context, h *httpwire.Client, method, target string, body any) (*httpwire.Response, error) {
+	if err := c.calls.Wait(ctx); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	var b []byte
+	if body != nil {
+		var err error
+		if b, err = json.Marshal(body); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrRefused, err)
+		}
+	}
+	resp, err := h.Do(ctx, method, target, b)
+	switch {
+	case errors.Is(err, httpwire.ErrNotSent):
+		return nil, fmt.Errorf("%w: %w", ErrRefused, err)
+	case err != nil:
+		return nil, fmt.Errorf("%w: %w", ErrUnknown, err)
+	case resp.Status == 429 || resp.Status == 503:
+		return nil, fmt.Errorf("%w: status %d", ErrRefused, resp.Status)
+	}
+	return resp, nil
+}
+
+// decode reads a 200's body; nonsense counts as no answer.
+func decode(resp *httpwire.Response, into any) error {
+	if resp.Status != 200 {
+		return fmt.Errorf("%w: status %d: %.100s", ErrUnknown, resp.Status, resp.Body)
+	}
+	if err := json.Unmarshal(resp.Body, into); err != nil {
+		return fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	return nil
+}
+
+// Get reads one key.
+func (c *Client) Get(ctx context.Context, key string) (Item, error) {
+	resp, err := c.call(ctx, "GET", "/kv/"+key, nil)
+	if err != nil {
+		return Item{}, err
+	}
+	if resp.Status == 404 {
+		// Only the service's own 404 counts: it names the revision.
+		var body struct {
+			Revision *uint64 `json:"ledgerRev"`
+		}
+		if json.Unmarshal(resp.Body, &body) != nil || body.Revision == nil {
+			return Item{}, fmt.Errorf("%w: odd 404", ErrUnknown)
+		}
+		return Item{}, ErrNotFound
+	}
+	var it Item
+	if err := decode(resp, &it); err != nil {
+		return Item{}, err
+	}
+	if it.Key != key || it.Stamp == 0 {
+		return Item{}, fmt.Errorf("%w: answer for %q", ErrUnknown, it.Key)
+	}
+	return it, nil
+}
+
+// List reads every key with a prefix. The revision is that of the first page:
+// a watch from it misses nothing.
+func (c *Client) List(ctx context.Context, prefix string) ([]Item, uint64, error) {
+	var items []Item
+	var first uint64
+	after := ""
+	for {
+		target := "/kv?starts=" + url.QueryEscape(prefix) + "&most=500"
+		if after != "" {
+			target += "&after=" + url.QueryEscape(after)
+		}
+		resp, err := c.call(ctx, "GET", target, nil)
+		if err != nil {
+			return nil, 0, err
+		}
+		var page struct {
+			Items    []Item `json:"pairs"`
+			More     bool   `json:"more"`
+			Revision uint64 `json:"ledgerRev"`
+		}
+		if err := decode(resp, &page); err != nil {
+			return nil, 0, err
+		}
+		if first == 0 {
+			first = page.Revision
+		}
+		items = append(items, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			return items, first, nil
+		}
+		after = page.Items[len(page.Items)-1].Key
+	}
+}
+
+// Do runs a transaction. Without an error it was executed, and the outcome
+// tells whether its guards held.
+func (c *Client) Do(ctx context.Context, t Txn) (Outcome, error) {
+	if n := len(t.Writes); n > 0 {
+		wctx, cancel := context.WithTimeout(ctx, c.timeout)
+		err := c.writes.WaitN(wctx, n)
+		cancel()
+		if err != nil {
+			return Outcome{}, fmt.Errorf("%w: %w", ErrRefused, err)
+		}
+	}
+	if t.Guards == nil {
+		t.Guards = []Guard{}
+	}
+	if t.Writes == nil {
+		t.Writes = []Write{}
+	}
+	resp, err := c.call(ctx, "POST", "/txn", t)
+	if err != nil {
+		return Outcome{}, err
+	}
+	var out Outcome
+	switch resp.Status {
+	case 200, 409:
+		if err := json.Unmarshal(resp.Body, &out); err != nil {
+			return Outcome{}, fmt.Errorf("%w: %w", ErrUnknown, err)
+		}
+		if resp.Status == 409 && len(out.Failed) == 0 {
+			out.Failed = []string{"?"}
+		}
+		return out, nil
+	case 400:
+		return Outcome{}, fmt.Errorf("%w: 400: %.200s", ErrRefused, resp.Body)
+	}
+	return Outcome{}, fmt.Errorf("%w: status %d", ErrUnknown, resp.Status)
+}
+
+// Hold makes a hold that ends unless it is touched in time.
+func (c *Client) Hold(ctx context.Context, ttl time.Duration) (uint64, error) {
+	resp, err := c.call(ctx, "POST", "/holds", map[string]int64{"ttlMs": ttl.Milliseconds()})
+	if err != nil {
+		return 0, err
+	}
+	var out struct {
+		Hold uint64 `json:"permit"`
+	}
+	if err := decode(resp, &out); err != nil {
+		return 0, err
+	}
+	return out.Hold, nil
+}
+
+// Touch keeps a hold alive.
+func (c *Client) Touch(ctx context.Context, hold uint64) error {
+	resp, err := c.call(ctx, "POST", "/holds/"+strconv.FormatUint(hold, 10)+"/touch", struct{}{})
+	if err != nil {
+		return err
+	}
+	if resp.Status == 404 {
+		return ErrNoHold
+	}
+	return nil
+}
+
+// Watch waits for changes under a prefix after a revision.
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Event, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout)
+	defer cancel()
+	target := fmt.Sprintf("/changes?starts=%s&after=%d&blockMs=%d", url.QueryEscape(prefix), after, wait.Milliseconds())
+	resp, err := c.do(ctx, c.watches, "GET", target, nil)
+	if err != nil {
+		return nil, 0, err
+	}
+	if resp.Status == 410 {
+		return nil, 0, ErrCompacted
+	}
+	var out struct {
+		Revision uint64  `json:"ledgerRev"`
+		Events   []Event `json:"news"`
+	}
+	if err := decode(resp, &out); err != nil {
+		return nil, 0, err
+	}
+	return out.Events, max(after, out.Revision), nil
+}
