Believe only a kind's present owner about its machines

Cause: after a renewed token moved kinds to restarted controllers, the desk of the former owner kept the machines' records, saw them silent and called them expired; the leader freed their tasks and started them again elsewhere. Excluded: takeover itself (machines answered under the new token in 3 s).

--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -543,14 +543,17 @@
 	trusted := sent.After(t.expiry(now))
 	for _, m := range resp.Machines {
 		t.fleet.Up(m.Name)
-		t.book.Machine(now, m, trusted)
+		t.n.log.Debug("machine", "machine", m.Name, "phase", m.Phase, "owner", l.member, "session", m.Session, "seq", m.Seq, "tasks", len(m.Tasks))
+		t.book.Machine(now, l.member, m, trusted)
 	}
 	if len(resp.Machines) > 0 {
 		t.beatSoon()
 	}
 	l.seen = max(l.seen, resp.Change)
 	if trusted {
-		t.book.UnseenExpired(l.member, now)
+		for _, name := range t.book.UnseenExpired(l.member, now) {
+			t.n.log.Info("machine expired unseen", "machine", name, "owner", l.member)
+		}
 	}
 }
 
--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -279,19 +279,28 @@
 	}
 }
 
-// Machine takes in what an owner says of a machine. trusted tells that an
+// Machine takes in what a member says of a machine. trusted tells that an
 // expiry may be believed even for a machine that was not yet current under
 // our token.
-func (b *Book) Machine(now time.Time, pm *peerspb.Machine, trusted bool) {
+func (b *Book) Machine(now time.Time, member string, pm *peerspb.Machine, trusted bool) {
 	if _, lost := b.gone[pm.Name]; lost {
 		return
 	}
 	m := b.machines[pm.Name]
+	kind := model.Kind{Type: pm.Kind.GetType(), Zone: pm.Kind.GetZone()}
+	if m != nil {
+		kind = m.Kind
+	}
+	// Guard: only the kind's present owner speaks for a machine. An earlier
+	// owner's silence about a machine that moved on looks like an expiry.
+	if b.owners[kind] != member {
+		return
+	}
 	if m == nil {
 		if pm.Phase == "expired" {
 			return
 		}
-		m = &Machine{Name: pm.Name, Kind: model.Kind{Type: pm.Kind.GetType(), Zone: pm.Kind.GetZone()}, Notice: -1,
+		m = &Machine{Name: pm.Name, Kind: kind, Notice: -1,
 			Seen: now, Idle: now, tasks: map[taskKey]*Task{}}
 		b.machines[pm.Name] = m
 	}
@@ -334,13 +343,15 @@
 
 // UnseenExpired takes in that machines of a member's kinds which it has not
 // mentioned have surely run out of their leases.
-func (b *Book) UnseenExpired(member string, now time.Time) {
+func (b *Book) UnseenExpired(member string, now time.Time) (names []string) {
 	for _, m := range b.machines {
 		if m.Phase == Unseen && b.owners[m.Kind] == member {
 			b.releaseAll(m, now)
 			b.setPhase(m, Expired, now)
+			names = append(names, m.Name)
 		}
 	}
+	return names
 }
 
 // Settle tells whether the book has become complete: each machine with a
--- a/internal/workers/desk.go
+++ b/internal/workers/desk.go
@@ -344,6 +344,11 @@
 		for _, o := range r.Owners {
 			d.owners[model.Kind{Type: o.Kind.Type, Zone: o.Kind.Zone}] = o.Member
 		}
+		for name, m := range d.machines { // those that went to another owner
+			if d.owners[m.kind] != d.opt.Member && m.kind != (model.Kind{}) {
+				delete(d.machines, name)
+			}
+		}
 	}
 	for _, s := range r.Sizes {
 		d.sizes[s.Job] = sizeOf(s.Size)
