--- a/cmd/marlwood/main.go
+++ b/cmd/marlwood/main.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return nil, nil, badSettings{err}
 	}
-	if _, err := p.Act(o); err != nil {
+	if _, err := p.Terms(o); err != nil {
 		return nil, nil, badSettings{err}
 	}
 	return p, o, nil
@@ -83,12 +83,12 @@
 	if err != nil {
 		return err
 	}
-	act, err := p.Act(o)
+	terms, err := p.Terms(o)
 	if err != nil {
 		return badSettings{err}
 	}
 	fmt.Printf("%s in %s: %d siblings, %d teams; a leader acts %v after its last check\n",
-		p.Member, p.Zone, len(p.Siblings), len(p.Teams), act)
+		p.Member, p.Zone, len(p.Siblings), len(p.Teams), terms.Act)
 	return nil
 }
 
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -42,7 +42,7 @@
 	op    *settings.Operator
 	log   *slog.Logger
 	boot  string
-	act   time.Duration
+	terms settings.Terms
 	start time.Time
 
 	events chan func()
@@ -64,7 +64,7 @@
 
 // New makes a node from checked settings.
 func New(cfg *settings.Platform, op *settings.Operator, log *slog.Logger) (*Node, error) {
-	act, err := cfg.Act(op)
+	terms, err := cfg.Terms(op)
 	if err != nil {
 		return nil, err
 	}
@@ -72,14 +72,14 @@
 	if _, err := crand.Read(id[:]); err != nil {
 		return nil, fmt.Errorf("boot id: %w", err)
 	}
-	n := &Node{cfg: cfg, op: op, log: log, boot: hex.EncodeToString(id[:]), act: act, start: time.Now(),
+	n := &Node{cfg: cfg, op: op, log: log, boot: hex.EncodeToString(id[:]), terms: terms, start: time.Now(),
 		events: make(chan func(), 1024), users: make(chan struct{}, 64)}
 	n.store = store.New(cfg.StateAddr, op.Service.Call)
 	n.cloud = fleet.NewCloud(cfg.CloudAddr, cfg.CloudRPS*0.7, op.Service.CloudCall)
 	n.desk = workers.NewDesk(workers.Options{Member: cfg.Member, Lease: cfg.Lease, Margin: time.Second / 2},
 		n.boot, n.start, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	n.lead = leadership.New(leadership.Options{Member: cfg.Member, Boot: n.boot, Poll: op.Leadership.Poll,
-		Hold: op.Leadership.Hold, Act: act})
+	n.lead = leadership.New(leadership.Options{Member: cfg.Member, Boot: n.boot, Poll: terms.Poll,
+		Hold: terms.Hold, Act: terms.Act})
 	n.intake, err = intake.New(intake.Options{Teams: cfg.Teams, ValueBytes: cfg.ValueBytes - 1024, FinalCache: op.Service.FinalCache,
 		Types: n.knownTypes, View: n.view, Now: time.Now}, n.store)
 	if err != nil {
@@ -125,7 +125,7 @@
 	failed := make(chan error, 1)
 	go func() { failed <- server.Run(n.cfg.Listen) }()
 	go n.learnTypes()
-	n.log.Info("started", "member", n.cfg.Member, "boot", n.boot, "act", n.act)
+	n.log.Info("started", "member", n.cfg.Member, "boot", n.boot, "act", n.terms.Act)
 
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
@@ -389,7 +389,7 @@
 			n.follow(now)
 		})
 	case leadership.GetHold:
-		hold, err := n.store.Hold(n.ctx, n.op.Leadership.Hold)
+		hold, err := n.store.Hold(n.ctx, n.terms.Hold)
 		n.post(func() {
 			if err != nil {
 				n.lead.HoldFailed(time.Now())
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -94,7 +94,7 @@
 		l.acked, l.seen, l.sizes, l.busy = false, 0, map[string]bool{}, false
 		// An earlier leader may have acted for H after its last check, and its
 		// last grant may run until then and a grant longer.
-		l.bound = now.Add(drift(n.act + n.op.Leadership.Grant))
+		l.bound = now.Add(drift(n.terms.Act + n.terms.Grant))
 		l.grantEnd = l.bound
 	}
 	go t.load()
@@ -431,7 +431,7 @@
 	if t.loaded && l.boot != "" {
 		// The grant is given on the owner's own clock, counted from a moment
 		// before its last answer reached us.
-		r.GrantUntilNs = l.clock + int64(n.op.Leadership.Grant)
+		r.GrantUntilNs = l.clock + int64(n.terms.Grant)
 		for k, member := range t.book.Owners() {
 			r.Owners = append(r.Owners, &peerspb.KindOwner{Kind: &peerspb.Kind{Type: k.Type, Zone: k.Zone}, Member: member})
 		}
@@ -528,7 +528,7 @@
 		return
 	}
 	l.clock = resp.ClockNs
-	l.grantEnd = now.Add(drift(t.n.op.Leadership.Grant))
+	l.grantEnd = now.Add(drift(t.n.terms.Grant))
 	if token != t.token || resp.Token != t.token {
 		return
 	}
@@ -580,7 +580,7 @@
 			last = at
 		}
 	}
-	return last.Add(drift(t.n.cfg.Lease) + t.n.op.Leadership.Margin/2)
+	return last.Add(drift(t.n.cfg.Lease) + t.n.terms.Margin/2)
 }
 
 // guard is the condition that every write of the leader carries.
