--- /dev/null
+++ b/internal/leadership/leadership_test.go
@@ -0,0 +1,130 @@
+package leadership
+
+import (
+	"testing"
+	"time"
+)
+
+var t0 = time.Unix(1000, 0)
+
+func at(s float64) time.Time { return t0.Add(time.Duration(s * float64(time.Second))) }
+
+func node() *Machine {
+	return New(Options{Member: "n0", Boot: "b0", Poll: time.Second, Hold: 5 * time.Second, Act: 20 * time.Second})
+}
+
+// lead brings a fresh machine to leading with token 7, checked at 0 s.
+func lead(t *testing.T) *Machine {
+	m := node()
+	m.Tick(at(0))
+	if a := m.KeyRead(at(0), at(0), false, Value{}, 0); len(a) != 1 || a[0].Op != GetHold {
+		t.Fatalf("no claim: %v", a)
+	}
+	a := m.HoldMade(at(0), 3)
+	if len(a) != 1 || a[0].Op != Write || a[0].Guard != 0 || a[0].Hold != 3 {
+		t.Fatalf("write: %v", a)
+	}
+	m.Written(at(0), at(0), true, true, 7)
+	if m.State() != Leading || m.Token() != 7 {
+		t.Fatalf("%v with %d", m.State(), m.Token())
+	}
+	return m
+}
+
+func TestTransitions(t *testing.T) {
+	mine := Value{"n0", "b0", 1}
+	for _, c := range []struct {
+		name  string
+		do    func(m *Machine)
+		state State
+		token uint64
+	}{
+		{"stays", func(m *Machine) { m.KeyRead(at(1), at(1), true, mine, 7) }, Leading, 7},
+		{"key gone", func(m *Machine) { m.KeyRead(at(1), at(1), false, Value{}, 0) }, Following, 0},
+		{"another's key", func(m *Machine) { m.KeyRead(at(1), at(1), true, Value{"n1", "b1", 1}, 9) }, Following, 0},
+		{"higher token heard", func(m *Machine) { m.Heard(at(1), 9) }, Following, 0},
+		{"own token heard", func(m *Machine) { m.Heard(at(1), 7) }, Leading, 7},
+		{"look failed", func(m *Machine) { m.ReadFailed(at(1)) }, Leading, 7},
+		{"hold gone, look not back yet", func(m *Machine) { m.Touched(at(1), true) }, Leading, 7},
+		{"renewed", func(m *Machine) { m.Renew(at(1)); m.Written(at(1), at(1), true, true, 12) }, Leading, 12},
+		{"renewal lost", func(m *Machine) { m.Renew(at(1)); m.Written(at(1), at(1), true, false, 0) }, Leading, 7},
+		// An unanswered renewal is believed only after a look shows it.
+		{"renewal unanswered", func(m *Machine) { m.Renew(at(1)); m.Written(at(1), at(1), false, false, 0) }, Leading, 7},
+		{"renewal found by a look", func(m *Machine) {
+			m.Renew(at(1))
+			m.Written(at(1), at(1), false, false, 0)
+			m.KeyRead(at(2), at(2), true, Value{"n0", "b0", 2}, 12)
+		}, Leading, 12},
+		{"look from before the renewal", func(m *Machine) {
+			m.Renew(at(1))
+			m.Written(at(1), at(1), true, true, 12)
+			m.KeyRead(at(2), at(0.5), true, mine, 7)
+		}, Leading, 12},
+		{"refused alone", func(m *Machine) { m.Refused(at(1), time.Minute) }, Following, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := lead(t)
+			c.do(m)
+			if m.State() != c.state || m.Token() != c.token {
+				t.Errorf("%v with %d", m.State(), m.Token())
+			}
+		})
+	}
+}
+
+func TestClaims(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		do    func(m *Machine) []Action
+		guard uint64
+		claim bool
+	}{
+		{"nobody leads", func(m *Machine) []Action { return m.KeyRead(at(0), at(0), false, Value{}, 0) }, 0, true},
+		{"another leads", func(m *Machine) []Action { return m.KeyRead(at(0), at(0), true, Value{"n1", "b", 1}, 5) }, 0, false},
+		// This member's earlier process cannot act any more: no wait for its hold.
+		{"own earlier process leads", func(m *Machine) []Action { return m.KeyRead(at(0), at(0), true, Value{"n0", "old", 1}, 5) }, 5, true},
+		{"old news of own earlier process", func(m *Machine) []Action {
+			m.Heard(at(0), 9)
+			return m.KeyRead(at(0), at(0), true, Value{"n0", "old", 1}, 5)
+		}, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := node()
+			if got := len(c.do(m)) == 1; got != c.claim {
+				t.Fatalf("claims: %v", got)
+			}
+			if c.claim {
+				if a := m.HoldMade(at(0), 1); a[0].Guard != c.guard {
+					t.Errorf("guard %d", a[0].Guard)
+				}
+			}
+		})
+	}
+}
+
+// An unanswered claim may have been carried out: only a look tells.
+func TestUnansweredClaim(t *testing.T) {
+	m := node()
+	m.KeyRead(at(0), at(0), false, Value{}, 0)
+	m.HoldMade(at(0), 3)
+	m.Written(at(2), at(0), false, false, 0)
+	if m.State() != Following {
+		t.Fatalf("believed an unanswered claim: %v", m.State())
+	}
+	m.KeyRead(at(3), at(2.9), true, Value{"n0", "b0", 1}, 7)
+	if m.State() != Leading || m.Token() != 7 || !m.Checked().Equal(at(2.9)) {
+		t.Errorf("%v with %d since %v", m.State(), m.Token(), m.Checked())
+	}
+}
+
+// The right to act runs from the sending of the last good check, not from its
+// answer, and ends by itself.
+func TestMayAct(t *testing.T) {
+	m := lead(t)
+	m.KeyRead(at(15), at(5), true, Value{"n0", "b0", 1}, 7)
+	for s, want := range map[float64]bool{15: true, 24.9: true, 25: false, 60: false} {
+		if got := m.MayAct(at(s)); got != want {
+			t.Errorf("at %v s: %v", s, got)
+		}
+	}
+}
