--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,154 @@
+package fleet
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/placement"
+)
+
+var (
+	t0     = time.Unix(1000, 0)
+	small  = model.Kind{Type: "small", Zone: "a"}
+	large  = model.Kind{Type: "large", Zone: "a"}
+	bySize = map[string]model.MachineType{
+		"small": {Name: "small", Size: model.Size{CPUs: 4}, Price: 1, SpotPrice: 0.3, Boot: 10 * time.Second, Zones: []string{"a"}},
+		"large": {Name: "large", Size: model.Size{CPUs: 16}, Price: 3, SpotPrice: 1, Boot: 10 * time.Second, Zones: []string{"a"}},
+	}
+)
+
+func at(s float64) time.Time { return t0.Add(time.Duration(s * float64(time.Second))) }
+
+func newFleet() *Fleet {
+	return New(Options{Idle: 30 * time.Second, Horizon: 45 * time.Second, RefusedWait: 20 * time.Second, BootFactor: 4,
+		SilentWait: 20 * time.Second}, 5)
+}
+
+func need(tasks int, spot bool, estimate time.Duration) placement.Need {
+	return placement.Need{Job: "x", Size: model.Size{CPUs: 2}, Tasks: tasks, Kinds: []model.Kind{large, small}, Spot: spot, Estimate: estimate}
+}
+
+// rents returns what a tick wants to rent.
+func rents(f *Fleet, s float64, needs ...placement.Need) map[Source]int {
+	got := map[Source]int{}
+	for _, a := range f.Tick(at(s), needs, nil, bySize, true) {
+		if a.Store != nil {
+			got[Source{a.Store.Kind, a.Store.Spot}] += a.Store.Count
+		}
+	}
+	return got
+}
+
+func TestWhatIsRented(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		setup func(f *Fleet)
+		need  placement.Need
+		want  map[Source]int
+	}{
+		{"nothing needed", nil, need(0, false, 0), map[Source]int{}},
+		{"the cheaper per task", nil, need(8, false, 0), map[Source]int{{large, false}: 1}},
+		{"counting only tasks that there are", nil, need(1, false, 0), map[Source]int{{small, false}: 1}},
+		{"spot where allowed", nil, need(2, true, 0), map[Source]int{{small, true}: 1}},
+		{"short tasks take turns", nil, need(16, false, 15*time.Second), map[Source]int{{large, false}: 1}},
+		{"long ones do not", nil, need(16, false, time.Minute), map[Source]int{{large, false}: 2}},
+		{"a refused kind is left alone", func(f *Fleet) { f.refused[Source{large, false}] = at(0) }, need(4, false, 0),
+			map[Source]int{{small, false}: 2}},
+		{"for a while", func(f *Fleet) { f.refused[Source{large, false}] = at(-20) }, need(8, false, 0), map[Source]int{{large, false}: 1}},
+		{"what is booting counts", func(f *Fleet) { f.booting["m"] = &rented{source: Source{large, false}, since: at(0)} }, need(8, false, 0),
+			map[Source]int{}},
+		{"a spot machine on its way is no use to others", func(f *Fleet) { f.booting["m"] = &rented{source: Source{large, true}, since: at(0)} },
+			need(8, false, 0), map[Source]int{{large, false}: 1}},
+	} {
+		f := newFleet()
+		if c.setup != nil {
+			c.setup(f)
+		}
+		if got := rents(f, 1, c.need); !reflect.DeepEqual(got, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// A charter is stored, then sent, and sent again under its name until it is
+// resolved; an earlier leader's are resolved too.
+func TestCharters(t *testing.T) {
+	sent := func(f *Fleet, s float64) string {
+		for _, a := range f.Tick(at(s), nil, nil, bySize, true) {
+			if a.Rent != nil {
+				return a.Rent.Name
+			}
+		}
+		return ""
+	}
+	start := func() (*Fleet, string) {
+		f := newFleet()
+		for _, a := range f.Tick(at(0), []placement.Need{need(8, false, 0)}, nil, bySize, true) {
+			return f, a.Store.Name
+		}
+		return f, ""
+	}
+	f, name := start()
+	if name != "c-5-1" || sent(f, 5) != "" {
+		t.Fatalf("%q was sent before it was stored", name)
+	}
+	f.IntentStored(name, true, at(5))
+	if sent(f, 6) != name || sent(f, 8) != "" {
+		t.Fatal("not sent once")
+	}
+	if f.Rented(name, Unknown, nil, at(9)) || sent(f, 10) != name {
+		t.Error("an unanswered request is not sent again")
+	}
+	if !f.Rented(name, Granted, []string{"m1"}, at(11)) || f.Booting() != 1 || sent(f, 20) != "" {
+		t.Error("not resolved")
+	}
+	f, name = start()
+	f.IntentStored(name, false, at(1))
+	if sent(f, 10) != "" {
+		t.Error("sent although its record is not stored")
+	}
+	f = newFleet()
+	f.Adopt(Charter{Name: "c-3-9", Kind: small, Count: 1}, at(0))
+	if sent(f, 2) != "c-3-9" {
+		t.Error("an earlier leader's charter is left alone")
+	}
+	if !f.Rented("c-3-9", Refused, nil, at(3)) || len(rents(f, 4, need(1, false, 0))) == 0 || rents(f, 4, need(1, false, 0))[Source{small, false}] != 0 {
+		t.Error("a refusal is not remembered")
+	}
+}
+
+func TestReturns(t *testing.T) {
+	f := newFleet()
+	machines := map[string]*placement.Machine{
+		"idle":     {Phase: placement.Current, Idle: at(0)},
+		"fresh":    {Phase: placement.Current, Idle: at(80)},
+		"cordoned": {Phase: placement.Current, Idle: at(99), Cordoned: true},
+		"silent":   {Phase: placement.Expired, Silent: at(70)},
+		"quiet":    {Phase: placement.Expired, Silent: at(90)},
+		"unseen":   {Phase: placement.Unseen, Idle: at(0)},
+	}
+	// Unexpected machines are in the list only; one of them never comes up.
+	f.List([]Listed{{Name: "dead", Kind: small, Booting: true, Age: 30 * time.Second}, {Name: "new", Kind: small, Booting: true, Age: time.Second},
+		{Name: "idle", Kind: small}}, machines, at(60))
+	for _, c := range []struct {
+		settled bool
+		want    []string
+	}{{false, []string{"dead", "silent"}}, {true, []string{"cordoned", "idle"}}} {
+		var got []string
+		for _, a := range f.Tick(at(100), nil, machines, bySize, c.settled) {
+			got = append(got, a.Release...)
+		}
+		if !reflect.DeepEqual(got, c.want) {
+			t.Errorf("settled %v: %v, want %v", c.settled, got, c.want)
+		}
+	}
+	f.Released([]string{"idle"}, false)
+	if got := f.Tick(at(101), nil, machines, bySize, true); len(got) != 1 || !reflect.DeepEqual(got[0].Release, []string{"idle"}) {
+		t.Errorf("an unanswered release is not repeated: %+v", got)
+	}
+	if failed := f.List([]Listed{{Name: "broken", Failed: true}}, machines, at(102)); !reflect.DeepEqual(failed, []string{"broken"}) {
+		t.Errorf("failed: %v", failed)
+	}
+}
--- /dev/null
+++ b/internal/intake/intake_test.go
@@ -0,0 +1,230 @@
+package intake
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/httpwire"
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/placement"
+	"github.com/marlwood/marlwood/internal/store"
+)
+
+// fakeStore keeps keys in memory and can fail in the ways the state service
+// does.
+type fakeStore struct {
+	keys    map[string]store.Item
+	rev     uint64
+	refuse  bool // 503: nothing is executed
+	lost    int  // this many transactions are executed but not answered
+	missed  int  // this many are neither executed nor answered
+	reads   int
+	between func() // runs once before the next transaction
+}
+
+func (f *fakeStore) Get(_ context.Context, key string) (store.Item, error) {
+	f.reads++
+	if f.refuse {
+		return store.Item{}, store.ErrRefused
+	}
+	it, ok := f.keys[key]
+	if !ok {
+		return it, store.ErrNotFound
+	}
+	return it, nil
+}
+
+func (f *fakeStore) Do(_ context.Context, t store.Txn) (store.Outcome, error) {
+	if b := f.between; b != nil {
+		f.between = nil
+		b()
+	}
+	if f.refuse {
+		return store.Outcome{}, store.ErrRefused
+	}
+	if f.missed > 0 {
+		f.missed--
+		return store.Outcome{}, store.ErrUnknown
+	}
+	for _, g := range t.Guards {
+		if f.keys[g.Key].Stamp != g.Stamp {
+			return store.Outcome{Failed: []string{g.Key}}, nil
+		}
+	}
+	f.rev++
+	for _, w := range t.Writes {
+		if w.Delete != "" {
+			delete(f.keys, w.Delete)
+		} else {
+			f.keys[w.Set] = store.Item{Key: w.Set, Value: w.Value, Stamp: f.rev}
+		}
+	}
+	if f.lost > 0 {
+		f.lost--
+		return store.Outcome{}, store.ErrUnknown
+	}
+	return store.Outcome{Revision: f.rev}, nil
+}
+
+var types = map[string]model.MachineType{"small": {Name: "small", Size: model.Size{CPUs: 4, MemoryGB: 16}, Zones: []string{"a"}}}
+
+func setup(t *testing.T) (*Intake, *fakeStore) {
+	s := &fakeStore{keys: map[string]store.Item{}}
+	in, err := New(Options{
+		Teams:      map[string]model.Team{"t": {Name: "t", Limit: model.Size{CPUs: 8}}, "free": {Name: "free"}},
+		ValueBytes: 4096, FinalCache: 4,
+		Types: func() map[string]model.MachineType { return types },
+		View:  func(string) (placement.View, bool) { return placement.View{}, false },
+		Now:   func() time.Time { return time.Unix(1000, 0) },
+	}, s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return in, s
+}
+
+func body(changes ...string) []byte {
+	b := `{"nameId":"req-1","docket":"d","crew":"t","shape":"batch","rank":"low","pieces":3,"cpus":2,"cards":0,"memoryGb":1,
+"kit":"i","sizeGb":1,"together":false,"apart":false,"loaners":false,"guessS":1,"snapshotEveryS":0,"snapshotCostS":0}`
+	return []byte(strings.NewReplacer(changes...).Replace(b))
+}
+
+func stage(t *testing.T, a httpwire.Answer) string {
+	var s stateAnswer
+	if err := json.Unmarshal(a.Body, &s); err != nil {
+		t.Errorf("body %q: %v", a.Body, err)
+	}
+	return fmt.Sprintf("%d %s", a.Status, s.Stage)
+}
+
+func TestSubmit(t *testing.T) {
+	ctx := context.Background()
+	for _, c := range []struct {
+		name string
+		do   func(in *Intake, s *fakeStore) httpwire.Answer
+		want string
+		kept bool
+	}{
+		{"accepted", func(in *Intake, s *fakeStore) httpwire.Answer { return in.Submit(ctx, body()) }, "201 queued", true},
+		{"repeated", func(in *Intake, s *fakeStore) httpwire.Answer { in.Submit(ctx, body()); return in.Submit(ctx, body()) }, "200 queued", true},
+		{"repeated with nonsense", func(in *Intake, s *fakeStore) httpwire.Answer {
+			in.Submit(ctx, body())
+			return in.Submit(ctx, []byte(`{"nameId":"req-1","pieces":"many"}`))
+		}, "200 queued", true},
+		{"repeated after the cancellation", func(in *Intake, s *fakeStore) httpwire.Answer {
+			in.Submit(ctx, body())
+			in.Cancel(ctx, "req-1")
+			return in.Submit(ctx, body())
+		}, "200 aborted", false},
+		{"nonsense", func(in *Intake, s *fakeStore) httpwire.Answer { return in.Submit(ctx, []byte(`{"nameId":"req-1"}`)) }, "400 ", false},
+		{"unknown team", func(in *Intake, s *fakeStore) httpwire.Answer { return in.Submit(ctx, body(`"t"`, `"u"`)) }, "422 ", false},
+		{"fits nowhere", func(in *Intake, s *fakeStore) httpwire.Answer { return in.Submit(ctx, body(`"cpus":2`, `"cpus":5`)) }, "422 ", false},
+		{"array over the limit as a whole", func(in *Intake, s *fakeStore) httpwire.Answer {
+			return in.Submit(ctx, body(`"pieces":3`, `"pieces":9`))
+		}, "201 queued", true},
+		{"gang over the limit", func(in *Intake, s *fakeStore) httpwire.Answer {
+			return in.Submit(ctx, body(`"pieces":3`, `"pieces":5`, `"batch"`, `"gang"`))
+		}, "422 ", false},
+		{"no limit", func(in *Intake, s *fakeStore) httpwire.Answer {
+			return in.Submit(ctx, body(`"pieces":3`, `"pieces":100000`, `"batch"`, `"gang"`, `"t"`, `"free"`))
+		}, "201 queued", true},
+		{"outage", func(in *Intake, s *fakeStore) httpwire.Answer { s.refuse = true; return in.Submit(ctx, body()) }, "503 ", false},
+		// What is refused for good must not be a known job's repeat: without
+		// the state service nobody can tell.
+		{"nonsense in an outage", func(in *Intake, s *fakeStore) httpwire.Answer {
+			s.refuse = true
+			return in.Submit(ctx, []byte(`{"nameId":"req-1"}`))
+		}, "503 ", false},
+		{"answer lost", func(in *Intake, s *fakeStore) httpwire.Answer { s.lost = 1; return in.Submit(ctx, body()) }, "200 queued", true},
+		{"request lost", func(in *Intake, s *fakeStore) httpwire.Answer { s.missed = 1; return in.Submit(ctx, body()) }, "503 ", false},
+		{"description too long", func(in *Intake, s *fakeStore) httpwire.Answer {
+			return in.Submit(ctx, body(`"kit":"i"`, `"kit":"`+strings.Repeat("i", 5000)+`"`))
+		}, "400 ", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			in, s := setup(t)
+			a := c.do(in, s)
+			if got := stage(t, a); got != c.want {
+				t.Errorf("got %s", got)
+			}
+			if _, kept := s.keys["job/req-1"]; kept != c.kept {
+				t.Errorf("kept: %v", kept)
+			}
+			if (a.Status == 503) != (a.RetryAfter > 0) {
+				t.Error("503 says when to come back, and nothing else does")
+			}
+		})
+	}
+	in, s := setup(t)
+	in.opt.Types = func() map[string]model.MachineType { return nil }
+	if a := in.Submit(ctx, body()); a.Status != 503 || len(s.keys) != 0 {
+		t.Errorf("decided without machine types: %d", a.Status)
+	}
+}
+
+func TestAskAndCancel(t *testing.T) {
+	ctx := context.Background()
+	put := func(s *fakeStore, key string, v any) {
+		b, _ := json.Marshal(v)
+		s.rev++
+		s.keys[key] = store.Item{Key: key, Value: b, Stamp: s.rev}
+	}
+	finish := func(s *fakeStore) {
+		delete(s.keys, "job/req-1")
+		put(s, "done/req-1", placement.Final{Stage: model.Done, Tasks: 3, Count: 3})
+	}
+	for _, c := range []struct {
+		name        string
+		prepare     func(in *Intake, s *fakeStore)
+		ask, cancel string
+	}{
+		{"never submitted", func(in *Intake, s *fakeStore) { s.keys = map[string]store.Item{} }, "404 ", "404 "},
+		{"queued", func(*Intake, *fakeStore) {}, "200 queued", "200 aborted"},
+		{"done", func(in *Intake, s *fakeStore) { finish(s) }, "200 done", "200 done"},
+		{"outage", func(in *Intake, s *fakeStore) { s.refuse = true }, "503 ", "503 "},
+		{"done, told before, outage", func(in *Intake, s *fakeStore) { finish(s); in.Ask(ctx, "req-1"); s.refuse = true }, "200 done", "200 done"},
+		{"done while being cancelled", func(in *Intake, s *fakeStore) { s.between = func() { finish(s) } }, "200 queued", "200 done"},
+		{"saved while being cancelled", func(in *Intake, s *fakeStore) {
+			s.between = func() { it := s.keys["job/req-1"]; s.rev++; it.Stamp = s.rev; s.keys["job/req-1"] = it }
+		}, "200 queued", "200 aborted"},
+		{"cancellation's answer lost", func(in *Intake, s *fakeStore) { s.lost = 1 }, "200 queued", "200 aborted"},
+		{"cancellation lost", func(in *Intake, s *fakeStore) { s.missed = 9 }, "200 queued", "503 "},
+		{"garbled record", func(in *Intake, s *fakeStore) { put(s, "job/req-1", "x") }, "503 ", "503 "},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			in, s := setup(t)
+			if a := in.Submit(ctx, body()); a.Status != 201 {
+				t.Fatal(a.Status)
+			}
+			c.prepare(in, s)
+			if got := stage(t, in.Ask(ctx, "req-1")); got != c.ask {
+				t.Errorf("ask: %s", got)
+			}
+			if got := stage(t, in.Cancel(ctx, "req-1")); got != c.cancel {
+				t.Errorf("cancel: %s", got)
+			}
+		})
+	}
+}
+
+func TestRoute(t *testing.T) {
+	in, _ := setup(t)
+	for _, c := range []struct {
+		method, path string
+		ok, call     bool
+	}{
+		{"POST", "/api/jobs", true, true}, {"GET", "/api/jobs", true, false}, {"GET", "/api/jobs/req-1", true, true},
+		{"DELETE", "/api/jobs/req-1", true, false}, {"POST", "/api/jobs/req-1/cancel", true, true},
+		{"GET", "/api/jobs/req-1/cancel", true, false}, {"GET", "/api/jobs/a/b", false, false}, {"GET", "/api/jobsx", false, false},
+		{"GET", "/api/jobs/", false, false}, {"GET", "/other", false, false},
+	} {
+		call, ok := in.Route(&httpwire.Request{Method: c.method, Path: c.path})
+		if ok != c.ok || (call != nil) != c.call {
+			t.Errorf("%s %s: %v %v", c.method, c.path, call != nil, ok)
+		}
+	}
+}
--- /dev/null
+++ b/internal/placement/book_test.go
@@ -0,0 +1,480 @@
+package placement
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/peers/peerspb"
+)
+
+var t0 = time.Unix(1000, 0)
+
+func at(s float64) time.Time { return t0.Add(time.Duration(s * float64(time.Second))) }
+
+// bench is a book over two types in two zones, all owned by n0.
+type bench struct {
+	*testing.T
+	*Book
+}
+
+func newBench(t *testing.T) bench {
+	types := map[string]model.MachineType{
+		"small": {Name: "small", Size: model.Size{CPUs: 4, MemoryGB: 16}, Zones: []string{"a", "b"}},
+		"big":   {Name: "big", Size: model.Size{CPUs: 32, MemoryGB: 256}, Zones: []string{"a", "b"}},
+	}
+	teams := map[string]model.Team{"free": {Name: "free"}, "tight": {Name: "tight", Limit: model.Size{CPUs: 4}}}
+	b := NewBook(Options{Draws: 2, ScanAfter: 2, TasksPerRound: 64, PreemptWait: time.Second, PartTasks: 64, Errors: 3}, 5, teams, types)
+	owners := map[model.Kind]string{}
+	for name := range types {
+		for _, z := range []string{"a", "b"} {
+			owners[model.Kind{Type: name, Zone: z}] = "n0"
+		}
+	}
+	b.SetOwners(owners)
+	return bench{t, b}
+}
+
+func (b bench) machine(name, typ, zone string, tasks ...*peerspb.Task) {
+	b.Machine(at(0), "n0", &peerspb.Machine{Name: name, Kind: &peerspb.Kind{Type: typ, Zone: zone}, Phase: "current", NoticeMs: -1, Tasks: tasks}, false)
+	b.HostStored(name)
+}
+
+// says is a later report of a machine.
+func (b bench) says(s float64, name, phase string, delivered uint64, tasks ...*peerspb.Task) {
+	m := b.machines[name]
+	b.Machine(at(s), "n0", &peerspb.Machine{Name: name, Kind: &peerspb.Kind{Type: m.Kind.Type, Zone: m.Kind.Zone}, Phase: phase,
+		NoticeMs: -1, Delivered: delivered, Tasks: tasks}, false)
+}
+
+func (b bench) job(id string, change func(j *model.Job)) {
+	j := &model.Job{ID: id, Team: "free", Shape: model.Array, Priority: model.Normal, Tasks: 1, Size: model.Size{CPUs: 2, MemoryGB: 2}, Image: "i"}
+	if change != nil {
+		change(j)
+	}
+	v, err := json.Marshal(Record{Job: j, AcceptedMS: t0.UnixMilli()})
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := b.PutJob(id, v, 10, nil); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// round plays a round in which every machine that has room is drawn.
+func (b bench) round(s float64) int {
+	b.Settle()
+	var samples []*peerspb.Sample
+	for _, w := range b.Wants(at(s)) {
+		for _, k := range w.Kinds {
+			var names []string
+			for name, m := range b.machines {
+				if m.Kind.Type == k.Type && m.Kind.Zone == k.Zone {
+					names = append(names, name)
+				}
+			}
+			if len(names) == 0 {
+				continue
+			}
+			sm := &peerspb.Sample{Want: w.Id, Kind: k}
+			for len(sm.Machines) < int(w.Draws) {
+				sm.Machines = append(sm.Machines, names...)
+			}
+			samples = append(samples, sm)
+		}
+	}
+	return b.Place(at(s), samples)
+}
+
+func (b bench) where(id string, index int) string {
+	if t := b.jobs[id].bound[index]; t != nil {
+		return t.machine.Name
+	}
+	return ""
+}
+
+func task(id string, index int, attempt uint64, state model.TaskState, cause model.Cause) *peerspb.Task {
+	return &peerspb.Task{Job: id, Index: uint32(index), Attempt: attempt, State: string(state), Cause: string(cause)}
+}
+
+// The paper's rule: the least occupancy over capacity wins, not the most room;
+// ties go to the larger kind.
+func TestRule(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		small, big int // tasks of two CPUs there
+		want       string
+	}{
+		{"tie goes to the larger kind", 0, 0, "big"},
+		{"lower share wins", 0, 1, "small"},
+		{"share, not room", 1, 7, "big"},
+		{"full kinds do not count", 2, 15, "big"},
+	} {
+		b := newBench(t)
+		b.job("load", func(j *model.Job) { j.Tasks = 20 })
+		var s, g []*peerspb.Task
+		for i := range c.small {
+			s = append(s, task("load", i, 1, model.TaskRunning, ""))
+		}
+		for i := range c.big {
+			g = append(g, task("load", 5+i, 1, model.TaskRunning, ""))
+		}
+		b.machine("small", "small", "a", s...)
+		b.machine("big", "big", "a", g...)
+		delete(b.jobs, "x")
+		b.jobs["load"].retryAt = at(100)
+		b.job("x", nil)
+		if b.round(1); b.where("x", 0) != c.want {
+			t.Errorf("%s: on %q", c.name, b.where("x", 0))
+		}
+	}
+}
+
+func TestPlacementRules(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		job     func(j *model.Job)
+		prepare func(b bench)
+		placed  int
+	}{
+		{"array takes what there is", func(j *model.Job) { j.Tasks = 9 }, nil, 8},
+		{"gang goes whole", func(j *model.Job) { j.Tasks, j.Shape = 8, model.Gang }, nil, 8},
+		{"or not at all", func(j *model.Job) { j.Tasks, j.Shape = 9, model.Gang }, nil, 0},
+		{"gang in one zone", func(j *model.Job) { j.Tasks, j.Shape, j.OneZone = 4, model.Gang, true }, nil, 4},
+		{"too large for one zone", func(j *model.Job) { j.Tasks, j.Shape, j.OneZone = 5, model.Gang, true }, nil, 0},
+		{"array in one zone", func(j *model.Job) { j.Tasks, j.OneZone = 8, true }, nil, 4},
+		{"half a zone at most", func(j *model.Job) { j.Tasks, j.Spread, j.Zone = 7, true, "a" }, nil, 4},
+		{"the only zone", func(j *model.Job) { j.Tasks, j.Zone = 8, "b" }, nil, 4},
+		{"the only type", func(j *model.Job) { j.Types = []string{"big"} }, nil, 0},
+		{"team limit", func(j *model.Job) { j.Tasks, j.Team = 8, "tight" }, nil, 2},
+		{"gang over the limit waits", func(j *model.Job) { j.Tasks, j.Team, j.Shape = 3, "tight", model.Gang }, nil, 0},
+		{"no spot", nil, func(b bench) {
+			for _, m := range b.machines {
+				m.Spot = true
+			}
+		}, 0},
+		{"spot allowed", func(j *model.Job) { j.Spot = true }, func(b bench) {
+			for _, m := range b.machines {
+				m.Spot = true
+			}
+		}, 1},
+		{"no host record yet", nil, func(b bench) {
+			for _, m := range b.machines {
+				m.Hosted = false
+			}
+		}, 0},
+		{"cordoned", nil, func(b bench) {
+			for _, m := range b.machines {
+				b.Cordon(m)
+			}
+		}, 0},
+		{"to be taken away", nil, func(b bench) {
+			for _, m := range b.machines {
+				m.Notice = time.Second
+			}
+		}, 0},
+		{"a machine out of reach", func(j *model.Job) { j.Tasks = 8 }, func(b bench) { b.says(0.5, "a0", "joining", 0) }, 6},
+		// A running task of an unknown job has a team and a size nobody knows.
+		{"tasks of unknown jobs run", func(j *model.Job) { j.Tasks = 8 }, func(b bench) {
+			b.says(0.5, "a0", "current", 0, task("gone", 0, 1, model.TaskRunning, ""))
+		}, 0},
+		{"cancelled", nil, func(b bench) { b.Cancel("x") }, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t)
+			for i := range 2 {
+				b.machine(fmt.Sprintf("a%d", i), "small", "a")
+				b.machine(fmt.Sprintf("b%d", i), "small", "b")
+			}
+			b.Settle()
+			b.job("x", c.job)
+			if c.prepare != nil {
+				c.prepare(b)
+			}
+			if got := b.round(1); got != c.placed {
+				t.Errorf("placed %d, want %d", got, c.placed)
+			}
+		})
+	}
+}
+
+// Whether a start took place is decided only by a report that had the chance
+// to show it; until then its task is bound.
+func TestStartOutcome(t *testing.T) {
+	run := func(b bench) (id, attempt uint64) {
+		b.machine("m", "small", "a")
+		b.job("x", nil)
+		if b.round(1) != 1 {
+			b.Fatal("not placed")
+		}
+		x := b.jobs["x"].bound[0]
+		return x.order, x.attempt
+	}
+	for _, c := range []struct {
+		name  string
+		do    func(b bench, id, attempt uint64)
+		bound bool
+	}{
+		{"a report before the answer", func(b bench, id, _ uint64) { b.says(2, "m", "current", id-1) }, true},
+		{"a report after it, without the task", func(b bench, id, _ uint64) { b.says(2, "m", "current", id) }, false},
+		{"a report with the task", func(b bench, id, a uint64) { b.says(2, "m", "current", id, task("x", 0, a, model.TaskFetching, "")) }, true},
+		{"refused", func(b bench, id, a uint64) {
+			b.says(2, "m", "current", id, task("x", 0, a, model.TaskExited, model.CauseNoRoom))
+		}, false},
+		{"lease run out", func(b bench, id, _ uint64) { b.says(2, "m", "expired", id) }, false},
+		{"not yet heard of under a fresh token", func(b bench, id, _ uint64) { b.Renewed(6); b.says(2, "m", "joining", 0) }, true},
+		// An expiry is not believed of a machine that another owner may have
+		// answered under the token before.
+		{"expiry under a fresh token", func(b bench, id, _ uint64) { b.Renewed(6); b.says(2, "m", "expired", 0) }, true},
+		{"decided under a fresh token", func(b bench, id, _ uint64) { b.Renewed(6); b.says(2, "m", "current", 0) }, false},
+		{"another member speaks", func(b bench, id, _ uint64) {
+			b.Machine(at(2), "n9", &peerspb.Machine{Name: "m", Kind: &peerspb.Kind{Type: "small", Zone: "a"}, Phase: "expired"}, true)
+		}, true},
+		{"machine gone", func(b bench, id, _ uint64) { b.Gone("m", at(2)) }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t)
+			id, attempt := run(b)
+			c.do(b, id, attempt)
+			if got := b.where("x", 0) != ""; got != c.bound {
+				t.Errorf("bound: %v", got)
+			}
+			if !c.bound && b.jobs["x"].Unplaced() != 1 {
+				t.Error("the task is not queued again")
+			}
+		})
+	}
+}
+
+// A new leader starts nothing until each machine with a host record has
+// answered under its token, is gone, or has expired.
+func TestTakeover(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		do     func(b bench)
+		placed int
+	}{
+		{"a silent machine blocks", func(bench) {}, 0},
+		{"one that is joining too", func(b bench) { b.says(1, "old", "joining", 0) }, 0},
+		{"its expiry counts only when trusted", func(b bench) { b.says(1, "old", "expired", 0) }, 0},
+		{"it answered and has the task", func(b bench) { b.says(1, "old", "current", 0, task("x", 0, 77, model.TaskRunning, "")) }, 0},
+		{"it answered without", func(b bench) { b.says(1, "old", "current", 0) }, 1},
+		{"it expired", func(b bench) { b.UnseenExpired("n0", at(1)) }, 1},
+		{"it is gone", func(b bench) { b.Gone("old", at(1)) }, 1},
+		{"it holds the result", func(b bench) { b.says(1, "old", "current", 0, task("x", 0, 77, model.TaskExited, model.CauseDone)) }, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t)
+			b.AddHost("old", model.Kind{Type: "small", Zone: "a"}, false, at(0))
+			b.machine("new", "small", "b")
+			b.job("x", nil)
+			c.do(b)
+			if got := b.round(2); got != c.placed {
+				t.Errorf("placed %d, want %d", got, c.placed)
+			}
+		})
+	}
+}
+
+func (b bench) orders(op peerspb.Op) int {
+	n := 0
+	for _, o := range b.Orders("n0") {
+		if o.Op == op {
+			n++
+		}
+	}
+	return n
+}
+
+// A finished task is forgotten only after its mark is stored, and a job is
+// over only when every task is done.
+func TestForgetAfterStore(t *testing.T) {
+	b := newBench(t)
+	b.machine("m", "small", "a")
+	b.job("x", func(j *model.Job) { j.Tasks = 2 })
+	b.round(1)
+	attempts := []uint64{b.jobs["x"].bound[0].attempt, b.jobs["x"].bound[1].attempt}
+	first := task("x", 0, attempts[0], model.TaskExited, model.CauseDone)
+	b.says(2, "m", "current", 2, first, task("x", 1, attempts[1], model.TaskRunning, ""))
+	if b.orders(peerspb.Op_OP_FORGET) != 0 {
+		t.Fatal("forgotten before its mark is stored")
+	}
+	saves := b.Saves(at(3), time.Second, 4)
+	if len(saves) != 1 || saves[0].Over != nil || saves[0].Record.Count != 1 {
+		t.Fatalf("saves: %+v", saves)
+	}
+	b.Saved(at(3), saves[0], false, 0)
+	if b.orders(peerspb.Op_OP_FORGET) != 0 {
+		t.Fatal("forgotten although the save failed")
+	}
+	saves = b.Saves(at(5), time.Second, 4)
+	b.Saved(at(5), saves[0], true, 11)
+	if b.orders(peerspb.Op_OP_FORGET) != 1 {
+		t.Fatal("not forgotten after the save")
+	}
+	b.says(6, "m", "current", 2, task("x", 1, attempts[1], model.TaskExited, model.CauseDone))
+	saves = b.Saves(at(6), time.Second, 4)
+	if len(saves) != 1 || saves[0].Over == nil || saves[0].Stamp != 11 {
+		t.Fatalf("saves: %+v", saves)
+	}
+	b.Saved(at(6), saves[0], true, 12)
+	if len(b.jobs) != 0 || b.orders(peerspb.Op_OP_FORGET) != 2 {
+		t.Error("the job is not over")
+	}
+}
+
+// A cancelled job's tasks are stopped at once, count until they are gone, and
+// nothing of it starts again.
+func TestCancel(t *testing.T) {
+	b := newBench(t)
+	b.machine("m", "small", "a")
+	b.job("x", func(j *model.Job) { j.Team = "tight"; j.Tasks = 3 })
+	b.job("y", func(j *model.Job) { j.Team = "tight" })
+	b.round(1)
+	attempt := b.jobs["x"].bound[0].attempt
+	b.Cancel("x")
+	if b.orders(peerspb.Op_OP_STOP) != 2 {
+		t.Error("not stopped")
+	}
+	if b.round(2) != 0 {
+		t.Error("the limit forgets tasks that are stopping")
+	}
+	// A start that was under way shows up later and is stopped again.
+	b.Renewed(6)
+	b.says(3, "m", "current", 9, task("x", 0, attempt, model.TaskRunning, ""))
+	if b.orders(peerspb.Op_OP_STOP) != 1 {
+		t.Error("a late start of a cancelled job goes on")
+	}
+	b.says(4, "m", "current", 9)
+	if b.jobs["x"] != nil || b.round(5) != 1 || b.where("y", 0) != "m" {
+		t.Error("its place is not free")
+	}
+}
+
+// Tasks of an old attempt of a gang keep their places until they exit.
+func TestGangRestart(t *testing.T) {
+	b := newBench(t)
+	b.machine("m1", "small", "a")
+	b.machine("m2", "small", "b")
+	b.job("g", func(j *model.Job) { j.Tasks, j.Shape, j.Size = 2, model.Gang, model.Size{CPUs: 4} })
+	if b.round(1) != 2 {
+		t.Fatal("not started")
+	}
+	attempt := b.jobs["g"].bound[0].attempt
+	if b.jobs["g"].bound[1].attempt != attempt {
+		t.Error("a gang's tasks share an attempt")
+	}
+	other := map[string]string{"m1": "m2", "m2": "m1"}[b.where("g", 0)]
+	b.says(2, other, "current", 9, task("g", 1, attempt, model.TaskRunning, ""))
+	b.Gone(b.where("g", 0), at(3))
+	b.machine("m3", "small", "a")
+	if b.round(4) != 0 {
+		t.Error("restarted while an old task runs")
+	}
+	b.Mend(at(4))
+	if b.orders(peerspb.Op_OP_STOP) != 1 {
+		t.Error("the rest is not stopped")
+	}
+	b.says(5, other, "current", 9, task("g", 1, attempt, model.TaskExited, model.CausePeers))
+	if b.round(6) != 2 || b.jobs["g"].bound[0].attempt == attempt {
+		t.Error("not restarted as a whole with a new attempt")
+	}
+	// One task's result is everybody's.
+	b.says(7, b.where("g", 0), "current", 99, task("g", 0, b.jobs["g"].bound[0].attempt, model.TaskExited, model.CauseDone))
+	if b.jobs["g"].Finished() != 2 {
+		t.Error("a gang is done as one")
+	}
+}
+
+// Only strictly lower priority makes room, what loses least first, and the
+// room is kept for the job that needs it.
+func TestPreempt(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		prio  model.Priority
+		stops int
+	}{{"higher", model.High, 1}, {"equal", model.Normal, 0}, {"lower", model.Low, 0}} {
+		b := newBench(t)
+		b.machine("m", "small", "a")
+		b.job("x", func(j *model.Job) { j.Tasks = 2 })
+		b.round(1)
+		b.says(2, "m", "current", 9, task("x", 0, b.jobs["x"].bound[0].attempt, model.TaskRunning, ""))
+		b.says(9, "m", "current", 9, task("x", 0, b.jobs["x"].bound[0].attempt, model.TaskRunning, ""))
+		b.round(9) // the other one again
+		x1 := b.jobs["x"].bound[1]
+		b.says(10, "m", "current", 99, task("x", 0, b.jobs["x"].bound[0].attempt, model.TaskRunning, ""), task("x", 1, x1.attempt, model.TaskRunning, ""))
+		b.job("y", func(j *model.Job) { j.Priority = c.prio })
+		for i := range 4 {
+			b.round(11 + float64(i))
+		}
+		b.Preempt(at(20))
+		b.Preempt(at(20.1))
+		if got := b.orders(peerspb.Op_OP_STOP); got != c.stops {
+			t.Errorf("%s: %d stops", c.name, got)
+		}
+		if c.stops == 1 {
+			if !x1.stopping {
+				t.Errorf("%s: the longer-running task was stopped", c.name)
+			}
+			b.says(21, "m", "current", 99, task("x", 0, b.jobs["x"].bound[0].attempt, model.TaskRunning, ""), task("x", 1, x1.attempt, model.TaskExited, model.CauseStopped))
+			b.round(22)
+			if b.where("y", 0) != "m" || b.where("x", 1) != "" {
+				t.Errorf("%s: the room went to another job", c.name)
+			}
+		}
+	}
+}
+
+// Jobs go by priority, then guarantee, deadline and age.
+func TestQueueOrder(t *testing.T) {
+	b := newBench(t)
+	b.teams["sure"] = model.Team{Name: "sure", Guarantee: model.Size{CPUs: 8}}
+	b.job("plain", nil)
+	b.job("soon", func(j *model.Job) { j.Deadline = time.Minute })
+	b.job("sure", func(j *model.Job) { j.Team = "sure" })
+	b.job("first", func(j *model.Job) { j.Priority = model.Production })
+	var got []string
+	for _, j := range b.queue(at(1)) {
+		got = append(got, j.Spec.ID)
+	}
+	if want := "[first sure soon plain]"; fmt.Sprint(got) != want {
+		t.Errorf("%v, want %v", got, want)
+	}
+}
+
+// Marks of large arrays are split, saved a few at a time, and come back.
+func TestLargeArray(t *testing.T) {
+	b := newBench(t)
+	b.job("x", func(j *model.Job) { j.Tasks = 300 })
+	j := b.jobs["x"]
+	for i := 0; i < 300; i += 2 {
+		b.finish(j, i)
+	}
+	parts := map[int]string{}
+	var rec *Record
+	for i := range 3 {
+		for _, s := range b.Saves(at(float64(10*i)), time.Second, 2) {
+			if len(s.Parts) > 2 {
+				t.Errorf("%d parts at once", len(s.Parts))
+			}
+			rec = s.Record
+			for p, text := range s.Parts {
+				parts[p] = text
+			}
+			b.Saved(at(float64(10*i)), s, true, uint64(20+i))
+		}
+	}
+	v, err := json.Marshal(rec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again := newBench(t)
+	if err := again.PutJob("x", v, 30, parts); err != nil {
+		t.Fatal(err)
+	}
+	if got := again.jobs["x"]; got.Finished() != 150 || !got.finished.Has(298) || got.finished.Has(299) {
+		t.Errorf("%d marks came back", got.Finished())
+	}
+}
--- /dev/null
+++ b/internal/workers/desk_test.go
@@ -0,0 +1,261 @@
+package workers
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/peers/peerspb"
+)
+
+var t0 = time.Unix(1000, 0)
+
+func at(s float64) time.Time { return t0.Add(time.Duration(s * float64(time.Second))) }
+
+var kindA = &peerspb.Kind{Type: "big", Zone: "a"}
+
+// desk is a desk with a grant until 10 s under token 5, owning big in a.
+func desk() *Desk {
+	d := NewDesk(Options{Member: "n0", Lease: 10 * time.Second, Margin: time.Second}, "boot", t0, rand.New(rand.NewPCG(1, 2)))
+	d.SetTypes(map[string]model.MachineType{"big": {Name: "big", Size: model.Size{CPUs: 4, MemoryGB: 16}}})
+	d.Round(at(0), grant(5, 10))
+	return d
+}
+
+func grant(token uint64, until float64, orders ...*peerspb.Order) *peerspb.RoundRequest {
+	return &peerspb.RoundRequest{Token: token, Leader: "n1", Boot: "boot", GrantUntilNs: int64(until * 1e9), Orders: orders,
+		Owners: []*peerspb.KindOwner{{Kind: kindA, Member: "n0"}, {Kind: &peerspb.Kind{Type: "big", Zone: "b"}, Member: "n2"}},
+		Sizes:  []*peerspb.JobSize{{Job: "j", Size: &peerspb.Size{Cpus: 2, MemoryGb: 4}}}}
+}
+
+func report(session, seq, token uint64, tasks ...model.WireTask) *model.Report {
+	return &model.Report{Machine: "m1", Addr: "x:1", Type: "big", Zone: "a", Session: session, Seq: seq, Token: token, Tasks: tasks}
+}
+
+func ord(id uint64, op peerspb.Op, index uint32) *peerspb.Order {
+	return &peerspb.Order{Id: id, Machine: "m1", Op: op, Job: "j", Index: index, Attempt: 9}
+}
+
+func TestWhoMayAnswer(t *testing.T) {
+	other := report(1, 1, 5)
+	other.Zone = "b"
+	unknown := report(1, 1, 5)
+	unknown.Type = "small"
+	for _, c := range []struct {
+		name    string
+		at      float64
+		r       *model.Report
+		status  int
+		foreman string
+	}{
+		{"owner under a grant", 1, report(1, 1, 5), 200, ""},
+		{"worker that has not seen the token", 1, report(1, 1, 0), 200, ""},
+		{"grant over", 10.1, report(1, 1, 5), 503, ""},
+		{"worker knows a higher token", 1, report(1, 1, 6), 503, ""},
+		{"another owner's machine", 1, other, 421, "n2"},
+		{"a kind nobody owns", 1, unknown, 503, ""},
+	} {
+		v := desk().CheckIn(at(c.at), c.r)
+		if v.Status != c.status || v.Foreman != c.foreman {
+			t.Errorf("%s: %+v", c.name, v)
+		}
+	}
+	fresh := NewDesk(Options{Member: "n0"}, "boot", t0, nil)
+	if v := fresh.CheckIn(at(1), report(1, 1, 0)); v.Status != 503 {
+		t.Errorf("a restarted node answers %d without a grant", v.Status)
+	}
+}
+
+// A grant that a cut held back is a moment in the past when it arrives; one
+// for another process, or under a lower token, has no effect at all.
+func TestLateGrants(t *testing.T) {
+	d := desk()
+	d.Round(at(20), grant(5, 9))
+	if d.Granted(at(20)) {
+		t.Error("a late grant counts")
+	}
+	other := grant(5, 100)
+	other.Boot = "before"
+	if out := d.Round(at(20), other); d.Granted(at(20)) || len(out.Machines) > 0 {
+		t.Error("a grant for an earlier process counts")
+	}
+	if out := d.Round(at(20), grant(4, 100)); out.Token != 5 || d.Granted(at(20)) {
+		t.Error("a grant under a lower token counts")
+	}
+	d.Round(at(5), grant(6, 6))
+	if _, token := d.Leader(); token != 6 || d.Granted(at(7)) {
+		t.Error("a new token keeps the old grant")
+	}
+}
+
+func commands(v Verdict) []string {
+	var out []string
+	for _, c := range v.Commands {
+		out = append(out, c.Op+" "+c.Task)
+	}
+	return out
+}
+
+func TestHandOver(t *testing.T) {
+	running := model.WireTask{Task: "j/1", Attempt: 9, State: model.TaskRunning}
+	ended := model.WireTask{Task: "j/1", Attempt: 9, State: model.TaskExited, Cause: model.CauseStopped}
+	start, stop, forget := peerspb.Op_OP_START, peerspb.Op_OP_STOP, peerspb.Op_OP_FORGET
+	type step struct {
+		orders    []*peerspb.Order
+		report    *model.Report
+		want      []string
+		delivered uint64 // what the leader hears after the report
+	}
+	for _, c := range []struct {
+		name  string
+		steps []step
+	}{
+		{"a start is handed over once", []step{
+			{nil, report(1, 1, 5), nil, 0},
+			{[]*peerspb.Order{ord(1, start, 1)}, report(1, 2, 5), []string{"start j/1"}, 0},
+			{nil, report(1, 3, 5), nil, 1}}},
+		{"a repeated order is one order", []step{
+			{nil, report(1, 1, 5), nil, 0},
+			{[]*peerspb.Order{ord(1, start, 1), ord(1, start, 1)}, report(1, 2, 5), []string{"start j/1"}, 0}}},
+		{"stops are repeated until the task has exited", []step{
+			{nil, report(1, 1, 5, running), nil, 0},
+			{[]*peerspb.Order{ord(1, stop, 1)}, report(1, 2, 5, running), []string{"stop j/1"}, 0},
+			{nil, report(1, 3, 5, running), []string{"stop j/1"}, 0},
+			{nil, report(1, 4, 5, ended), nil, 0}}},
+		{"forgets are repeated until the task is out of the reports", []step{
+			{nil, report(1, 1, 5, ended), nil, 0},
+			{[]*peerspb.Order{ord(1, forget, 1)}, report(1, 2, 5, ended), []string{"forget j/1"}, 0},
+			{nil, report(1, 3, 5, ended), []string{"forget j/1"}, 0},
+			{nil, report(1, 4, 5), nil, 0}}},
+		{"no orders before the worker shows the token", []step{
+			{nil, report(1, 1, 5), nil, 0},
+			{[]*peerspb.Order{ord(1, start, 1)}, report(1, 2, 4), nil, 0}}},
+		// The leader hears that a start for a silent machine is void.
+		{"a start for a machine that is not current is void", []step{
+			{[]*peerspb.Order{ord(1, start, 1)}, report(1, 1, 0), nil, 1}}},
+		{"a late report changes nothing", []step{
+			{nil, report(1, 5, 5, running), nil, 0},
+			{[]*peerspb.Order{ord(1, start, 2)}, report(1, 4, 5), nil, 0},
+			{nil, report(1, 6, 5, running), []string{"start j/2"}, 0}}},
+		// Taking a stopped start out would let "delivered" pass starts before it.
+		{"a stop voids a start that is still here", []step{
+			{nil, report(1, 1, 5), nil, 0},
+			{[]*peerspb.Order{ord(1, start, 1), ord(2, start, 2), ord(3, stop, 2)}, report(1, 2, 5), []string{"start j/1"}, 0},
+			{nil, report(1, 3, 5), nil, 2}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := desk()
+			for i, s := range c.steps {
+				d.Round(at(0.1), grant(5, 10, s.orders...))
+				v := d.CheckIn(at(0.2), s.report)
+				if got := commands(v); !reflect.DeepEqual(got, s.want) {
+					t.Errorf("step %d: %v, want %v", i, got, s.want)
+				}
+				out := d.Round(at(0.3), grant(5, 10))
+				if len(out.Machines) != 1 || out.Machines[0].Delivered != s.delivered {
+					t.Errorf("step %d: leader hears %v", i, out.Machines)
+				}
+			}
+		})
+	}
+}
+
+// An expired machine has no tasks left, and starts that were never handed
+// over count as decided; the lease runs from the last answer.
+func TestExpiry(t *testing.T) {
+	d := desk()
+	d.CheckIn(at(1), report(1, 1, 5, model.WireTask{Task: "j/0", Attempt: 1, State: model.TaskRunning}))
+	d.Round(at(2), grant(5, 10, ord(4, peerspb.Op_OP_START, 3)))
+	if out := d.Round(at(12), grant(5, 20)); out.Machines[0].Phase != string(Current) {
+		t.Fatalf("expired within its lease: %v", out.Machines)
+	}
+	out := d.Round(at(12.1), grant(5, 20))
+	if m := out.Machines[0]; m.Phase != string(Expired) || m.Delivered != 4 || len(m.Tasks) != 0 {
+		t.Errorf("got %v", m)
+	}
+	if v := d.CheckIn(at(13), report(2, 1, 5)); len(v.Commands) > 0 {
+		t.Errorf("a void start was handed over: %v", v.Commands)
+	}
+}
+
+// When its kind goes to another owner, a machine's record goes too: silence
+// here says nothing about it any more.
+func TestKindMovesAway(t *testing.T) {
+	d := desk()
+	d.CheckIn(at(1), report(1, 1, 5))
+	r := grant(6, 100)
+	r.Owners[0].Member = "n2"
+	d.Round(at(2), r)
+	if out := d.Round(at(50), r); len(out.Machines) != 0 {
+		t.Errorf("still speaks for %v", out.Machines)
+	}
+}
+
+func TestSamples(t *testing.T) {
+	d := desk()
+	for i := range 4 {
+		r := report(1, 1, 5)
+		r.Machine, r.Spot = fmt.Sprintf("m%d", i), i == 3
+		if i == 1 { // full: two tasks of two CPUs
+			r.Tasks = []model.WireTask{{Task: "j/0", Attempt: 1, State: model.TaskRunning}, {Task: "j/1", Attempt: 1, State: model.TaskFetching}}
+		}
+		if i == 2 { // of a job whose size is unknown
+			r.Tasks = []model.WireTask{{Task: "k/0", Attempt: 1, State: model.TaskRunning}}
+		}
+		d.CheckIn(at(1), r)
+	}
+	want := &peerspb.Want{Id: 7, Size: &peerspb.Size{Cpus: 2}, Kinds: []*peerspb.Kind{kindA}, Spot: true, Draws: 40}
+	ask := func() map[string]int {
+		r := grant(5, 10)
+		r.Wants = []*peerspb.Want{want}
+		names := map[string]int{}
+		for _, s := range d.Round(at(2), r).Samples {
+			for _, name := range s.Machines {
+				names[name]++
+			}
+		}
+		return names
+	}
+	if got := ask(); got["m0"] == 0 || got["m3"] == 0 || got["m0"]+got["m3"] != 40 {
+		t.Errorf("drawn: %v", got)
+	}
+	want.Spot = false
+	if got := ask(); got["m0"] != 40 {
+		t.Errorf("without spot: %v", got)
+	}
+	want.Spot, want.Scan = true, true
+	if got := ask(); !reflect.DeepEqual(got, map[string]int{"m0": 1, "m3": 1}) {
+		t.Errorf("scan: %v", got)
+	}
+	d.Round(at(2), grant(5, 10, &peerspb.Order{Id: 1, Machine: "m0", Op: peerspb.Op_OP_CORDON}))
+	if got := ask(); !reflect.DeepEqual(got, map[string]int{"m3": 1}) {
+		t.Errorf("cordoned: %v", got)
+	}
+}
+
+func TestCheckReport(t *testing.T) {
+	neg := -1.0
+	for _, c := range []struct {
+		name   string
+		change func(r *model.Report)
+		ok     bool
+	}{
+		{"good", func(*model.Report) {}, true},
+		{"no machine", func(r *model.Report) { r.Machine = "" }, false},
+		{"no type", func(r *model.Report) { r.Type = "" }, false},
+		{"no zone", func(r *model.Report) { r.Zone = "" }, false},
+		{"no session", func(r *model.Report) { r.Session = 0 }, false},
+		{"odd notice", func(r *model.Report) { r.NoticeS = &neg }, false},
+		{"odd task", func(r *model.Report) { r.Tasks = []model.WireTask{{Task: "j"}} }, false},
+		{"odd state", func(r *model.Report) { r.Tasks = []model.WireTask{{Task: "j/1", State: "resting"}} }, false},
+	} {
+		r := report(1, 1, 1)
+		c.change(r)
+		if err := CheckReport(r); (err == nil) != c.ok {
+			t.Errorf("%s: %v", c.name, err)
+		}
+	}
+}
