--- a/cmd/marlwood/main.go
+++ b/cmd/marlwood/main.go
@@ -8,6 +8,8 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -68,6 +70,9 @@
 		}
 	}
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	// The share of one core that a controller gets pays for no second thread.
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(int64(p.MemoryMB * o.Service.MemoryShare * (1 << 20)))
 	node, err := controller.New(p, o, log)
 	if err != nil {
 		return err
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -12,8 +12,6 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
-	"runtime"
-	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -107,8 +105,6 @@
 
 // Run serves until ctx ends or a listener fails.
 func (n *Node) Run(ctx context.Context) error {
-	runtime.GOMAXPROCS(1)
-	debug.SetMemoryLimit(int64(n.cfg.MemoryMB * n.op.Service.MemoryShare * (1 << 20)))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	n.ctx = ctx
--- /dev/null
+++ b/internal/controller/node_test.go
@@ -0,0 +1,247 @@
+package controller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/settings"
+	"github.com/marlwood/marlwood/internal/standin"
+)
+
+// ports finds free loopback ports.
+func ports(t *testing.T, n int) []string {
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		out = append(out, l.Addr().String())
+	}
+	return out
+}
+
+// site is three controllers among stand-ins.
+type site struct {
+	*testing.T
+	state *standin.State
+	cloud *standin.Cloud
+	addrs []string
+	stops []context.CancelFunc
+	nodes []*Node
+}
+
+func newSite(t *testing.T) *site {
+	op, err := settings.LoadOperator("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	op.Leadership.Hold, op.Leadership.Poll, op.Leadership.Grant = time.Second, 100*time.Millisecond, 500*time.Millisecond
+	op.Fleet.Tick = 100 * time.Millisecond
+	s := &site{T: t, state: standin.NewState(), addrs: ports(t, 6)}
+	members := map[string]string{}
+	for i := range 3 {
+		members[fmt.Sprintf("n%d", i)] = s.addrs[i]
+	}
+	s.cloud = standin.NewCloud(members, 2*time.Second, 20*time.Millisecond)
+	t.Cleanup(func() {
+		for _, stop := range s.stops {
+			stop()
+		}
+		s.cloud.Close()
+		s.state.CloseClientConnections()
+		s.state.Close()
+	})
+	for i := range 3 {
+		cfg := &settings.Platform{Member: fmt.Sprintf("n%d", i), Zone: []string{"a", "b", "c"}[i], Listen: s.addrs[i], PeerListen: s.addrs[3+i],
+			CloudAddr: s.cloud.Listener.Addr().String(), StateAddr: s.state.Listener.Addr().String(),
+			Teams:       map[string]model.Team{"t": {Name: "t"}},
+			ReportEvery: 20 * time.Millisecond, Lease: 2 * time.Second, GangWait: 5 * time.Second, GangPeer: time.Second, CancelWait: 8 * time.Second,
+			StateRPS: 5000, StateWriteRPS: 1000, ValueBytes: 8192, TxnOps: 16, CloudRPS: 100, MemoryMB: 500, MaxConns: 400}
+		for k := range 3 {
+			if k != i {
+				cfg.Siblings = append(cfg.Siblings, settings.Sibling{Member: fmt.Sprintf("n%d", k), Zone: []string{"a", "b", "c"}[k], Addr: s.addrs[3+k]})
+			}
+		}
+		n, err := New(cfg, op, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		s.stops = append(s.stops, stop)
+		s.nodes = append(s.nodes, n)
+		go func() { _ = n.Run(ctx) }()
+	}
+	return s
+}
+
+var client = &http.Client{Timeout: 3 * time.Second}
+
+// ask sends a request to the nodes in turn until one gives a final answer.
+func (s *site) ask(method, path, body string) (int, map[string]any) {
+	deadline := time.Now().Add(30 * time.Second)
+	for i := 0; time.Now().Before(deadline); i++ {
+		req, err := http.NewRequest(method, "http://"+s.addrs[i%3]+path, strings.NewReader(body))
+		if err != nil {
+			s.Fatal(err)
+		}
+		resp, err := client.Do(req)
+		if err != nil {
+			continue
+		}
+		var v map[string]any
+		_ = json.NewDecoder(resp.Body).Decode(&v)
+		_ = resp.Body.Close()
+		if resp.StatusCode != 503 && resp.StatusCode != 429 {
+			return resp.StatusCode, v
+		}
+	}
+	s.Fatalf("%s %s: no answer", method, path)
+	return 0, nil
+}
+
+// until asks about a job until ok likes its state.
+func (s *site) until(id string, ok func(v map[string]any) bool) {
+	deadline := time.Now().Add(60 * time.Second)
+	var v map[string]any
+	for time.Now().Before(deadline) {
+		var status int
+		if status, v = s.ask("GET", "/api/jobs/"+id, ""); status != 200 {
+			s.Fatalf("job %s: %d %v", id, status, v)
+		}
+		if ok(v) {
+			return
+		}
+	}
+	s.Fatalf("job %s stays %v", id, v)
+}
+
+func done(v map[string]any) bool { return v["stage"] == "done" }
+
+func job(id, shape string, tasks int) string {
+	return fmt.Sprintf(`{"nameId":%q,"docket":"d","crew":"t","shape":%q,"rank":"low","pieces":%d,"cpus":2,"cards":0,"memoryGb":1,
+"kit":"i","sizeGb":1,"together":false,"apart":false,"loaners":false,"guessS":1,"snapshotEveryS":0,"snapshotCostS":0}`, id, shape, tasks)
+}
+
+// Controllers among stand-ins over real sockets: jobs of every shape, a
+// cancellation, an outage, the loss of the leader, and bad input.
+func TestControllers(t *testing.T) {
+	s := newSite(t)
+	for id, body := range map[string]string{"array": job("array", "batch", 12), "gang": job("gang", "gang", 3), "stays": job("stays", "standing", 2)} {
+		if status, v := s.ask("POST", "/api/jobs", body); status != 201 {
+			t.Fatalf("%s: %d %v", id, status, v)
+		}
+	}
+	if status, _ := s.ask("POST", "/api/jobs", job("array", "batch", 12)); status != 200 {
+		t.Errorf("a repeat got %d", status)
+	}
+	s.until("array", done)
+	s.until("gang", done)
+	s.until("stays", func(v map[string]any) bool { return v["stage"] == "running" && s.cloud.Running() == 2 })
+
+	// An outage shorter than H costs no task.
+	s.state.Refuse(true)
+	resp, err := client.Post("http://"+s.addrs[0]+"/api/jobs", "application/json", strings.NewReader(job("late", "batch", 1)))
+	if err != nil || resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("in an outage: %v, %v", resp, err)
+	}
+	s.state.Refuse(false)
+	if s.cloud.Running() != 2 {
+		t.Errorf("%d tasks run after the outage", s.cloud.Running())
+	}
+
+	// The leader dies; the others go on with what it left.
+	leader, _ := s.nodes[0].leader()
+	var left []int
+	for i := range 3 {
+		if fmt.Sprintf("n%d", i) == leader {
+			s.stops[i]()
+		} else {
+			left = append(left, i)
+		}
+	}
+	if len(left) != 2 {
+		t.Fatalf("leader %q", leader)
+	}
+	if status, v := s.ask("POST", "/api/jobs", job("after", "batch", 5)); status != 201 {
+		t.Fatalf("after the loss: %d %v", status, v)
+	}
+	s.until("after", done)
+	if status, v := s.ask("POST", "/api/jobs/stays/cancel", ""); status != 200 || v["stage"] != "aborted" {
+		t.Errorf("cancel: %d %v", status, v)
+	}
+	deadline := time.Now().Add(8 * time.Second)
+	for s.cloud.Running() > 0 {
+		if time.Now().After(deadline) {
+			t.Fatal("a cancelled job's tasks go on")
+		}
+		s.ask("GET", "/api/jobs/stays", "")
+	}
+	if status, v := s.ask("GET", "/api/jobs/array", ""); status != 200 || !done(v) {
+		t.Errorf("a done job is %v", v)
+	}
+	if broken := s.cloud.Broken(); len(broken) > 0 {
+		t.Errorf("ran twice: %v", broken)
+	}
+
+	for _, c := range []struct {
+		name, send string
+		status     int
+	}{
+		{"malformed", "NONSENSE\r\n\r\n", 400},
+		{"oversized", "POST /api/jobs HTTP/1.1\r\nContent-Length: 99999\r\n\r\n", 413},
+		{"unknown path", "GET /other HTTP/1.1\r\n\r\n", 404},
+		{"unknown job", "GET /api/jobs/none HTTP/1.1\r\n\r\n", 404},
+		{"wrong method", "DELETE /api/jobs HTTP/1.1\r\n\r\n", 405},
+		{"wrong method for reports", "GET /checkin HTTP/1.1\r\n\r\n", 405},
+		{"garbled report", "POST /checkin HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}", 400},
+		{"not a job", "POST /api/jobs HTTP/1.1\r\nContent-Length: 2\r\n\r\n[]", 400},
+		{"health", "GET /up HTTP/1.1\r\n\r\n", 200},
+	} {
+		conn, err := net.Dial("tcp4", s.addrs[left[0]])
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+		_, _ = io.WriteString(conn, c.send)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatalf("%s: %v", c.name, err)
+		}
+		body, _ := io.ReadAll(resp.Body)
+		if resp.StatusCode != c.status || !json.Valid(body) {
+			t.Errorf("%s: %d %q", c.name, resp.StatusCode, body)
+		}
+		if c.status >= 400 && c.status != 404 && c.status != 405 && c.name != "garbled report" && c.name != "not a job" && !resp.Close {
+			t.Errorf("%s: the connection stays open", c.name)
+		}
+		if !bytes.Contains(body, []byte("error")) && c.status >= 400 {
+			t.Errorf("%s: says nothing: %q", c.name, body)
+		}
+		_ = conn.Close()
+	}
+}
+
+// leader names the leader that a node knows.
+func (n *Node) leader() (string, uint64) {
+	type answer struct {
+		name  string
+		token uint64
+	}
+	ch := make(chan answer, 1)
+	n.post(func() { name, token := n.desk.Leader(); ch <- answer{name, token} })
+	a := <-ch
+	return a.name, a.token
+}
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"sync"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
-	"github.com/panjf2000/gnet/v2/pkg/logging"
 )
 
 // Reply sends the answer to one request; it may be called from any goroutine,
@@ -69,7 +69,7 @@
 func (s *Server) Run(addr string) error {
 	return gnet.Run(s, "tcp://"+addr, gnet.WithMulticore(false), gnet.WithNumEventLoop(1),
 		gnet.WithReuseAddr(true), gnet.WithTicker(true), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
-		gnet.WithReadBufferCap(16<<10), gnet.WithWriteBufferCap(16<<10), gnet.WithLogLevel(logging.ErrorLevel))
+		gnet.WithReadBufferCap(16<<10), gnet.WithWriteBufferCap(16<<10), gnet.WithLogger(gnetLog{s.opt.Log}))
 }
 
 // OnBoot keeps the engine so that it can be stopped.
@@ -192,3 +192,24 @@
 	<-s.booted
 	return s.eng.Stop(ctx)
 }
+
+// gnetLog passes the library's own messages on at the levels used here.
+type gnetLog struct{ log *slog.Logger }
+
+func (l gnetLog) Debugf(format string, args ...any) {
+	l.log.Debug("gnet: " + fmt.Sprintf(format, args...))
+}
+func (l gnetLog) Infof(format string, args ...any) {
+	l.log.Debug("gnet: " + fmt.Sprintf(format, args...))
+}
+func (l gnetLog) Warnf(format string, args ...any) {
+	l.log.Warn("gnet: " + fmt.Sprintf(format, args...))
+}
+func (l gnetLog) Errorf(format string, args ...any) {
+	l.log.Error("gnet: " + fmt.Sprintf(format, args...))
+}
+
+// Fatalf must not end the process: Run returns the error to its caller.
+func (l gnetLog) Fatalf(format string, args ...any) {
+	l.log.Error("gnet: " + fmt.Sprintf(format, args...))
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -131,7 +131,7 @@
 func (in *Intake) tell(status int, id string, l look) httpwire.Answer {
 	done, running := l.final.Count, 0
 	if !l.stage.Final() {
-		done = l.record.Count
+		done, running = l.record.Count, l.record.Running
 		if v, ok := in.opt.View(id); ok {
 			done, running = v.Done, v.Running
 		}
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -16,6 +16,7 @@
 	Started    bool       `json:"started,omitempty"`
 	Finished   string     `json:"finished,omitempty"`
 	Count      int        `json:"count,omitempty"`
+	Running    int        `json:"running,omitempty"` // as of this save, for display
 }
 
 // Final is how a job that is over is kept under done/<id>.
@@ -96,13 +97,17 @@
 	if j == nil {
 		return View{}, false
 	}
-	v := View{Done: j.finished.Len()}
+	return View{Done: j.finished.Len(), Running: j.running()}, true
+}
+
+func (j *Job) running() int {
+	n := 0
 	for _, t := range j.bound {
 		if t.state == model.TaskRunning || t.state == model.TaskSaving {
-			v.Running++
+			n++
 		}
 	}
-	return v, true
+	return n
 }
 
 // Save is a change of a job's records that is due.
@@ -161,7 +166,7 @@
 				s.Parts[part] = text
 			} else {
 				s.Record = &Record{Job: j.Spec, AcceptedMS: j.Accepted.UnixMilli(), Started: j.Started,
-					Finished: text, Count: j.finished.Len()}
+					Finished: text, Count: j.finished.Len(), Running: j.running()}
 			}
 			s.marks = append(s.marks, part)
 		}
--- /dev/null
+++ b/internal/standin/state.go
@@ -0,0 +1,253 @@
+// Package standin holds small stand-ins for the outside systems, written from
+// the published protocol, for tests over real sockets: a state service, a
+// cloud and its workers. They use the standard library's HTTP, so that the
+// project's own parser meets another implementation.
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+type entry struct {
+	value json.RawMessage
+	stamp uint64
+	hold  uint64
+}
+
+type change struct {
+	Set    string          `json:"set,omitempty"`
+	Delete string          `json:"delete,omitempty"`
+	Value  json.RawMessage `json:"value,omitempty"`
+	Stamp  uint64          `json:"stamp"`
+}
+
+type hold struct {
+	ttl time.Duration
+	end time.Time
+}
+
+// State is a state service.
+type State struct {
+	*httptest.Server
+	mu      sync.Mutex
+	keys    map[string]entry
+	rev     uint64
+	log     []change
+	holds   map[uint64]*hold
+	lastID  uint64
+	refuse  bool
+	changed chan struct{}
+}
+
+// NewState starts a state service on a loopback port.
+func NewState() *State {
+	s := &State{keys: map[string]entry{}, holds: map[uint64]*hold{}, changed: make(chan struct{})}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /kv/{key...}", s.get)
+	mux.HandleFunc("GET /kv", s.list)
+	mux.HandleFunc("POST /txn", s.txn)
+	mux.HandleFunc("POST /holds", s.hold)
+	mux.HandleFunc("POST /holds/{id}/touch", s.touch)
+	mux.HandleFunc("GET /changes", s.watch)
+	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		refuse := s.refuse
+		s.expire()
+		s.mu.Unlock()
+		if refuse {
+			reply(w, 503, map[string]string{"error": "trouble"})
+			return
+		}
+		mux.ServeHTTP(w, r)
+	}))
+	return s
+}
+
+// Refuse begins or ends an outage. After it every hold has its full time.
+func (s *State) Refuse(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuse = on
+	for _, h := range s.holds {
+		h.end = time.Now().Add(h.ttl)
+	}
+}
+
+func reply(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// expire ends holds that were not touched, unless there is an outage.
+func (s *State) expire() {
+	if s.refuse {
+		return
+	}
+	for id, h := range s.holds {
+		if time.Now().After(h.end) {
+			delete(s.holds, id)
+			for k, e := range s.keys {
+				if e.hold == id {
+					s.rev++
+					s.record(change{Delete: k, Stamp: s.rev})
+					delete(s.keys, k)
+				}
+			}
+		}
+	}
+}
+
+func (s *State) record(c change) {
+	s.log = append(s.log, c)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *State) get(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := r.PathValue("key")
+	e, ok := s.keys[key]
+	if !ok {
+		reply(w, 404, map[string]uint64{"ledgerRev": s.rev})
+		return
+	}
+	reply(w, 200, map[string]any{"k": key, "value": e.value, "stamp": e.stamp})
+}
+
+func (s *State) list(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q := r.URL.Query()
+	most, _ := strconv.Atoi(q.Get("most"))
+	var names []string
+	for k := range s.keys {
+		if strings.HasPrefix(k, q.Get("starts")) && k > q.Get("after") {
+			names = append(names, k)
+		}
+	}
+	sort.Strings(names)
+	more := len(names) > most
+	pairs := []map[string]any{}
+	for _, k := range names[:min(most, len(names))] {
+		pairs = append(pairs, map[string]any{"k": k, "value": s.keys[k].value, "stamp": s.keys[k].stamp})
+	}
+	reply(w, 200, map[string]any{"pairs": pairs, "more": more, "ledgerRev": s.rev})
+}
+
+func (s *State) txn(w http.ResponseWriter, r *http.Request) {
+	var t struct {
+		Guards []struct {
+			K     string `json:"k"`
+			Stamp uint64 `json:"stamp"`
+		} `json:"guards"`
+		Writes []struct {
+			Set    string          `json:"set"`
+			Value  json.RawMessage `json:"value"`
+			Permit uint64          `json:"permit"`
+			Delete string          `json:"delete"`
+		} `json:"writes"`
+	}
+	if json.NewDecoder(r.Body).Decode(&t) != nil {
+		reply(w, 400, map[string]string{"error": "malformed"})
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range t.Writes {
+		if c.Set != "" && c.Permit != 0 && s.holds[c.Permit] == nil {
+			reply(w, 400, map[string]string{"error": "no such lease"})
+			return
+		}
+	}
+	var failed []string
+	for _, g := range t.Guards {
+		if s.keys[g.K].stamp != g.Stamp {
+			failed = append(failed, g.K)
+		}
+	}
+	if len(failed) > 0 {
+		reply(w, 409, map[string]any{"failed": failed, "ledgerRev": s.rev})
+		return
+	}
+	if len(t.Writes) > 0 {
+		s.rev++
+	}
+	for _, c := range t.Writes {
+		if c.Set != "" {
+			s.keys[c.Set] = entry{c.Value, s.rev, c.Permit}
+			s.record(change{Set: c.Set, Value: c.Value, Stamp: s.rev})
+		} else {
+			delete(s.keys, c.Delete)
+			s.record(change{Delete: c.Delete, Stamp: s.rev})
+		}
+	}
+	reply(w, 200, map[string]uint64{"ledgerRev": s.rev})
+}
+
+func (s *State) hold(w http.ResponseWriter, r *http.Request) {
+	var h struct {
+		TTL int64 `json:"ttlMs"`
+	}
+	if json.NewDecoder(r.Body).Decode(&h) != nil || h.TTL < 100 || h.TTL > 600000 {
+		reply(w, 400, map[string]string{"error": "malformed"})
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastID++
+	ttl := time.Duration(h.TTL) * time.Millisecond
+	s.holds[s.lastID] = &hold{ttl, time.Now().Add(ttl)}
+	reply(w, 200, map[string]uint64{"permit": s.lastID})
+}
+
+func (s *State) touch(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.holds[id]
+	if h == nil {
+		reply(w, 404, map[string]string{"error": "no such lease"})
+		return
+	}
+	h.end = time.Now().Add(h.ttl)
+	reply(w, 200, map[string]uint64{"permit": id})
+}
+
+func (s *State) watch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
+	block, _ := strconv.Atoi(q.Get("blockMs"))
+	end := time.After(time.Duration(block) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		news := []change{}
+		for _, c := range s.log {
+			if c.Stamp > after && strings.HasPrefix(c.Set+c.Delete, q.Get("starts")) {
+				news = append(news, c)
+			}
+		}
+		rev, changed := s.rev, s.changed
+		s.mu.Unlock()
+		if len(news) > 0 {
+			reply(w, 200, map[string]any{"ledgerRev": rev, "news": news})
+			return
+		}
+		select {
+		case <-changed:
+		case <-end:
+			reply(w, 200, map[string]any{"ledgerRev": rev, "news": news})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
