--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -60,18 +60,19 @@
 	renewing time.Time // a fresh token was asked for
 	settled  bool
 
-	nextBeat  time.Time
-	lastRound time.Time
-	round     *round
-	nextFleet time.Time
-	nextList  time.Time
-	nextTypes time.Time
-	hosting   bool
-	listing   bool
-	cloudBusy bool
-	cloudJobs []func()
-	dropHosts []string
-	typesSet  bool
+	nextBeat    time.Time
+	lastRound   time.Time
+	round       *round
+	nextFleet   time.Time
+	nextList    time.Time
+	nextTypes   time.Time
+	nextSummary time.Time
+	hosting     bool
+	listing     bool
+	cloudBusy   bool
+	cloudJobs   []func()
+	dropHosts   []string
+	typesSet    bool
 }
 
 // round is one sampling round under way.
@@ -370,6 +371,12 @@
 		t.runFleet(now)
 	}
 	t.runCloud()
+	if !now.Before(t.nextSummary) {
+		t.nextSummary = now.Add(10 * time.Second)
+		s := t.book.Summary()
+		t.n.log.Info("cluster", "machines", s.Machines, "booting", t.fleet.Booting(), "busy", s.Busy, "cpus", s.CPUs, "used", s.Used,
+			"jobs", s.Jobs, "bound", s.Bound, "unplaced", s.Unplaced)
+	}
 }
 
 // beat begins a round: grants, orders and wishes for samples to everybody.
--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -576,3 +576,29 @@
 // failures in a row, of more than one job or more than the job's own retries
 // explain.
 func (m *Machine) Suspect(errors int) bool { return m.Errors >= errors }
+
+// Summary is the state of the cluster in a few figures, for the log.
+type Summary struct {
+	Machines, Busy, Jobs, Bound, Unplaced int
+	CPUs, Used                            float64
+}
+
+// Summary counts what there is.
+func (b *Book) Summary() Summary {
+	s := Summary{Machines: len(b.machines), Jobs: len(b.jobs)}
+	for _, m := range b.machines {
+		if m.Phase != Current {
+			continue
+		}
+		s.CPUs += b.types[m.Kind.Type].Size.CPUs
+		s.Used += m.used().CPUs
+		if len(m.tasks) > 0 {
+			s.Busy++
+		}
+	}
+	for _, j := range b.jobs {
+		s.Bound += len(j.bound)
+		s.Unplaced += max(0, j.Unplaced())
+	}
+	return s
+}
