Let machines go: retire those whose tasks fit elsewhere

Change: the smallest exception to the paper's rule: a machine that is not needed gets no more tasks; the dearest per CPU first; used again before anything is rented. Idle machines go after 10 s.

--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -87,9 +87,9 @@
 	t := &term{n: n, ctx: ctx, end: cancel, token: token, began: now, nextTypes: now.Add(20 * time.Second)}
 	t.book = placement.NewBook(placement.Options{
 		Draws: n.op.Placement.Draws, ScanAfter: n.op.Placement.ScanAfter, TasksPerRound: n.op.Placement.TasksPerRound,
-		PreemptWait: n.op.Placement.PreemptWait, PartTasks: model.PartTasks(max(256, n.cfg.ValueBytes-2048)),
+		Spare: n.op.Placement.Spare, PreemptWait: n.op.Placement.PreemptWait, PartTasks: model.PartTasks(max(256, n.cfg.ValueBytes-2048)),
 	}, token, n.cfg.Teams, n.knownTypes())
-	t.fleet = fleet.New(fleet.Options{Idle: n.op.Fleet.Idle, Horizon: n.op.Fleet.Horizon, RefusedWait: n.op.Fleet.RefusedWait,
+	t.fleet = fleet.New(fleet.Options{Idle: n.op.Fleet.Idle, Keep: n.op.Fleet.Keep, Horizon: n.op.Fleet.Horizon, RefusedWait: n.op.Fleet.RefusedWait,
 		BootFactor: n.op.Fleet.BootFactor, SilentWait: n.op.Fleet.SilentWait, ListLag: n.cfg.ListLag, Errors: n.op.Fleet.Errors}, token)
 	for _, l := range n.links {
 		l.acked, l.seen, l.sizes, l.busy = false, 0, map[string]bool{}, false
@@ -367,15 +367,16 @@
 		t.book.Mend(now)
 		t.book.Drain(now)
 		t.book.Preempt(now)
+		t.book.Consolidate(now)
 		t.suspects()
 		t.runFleet(now)
 	}
 	t.runCloud()
 	if !now.Before(t.nextSummary) {
 		t.nextSummary = now.Add(10 * time.Second)
-		s := t.book.Summary()
-		t.n.log.Info("cluster", "machines", s.Machines, "booting", t.fleet.Booting(), "busy", s.Busy, "cpus", s.CPUs, "used", s.Used,
-			"jobs", s.Jobs, "bound", s.Bound, "unplaced", s.Unplaced)
+		s := t.book.Summary(now)
+		t.n.log.Info("cluster", "machines", s.Machines, "booting", t.fleet.Booting(), "busy", s.Busy, "retiring", s.Retiring, "cpus", s.CPUs, "used", s.Used,
+			"jobs", s.Jobs, "bound", s.Bound, "unplaced", s.Unplaced, "placeable", s.Placeable)
 	}
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -22,6 +22,7 @@
 // Options are the fleet's bounds.
 type Options struct {
 	Idle        time.Duration
+	Keep        time.Duration // least time that a machine is kept after its first report
 	Horizon     time.Duration
 	RefusedWait time.Duration
 	BootFactor  float64
@@ -238,7 +239,7 @@
 		case m.Phase == placement.Expired && now.Sub(m.Silent) > f.opt.SilentWait:
 			give(name)
 		case !settled || m.Phase != placement.Current || m.Busy():
-		case m.Cordoned, now.Sub(m.Idle) > f.opt.Idle:
+		case m.Cordoned, now.Sub(m.Idle) > f.opt.Idle && now.Sub(m.Seen) > f.opt.Keep:
 			give(name)
 		}
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -22,7 +22,7 @@
 func at(s float64) time.Time { return t0.Add(time.Duration(s * float64(time.Second))) }
 
 func newFleet() *Fleet {
-	return New(Options{Idle: 30 * time.Second, Horizon: 45 * time.Second, RefusedWait: 20 * time.Second, BootFactor: 4,
+	return New(Options{Idle: 30 * time.Second, Keep: 20 * time.Second, Horizon: 45 * time.Second, RefusedWait: 20 * time.Second, BootFactor: 4,
 		SilentWait: 20 * time.Second}, 5)
 }
 
@@ -124,6 +124,7 @@
 	machines := map[string]*placement.Machine{
 		"idle":     {Phase: placement.Current, Idle: at(0)},
 		"fresh":    {Phase: placement.Current, Idle: at(80)},
+		"young":    {Phase: placement.Current, Idle: at(60), Seen: at(90)},
 		"cordoned": {Phase: placement.Current, Idle: at(99), Cordoned: true},
 		"silent":   {Phase: placement.Expired, Silent: at(70)},
 		"quiet":    {Phase: placement.Expired, Silent: at(90)},
--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -21,7 +21,8 @@
 	GangPeer      time.Duration
 	ReportEvery   time.Duration
 	Errors        int
-	PartTasks     int // tasks whose marks one stored value holds
+	Spare         float64 // share of the machines in use that is kept free
+	PartTasks     int     // tasks whose marks one stored value holds
 	Log           *slog.Logger
 }
 
@@ -109,8 +110,9 @@
 	Kind     model.Kind
 	Spot     bool
 	Phase    MachinePhase
-	Hosted   bool // its host record is stored
-	Cordoned bool
+	Hosted   bool          // its host record is stored
+	Cordoned bool          // for good
+	Retiring bool          // until its room is needed again
 	Notice   time.Duration // -1: none
 	NoticeAt time.Time
 	Seen     time.Time // first heard of by this leader
@@ -176,6 +178,15 @@
 		if m.Phase != Expired {
 			m.Phase = Unseen
 		}
+		m.Retiring = false
+	}
+}
+
+// recordon tells an owner anew which machines are to get no tasks: a fresh
+// token voided what it was told before.
+func (b *Book) recordon(m *Machine) {
+	if m.Cordoned {
+		b.give(m, &peerspb.Order{Op: peerspb.Op_OP_CORDON})
 	}
 }
 
@@ -239,6 +250,23 @@
 	}
 }
 
+// retire keeps new tasks off a machine until its room is needed again.
+func (b *Book) retire(m *Machine, on bool) {
+	if m.Retiring == on {
+		return
+	}
+	m.Retiring = on
+	if m.Cordoned {
+		return
+	}
+	if on {
+		b.give(m, &peerspb.Order{Op: peerspb.Op_OP_CORDON})
+		return
+	}
+	b.give(m, &peerspb.Order{Op: peerspb.Op_OP_UNCORDON})
+	b.room++
+}
+
 // Gone takes in that a machine no longer exists.
 func (b *Book) Gone(name string, now time.Time) {
 	m := b.machines[name]
@@ -323,7 +351,10 @@
 			m.Notice = -1
 		}
 		m.reported = pm.Tasks
-		m.current = b.token
+		if m.current != b.token {
+			m.current = b.token
+			b.recordon(m)
+		}
 		b.setPhase(m, Current, now)
 		b.reconcile(now, m, pm.Delivered)
 	}
@@ -579,17 +610,21 @@
 
 // Summary is the state of the cluster in a few figures, for the log.
 type Summary struct {
-	Machines, Busy, Jobs, Bound, Unplaced int
-	CPUs, Used                            float64
+	Machines, Busy, Retiring, Jobs, Bound, Unplaced int
+	Placeable                                       int // unplaced tasks that no limit holds back
+	CPUs, Used                                      float64
 }
 
 // Summary counts what there is.
-func (b *Book) Summary() Summary {
+func (b *Book) Summary(now time.Time) Summary {
 	s := Summary{Machines: len(b.machines), Jobs: len(b.jobs)}
 	for _, m := range b.machines {
 		if m.Phase != Current {
 			continue
 		}
+		if m.Retiring {
+			s.Retiring++
+		}
 		s.CPUs += b.types[m.Kind.Type].Size.CPUs
 		s.Used += m.used().CPUs
 		if len(m.tasks) > 0 {
@@ -600,5 +635,8 @@
 		s.Bound += len(j.bound)
 		s.Unplaced += max(0, j.Unplaced())
 	}
+	for _, n := range b.Needs(now) {
+		s.Placeable += n.Tasks
+	}
 	return s
 }
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -187,7 +187,7 @@
 
 // usable tells whether tasks may be started on a machine at all.
 func (m *Machine) usable() bool {
-	return m.Phase == Current && m.Hosted && !m.Cordoned && m.Notice < 0 && m.strays == 0
+	return m.Phase == Current && m.Hosted && !m.Cordoned && !m.Retiring && m.Notice < 0 && m.strays == 0
 }
 
 // fits tells whether a job's task may start on a machine now, its other
@@ -499,6 +499,93 @@
 	}
 }
 
+// Consolidate is the exception to the paper's rule that lets machines go:
+// preferring empty shares leaves every machine partly used and none idle. A
+// machine whose tasks would fit into the others' free room gets no more tasks
+// and is returned when its last one ends. When work finds no room, retiring
+// machines are used again before new ones are rented.
+func (b *Book) Consolidate(now time.Time) {
+	if !b.complete {
+		return
+	}
+	retiring := b.retiring()
+	waiting := false
+	for _, n := range b.Needs(now) {
+		j := b.jobs[n.Job]
+		left := n.Tasks
+		waiting = waiting || left > 0
+		for _, m := range retiring {
+			if left <= 0 {
+				break
+			}
+			if !m.Retiring || (m.Spot && !j.Spec.Spot) || !j.Spec.Allows(b.types[m.Kind.Type], m.Kind.Zone) {
+				continue
+			}
+			if slots := j.Spec.Size.Slots(b.free(m, n.Job, now)); slots > 0 {
+				b.retire(m, false)
+				left -= slots
+			}
+		}
+	}
+	if waiting {
+		return // while work waits, nothing is let go
+	}
+	var capacity, used float64
+	var candidates []*Machine
+	for _, m := range b.machines {
+		if !m.usable() {
+			continue
+		}
+		size := b.types[m.Kind.Type].Size
+		capacity += size.CPUs
+		used += m.used().Share(size) * size.CPUs
+		candidates = append(candidates, m)
+	}
+	// The dearest per CPU goes first, of equals the one least in use.
+	sort.Slice(candidates, func(i, k int) bool {
+		x, y := candidates[i], candidates[k]
+		if a, c := b.price(x), b.price(y); a != c {
+			return a > c
+		}
+		if a, c := x.used().Share(b.types[x.Kind.Type].Size), y.used().Share(b.types[y.Kind.Type].Size); a != c {
+			return a < c
+		}
+		return x.Name < y.Name
+	})
+	for _, m := range candidates {
+		size := b.types[m.Kind.Type].Size.CPUs
+		if used <= (capacity-size)*(1-b.opt.Spare) {
+			b.retire(m, true)
+			return // one at a time
+		}
+	}
+}
+
+// price is what a machine costs an hour per CPU.
+func (b *Book) price(m *Machine) float64 {
+	t := b.types[m.Kind.Type]
+	if m.Spot {
+		return t.SpotPrice / t.Size.CPUs
+	}
+	return t.Price / t.Size.CPUs
+}
+
+// retiring lists the retiring machines that could be used again, the
+// cheapest first.
+func (b *Book) retiring() []*Machine {
+	var out []*Machine
+	for _, m := range b.machines {
+		if m.Retiring && !m.Cordoned && m.Phase == Current && m.Notice < 0 {
+			out = append(out, m)
+		}
+	}
+	sort.Slice(out, func(i, k int) bool {
+		a, c := b.price(out[i]), b.price(out[k])
+		return a < c || (a == c && out[i].Name < out[k].Name)
+	})
+	return out
+}
+
 // Need is a job's demand for room that no machine has.
 type Need struct {
 	Job      string
--- a/internal/settings/defaults.sexp
+++ b/internal/settings/defaults.sexp
@@ -13,10 +13,12 @@
     (heartbeat "400ms")   ; longest time between two rounds
     (scan-after 2)        ; empty rounds after which a job scans its kinds
     (tasks-per-round 64)  ; most tasks drawn for in one round
-    (preempt-wait "1s"))  ; how long a job waits without room before it preempts
+    (preempt-wait "1s")   ; how long a job waits without room before it preempts
+    (spare 0.2))          ; share of the machines in use that is kept free
   (fleet
     (tick "1s")
-    (idle "30s")          ; a machine without tasks is returned after this
+    (idle "10s")          ; a machine without tasks is returned after this
+    (keep "30s")          ; but not sooner after its first report: a minute is charged anyway
     (horizon "45s")       ; machines are rented so that waiting arrays end their turn within this
     (refused-wait "20s")  ; pause for a kind that had no capacity
     (list-every "4s")
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -31,10 +31,12 @@
 		ScanAfter     int           `sexp:"scan-after"`
 		TasksPerRound int           `sexp:"tasks-per-round"`
 		PreemptWait   time.Duration `sexp:"preempt-wait"`
+		Spare         float64       `sexp:"spare"`
 	} `sexp:"placement"`
 	Fleet struct {
 		Tick        time.Duration `sexp:"tick"`
 		Idle        time.Duration `sexp:"idle"`
+		Keep        time.Duration `sexp:"keep"`
 		Horizon     time.Duration `sexp:"horizon"`
 		RefusedWait time.Duration `sexp:"refused-wait"`
 		ListEvery   time.Duration `sexp:"list-every"`
