--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -340,6 +340,11 @@
 		if trusted || m.current == b.token {
 			b.releaseAll(m, now)
 			b.setPhase(m, Expired, now)
+		} else {
+			// Guard: the owner says this only once. The machine counts as
+			// unseen again until an expiry can be trusted; were it left
+			// joining, a takeover would never end.
+			b.setPhase(m, Unseen, now)
 		}
 	case "current":
 		m.Spot, m.Addr, m.session, m.seq = pm.Spot, pm.Addr, pm.Session, pm.Seq
--- a/internal/placement/book_test.go
+++ b/internal/placement/book_test.go
@@ -262,6 +262,12 @@
 		{"it answered and has the task", func(b bench) { b.says(1, "old", "current", 0, task("x", 0, 77, model.TaskRunning, "")) }, 0},
 		{"it answered without", func(b bench) { b.says(1, "old", "current", 0) }, 1},
 		{"it expired", func(b bench) { b.UnseenExpired("n0", at(1)) }, 1},
+		// The owner's word came too early to be trusted and is not repeated.
+		{"it joined, then fell silent", func(b bench) {
+			b.says(1, "old", "joining", 0)
+			b.says(1, "old", "expired", 0)
+			b.UnseenExpired("n0", at(1.5))
+		}, 1},
 		{"it is gone", func(b bench) { b.Gone("old", at(1)) }, 1},
 		{"it holds the result", func(b bench) { b.says(1, "old", "current", 0, task("x", 0, 77, model.TaskExited, model.CauseDone)) }, 0},
 	} {
