Short jobs first within a team's limit, lost deadlines last

Cause: one team's limit is overloaded by its wifi-trace jobs, and by age every one waits as long as the backlog.

--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -87,7 +87,7 @@
 	t := &term{n: n, ctx: ctx, end: cancel, token: token, began: now, nextTypes: now.Add(20 * time.Second)}
 	t.book = placement.NewBook(placement.Options{
 		Draws: n.op.Placement.Draws, ScanAfter: n.op.Placement.ScanAfter, TasksPerRound: n.op.Placement.TasksPerRound,
-		Spare: n.op.Placement.Spare, PreemptWait: n.op.Placement.PreemptWait, PartTasks: model.PartTasks(max(256, n.cfg.ValueBytes-2048)),
+		ShortFirst: n.op.Placement.ShortFirst, Spare: n.op.Placement.Spare, PreemptWait: n.op.Placement.PreemptWait, PartTasks: model.PartTasks(max(256, n.cfg.ValueBytes-2048)),
 	}, token, n.cfg.Teams, n.knownTypes())
 	t.fleet = fleet.New(fleet.Options{Idle: n.op.Fleet.Idle, Keep: n.op.Fleet.Keep, Horizon: n.op.Fleet.Horizon, RefusedWait: n.op.Fleet.RefusedWait,
 		BootFactor: n.op.Fleet.BootFactor, SilentWait: n.op.Fleet.SilentWait, ListLag: n.cfg.ListLag, Errors: n.op.Fleet.Errors}, token)
--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -21,6 +21,7 @@
 	GangPeer      time.Duration
 	ReportEvery   time.Duration
 	Errors        int
+	ShortFirst    float64 // how strongly short jobs go first within a team's limit
 	Spare         float64 // share of the machines in use that is kept free
 	PartTasks     int     // tasks whose marks one stored value holds
 	Log           *slog.Logger
--- a/internal/placement/book_test.go
+++ b/internal/placement/book_test.go
@@ -433,19 +433,24 @@
 	}
 }
 
-// Jobs go by priority, then guarantee, deadline and age.
+// Jobs go by priority, then guarantee, deadline and age; within a team's limit
+// short jobs go first, and a deadline that is lost counts no more.
 func TestQueueOrder(t *testing.T) {
 	b := newBench(t)
+	b.opt.ShortFirst = 10
 	b.teams["sure"] = model.Team{Name: "sure", Guarantee: model.Size{CPUs: 8}}
 	b.job("plain", nil)
 	b.job("soon", func(j *model.Job) { j.Deadline = time.Minute })
+	b.job("lost", func(j *model.Job) { j.Deadline, j.Estimate, j.Team, j.Tasks = time.Minute, time.Hour, "tight", 9 })
 	b.job("sure", func(j *model.Job) { j.Team = "sure" })
 	b.job("first", func(j *model.Job) { j.Priority = model.Production })
+	b.job("long", func(j *model.Job) { j.Team, j.Estimate, j.Tasks = "tight", time.Minute, 9 })
+	b.job("short", func(j *model.Job) { j.Team, j.Estimate = "tight", time.Minute })
 	var got []string
 	for _, j := range b.queue(at(1)) {
 		got = append(got, j.Spec.ID)
 	}
-	if want := "[first sure soon plain]"; fmt.Sprint(got) != want {
+	if want := "[first sure soon plain short long lost]"; fmt.Sprint(got) != want {
 		t.Errorf("%v, want %v", got, want)
 	}
 }
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -53,11 +53,9 @@
 	guaranteed := func(j *Job) bool {
 		return b.teams[j.Spec.Team].WithinGuarantee(use[j.Spec.Team].Add(j.Spec.Size))
 	}
-	deadline := func(j *Job) time.Time {
-		if j.Spec.Deadline == 0 {
-			return j.Accepted.Add(24 * time.Hour)
-		}
-		return j.Accepted.Add(j.Spec.Deadline)
+	due := make(map[*Job]time.Time, len(out))
+	for _, j := range out {
+		due[j] = b.due(j, now)
 	}
 	sort.Slice(out, func(i, k int) bool {
 		x, y := out[i], out[k]
@@ -67,7 +65,7 @@
 		if a, c := guaranteed(x), guaranteed(y); a != c {
 			return a
 		}
-		if a, c := deadline(x), deadline(y); !a.Equal(c) {
+		if a, c := due[x], due[y]; !a.Equal(c) {
 			return a.Before(c)
 		}
 		if !x.Accepted.Equal(y.Accepted) {
@@ -78,6 +76,26 @@
 	return out
 }
 
+// noDeadline puts jobs without a deadline behind those with one.
+const noDeadline = 24 * time.Hour
+
+// due is when a job should be complete for the queue's order. One whose
+// deadline can no longer be met goes with those that have none: hurrying it
+// would only make others late. Those go by age, but a job is counted as younger
+// by what it still needs of its team's limit: while a limit holds a team back,
+// short jobs go first without long ones waiting for ever.
+func (b *Book) due(j *Job, now time.Time) time.Time {
+	if d := j.Spec.Deadline; d > 0 && now.Add(j.Spec.Estimate).Before(j.Accepted.Add(d)) {
+		return j.Accepted.Add(d)
+	}
+	wait := noDeadline
+	if limit := b.teams[j.Spec.Team].Limit.CPUs; limit > 0 && j.Spec.Shape != model.Service {
+		work := j.Spec.Size.CPUs * float64(j.Spec.Tasks-j.finished.Len()) * j.Spec.Estimate.Seconds()
+		wait += model.Seconds(b.opt.ShortFirst * work / limit)
+	}
+	return j.Accepted.Add(wait)
+}
+
 // headroom is how many more tasks of a job its team's limit allows.
 func (b *Book) headroom(j *Job) int {
 	team := b.teams[j.Spec.Team]
--- a/internal/settings/defaults.sexp
+++ b/internal/settings/defaults.sexp
@@ -14,6 +14,7 @@
     (scan-after 2)        ; empty rounds after which a job scans its kinds
     (tasks-per-round 64)  ; most tasks drawn for in one round
     (preempt-wait "1s")   ; how long a job waits without room before it preempts
+    (short-first 10)      ; a job without a deadline gives way by this many times the time it keeps its team's limit busy
     (spare 0.2))          ; share of the machines in use that is kept free
   (fleet
     (tick "1s")
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -31,6 +31,7 @@
 		ScanAfter     int           `sexp:"scan-after"`
 		TasksPerRound int           `sexp:"tasks-per-round"`
 		PreemptWait   time.Duration `sexp:"preempt-wait"`
+		ShortFirst    float64       `sexp:"short-first"`
 		Spare         float64       `sexp:"spare"`
 	} `sexp:"placement"`
 	Fleet struct {
