--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -86,7 +86,7 @@
 	ctx, cancel := context.WithCancel(n.ctx)
 	t := &term{n: n, ctx: ctx, end: cancel, token: token, began: now, nextTypes: now.Add(20 * time.Second)}
 	t.book = placement.NewBook(placement.Options{
-		Draws: n.op.Placement.Draws, ScanAfter: n.op.Placement.ScanAfter, TasksPerRound: n.op.Placement.TasksPerRound,
+		Log: n.log, Draws: n.op.Placement.Draws, ScanAfter: n.op.Placement.ScanAfter, TasksPerRound: n.op.Placement.TasksPerRound,
 		ShortFirst: n.op.Placement.ShortFirst, Spare: n.op.Placement.Spare, PreemptWait: n.op.Placement.PreemptWait, PartTasks: model.PartTasks(max(256, n.cfg.ValueBytes-2048)),
 	}, token, n.cfg.Teams, n.knownTypes())
 	t.fleet = fleet.New(fleet.Options{Idle: n.op.Fleet.Idle, Keep: n.op.Fleet.Keep, Horizon: n.op.Fleet.Horizon, RefusedWait: n.op.Fleet.RefusedWait,
@@ -205,7 +205,7 @@
 	}
 	for _, it := range jobs {
 		id := strings.TrimPrefix(it.Key, placement.JobPrefix)
-		if err := t.book.PutJob(id, it.Value, it.Stamp, marks[id]); err != nil {
+		if err := t.book.PutJob(time.Now(), id, it.Value, it.Stamp, marks[id]); err != nil {
 			t.n.log.Error("job record", "err", err)
 		}
 	}
@@ -269,7 +269,7 @@
 			continue
 		}
 		id := strings.TrimPrefix(e.Set, placement.JobPrefix)
-		if err := t.book.PutJob(id, e.Value, e.Stamp, nil); err != nil {
+		if err := t.book.PutJob(time.Now(), id, e.Value, e.Stamp, nil); err != nil {
 			t.n.log.Error("job record", "err", err)
 		}
 	}
@@ -628,7 +628,7 @@
 					t.n.log.Debug("job was over already", "job", s.ID)
 					t.book.Over(at, s.ID)
 				case fresh != nil:
-					if perr := t.book.PutJob(s.ID, fresh.Value, fresh.Stamp, nil); perr != nil {
+					if perr := t.book.PutJob(time.Now(), s.ID, fresh.Value, fresh.Stamp, nil); perr != nil {
 						t.n.log.Error("job record", "err", perr)
 					}
 				}
--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -65,6 +65,7 @@
 // to is the one place where a bound task's state changes.
 func (t *Task) to(s model.TaskState, now time.Time) {
 	if t.state != s {
+		t.machine.log.Debug("task", "task", model.TaskName(t.job.Spec.ID, t.index), "machine", t.machine.Name, "from", t.state, "to", s, "after", now.Sub(t.since))
 		t.state, t.since = s, now
 	}
 }
@@ -74,6 +75,7 @@
 	Spec      *model.Job
 	Accepted  time.Time // by the wall clock of the node that took it in
 	Stamp     uint64
+	seen      time.Time // when this leader first saw it
 	Started   bool
 	Cancelled bool
 
@@ -128,6 +130,7 @@
 	reported     []*peerspb.Task
 	strays       int // running tasks of jobs the book does not know
 	reserved     map[string]reservation
+	log          *slog.Logger
 }
 
 type reservation struct {
@@ -155,6 +158,9 @@
 
 // NewBook makes an empty book under a token.
 func NewBook(opt Options, token uint64, teams map[string]model.Team, types map[string]model.MachineType) *Book {
+	if opt.Log == nil {
+		opt.Log = slog.New(slog.DiscardHandler)
+	}
 	return &Book{opt: opt, token: token, teams: teams, types: types, jobs: map[string]*Job{},
 		machines: map[string]*Machine{}, owners: map[model.Kind]string{}, out: map[string][]*peerspb.Order{},
 		gone: map[string]time.Time{}}
@@ -201,7 +207,7 @@
 func (b *Book) AddHost(name string, kind model.Kind, spot bool, now time.Time) {
 	if b.machines[name] == nil {
 		b.machines[name] = &Machine{Name: name, Kind: kind, Spot: spot, Hosted: true, Notice: -1, Seen: now, Idle: now,
-			tasks: map[taskKey]*Task{}}
+			tasks: map[taskKey]*Task{}, log: b.opt.Log}
 	}
 }
 
@@ -330,7 +336,7 @@
 			return
 		}
 		m = &Machine{Name: pm.Name, Kind: kind, Notice: -1,
-			Seen: now, Idle: now, tasks: map[taskKey]*Task{}}
+			Seen: now, Idle: now, tasks: map[taskKey]*Task{}, log: b.opt.Log}
 		b.machines[pm.Name] = m
 	}
 	switch pm.Phase {
--- a/internal/placement/book_test.go
+++ b/internal/placement/book_test.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	if err := b.PutJob(id, v, 10, nil); err != nil {
+	if err := b.PutJob(at(0), id, v, 10, nil); err != nil {
 		b.Fatal(err)
 	}
 }
@@ -482,7 +482,7 @@
 		t.Fatal(err)
 	}
 	again := newBench(t)
-	if err := again.PutJob("x", v, 30, parts); err != nil {
+	if err := again.PutJob(at(0), "x", v, 30, parts); err != nil {
 		t.Fatal(err)
 	}
 	if got := again.jobs["x"]; got.Finished() != 150 || !got.finished.Has(298) || got.finished.Has(299) {
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -39,7 +39,7 @@
 
 // PutJob takes in a job's record as stored with a stamp. parts are the marks
 // beyond the first part, if any are known.
-func (b *Book) PutJob(id string, value json.RawMessage, stamp uint64, parts map[int]string) error {
+func (b *Book) PutJob(now time.Time, id string, value json.RawMessage, stamp uint64, parts map[int]string) error {
 	if j := b.jobs[id]; j != nil {
 		j.Stamp = max(j.Stamp, stamp)
 		return nil
@@ -51,7 +51,7 @@
 	if r.Job == nil || r.Job.ID != id {
 		return fmt.Errorf("record of job %s: wrong job", id)
 	}
-	j := &Job{Spec: r.Job, Accepted: time.UnixMilli(r.AcceptedMS), Stamp: stamp, Started: r.Started,
+	j := &Job{Spec: r.Job, Accepted: time.UnixMilli(r.AcceptedMS), Stamp: stamp, seen: now, Started: r.Started,
 		finished: model.NewTaskSet(r.Job.Tasks), stored: model.NewTaskSet(r.Job.Tasks), bound: map[int]*Task{}}
 	for _, set := range []*model.TaskSet{j.finished, j.stored} {
 		if err := set.Merge(0, r.Finished); err != nil {
