Call starts directly; a start without an answer stays bound until it shows

Now owners call the worker at once. An unanswered call stays undecided: the start is pressed until a report shows it, its attempt is not forgotten in that session, and if the job no longer wants it the leader takes a fresh token, which voids the call. A worker that cannot be called waits for its next report (the integration test found an endless repeat).

--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -57,6 +57,7 @@
 	types     atomic.Pointer[map[string]model.MachineType]
 	storeSeen atomic.Int64 // last answer of the state service, in time since start
 	users     chan struct{}
+	dials     map[string]*httpwire.Client // to workers, by address
 	lastState leadership.State
 }
 
@@ -71,7 +72,7 @@
 		return nil, fmt.Errorf("boot id: %w", err)
 	}
 	n := &Node{cfg: cfg, op: op, log: log, boot: hex.EncodeToString(id[:]), terms: terms, start: time.Now(),
-		events: make(chan func(), 1024), users: make(chan struct{}, 64)}
+		events: make(chan func(), 1024), users: make(chan struct{}, 64), dials: map[string]*httpwire.Client{}}
 	n.store = store.New(cfg.StateAddr, op.Service.Call)
 	n.cloud = fleet.NewCloud(cfg.CloudAddr, cfg.CloudRPS*0.7, op.Service.CloudCall)
 	n.desk = workers.NewDesk(workers.Options{Member: cfg.Member, Lease: cfg.Lease, Margin: time.Second / 2},
@@ -315,6 +316,7 @@
 		now := time.Now()
 		n.lead.Heard(now, r.Token)
 		ch <- n.desk.Round(now, r)
+		n.direct(now)
 	})
 	select {
 	case out := <-ch:
@@ -324,6 +326,64 @@
 	}
 }
 
+// direct makes the direct calls that are due.
+func (n *Node) direct(now time.Time) {
+	for _, c := range n.desk.Calls(now) {
+		h := n.dials[c.Addr]
+		if h == nil {
+			if len(n.dials) >= n.cfg.MaxConns/4 {
+				for addr, old := range n.dials { // machines come and go
+					old.CloseIdle()
+					delete(n.dials, addr)
+				}
+			}
+			h = httpwire.NewClient(c.Addr, 1, httpwire.Limits{Head: 8 << 10, Body: 4 << 20})
+			n.dials[c.Addr] = h
+		}
+		go func() {
+			outcome, r := n.call(h, c)
+			n.post(func() {
+				at := time.Now()
+				n.log.Debug("direct", "machine", c.Machine, "orders", len(c.Commands), "outcome", outcome.String(), "took", at.Sub(now))
+				n.desk.Called(at, c, outcome, r)
+				n.direct(at)
+				if n.term != nil {
+					n.term.beatSoon()
+				}
+			})
+		}()
+	}
+}
+
+// call sends one direct call and judges its outcome.
+func (n *Node) call(h *httpwire.Client, c workers.Call) (workers.CallOutcome, *model.Report) {
+	ctx, cancel := context.WithTimeout(n.ctx, n.op.Service.DirectCall)
+	defer cancel()
+	body, err := json.Marshal(model.DirectOrders{Token: c.Token, Session: c.Session, Commands: c.Commands})
+	if err != nil {
+		return workers.Refused, nil
+	}
+	resp, err := h.Do(ctx, "POST", "/orders", body)
+	switch {
+	case errors.Is(err, httpwire.ErrNotSent):
+		return workers.Refused, nil
+	case err != nil:
+		return workers.Unanswered, nil
+	case resp.Status == 400:
+		return workers.Refused, nil
+	case resp.Status != 200 && resp.Status != 409:
+		return workers.Unanswered, nil
+	}
+	var r model.Report
+	if err := json.Unmarshal(resp.Body, &r); err != nil {
+		return workers.Unanswered, nil
+	}
+	if resp.Status == 409 {
+		return workers.Refused, &r
+	}
+	return workers.Executed, &r
+}
+
 // onTick does what is due.
 func (n *Node) onTick(now time.Time) {
 	n.perform(n.lead.Tick(now))
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -342,6 +342,12 @@
 		t.n.log.Info("fresh token wanted", "why", why, "member", l.member)
 		break
 	}
+	for _, m := range t.book.Machines() {
+		if why == "" && m.Unsure && now.Sub(t.assigned) > 2*time.Second {
+			why = "unwanted start may come late"
+			t.n.log.Info("fresh token wanted", "why", why, "machine", m.Name)
+		}
+	}
 	if why != "" {
 		t.renewing = now
 		t.n.perform(t.n.lead.Renew(now))
@@ -455,7 +461,9 @@
 	}
 	token := t.token
 	if l.local {
-		t.receive(l, token, now, n.desk.Round(now, r), nil)
+		resp := n.desk.Round(now, r)
+		n.direct(now)
+		t.receive(l, token, now, resp, nil)
 		return
 	}
 	l.busy = true
@@ -552,7 +560,7 @@
 	for _, m := range resp.Machines {
 		t.fleet.Up(m.Name)
 		t.n.log.Debug("machine", "machine", m.Name, "phase", m.Phase, "owner", l.member, "session", m.Session, "seq", m.Seq, "tasks", len(m.Tasks))
-		t.book.Machine(now, l.member, m, trusted)
+		t.book.Machine(now, l.member, m, resp.Applied, trusted)
 	}
 	if len(resp.Machines) > 0 {
 		t.beatSoon()
--- a/internal/httpwire/client.go
+++ b/internal/httpwire/client.go
@@ -57,6 +57,16 @@
 	return resp, nil
 }
 
+// CloseIdle closes the connections that no request uses.
+func (c *Client) CloseIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.idle {
+		_ = conn.Close()
+	}
+	c.idle = nil
+}
+
 // ErrNotSent tells that a request never left this process.
 var ErrNotSent = errors.New("httpwire: request not sent")
 
--- a/internal/model/wire.go
+++ b/internal/model/wire.go
@@ -209,6 +209,13 @@
 	Commands []Command `json:"orders"`
 }
 
+// DirectOrders is the body of a direct call to a worker.
+type DirectOrders struct {
+	Token    uint64    `json:"baton"`
+	Session  uint64    `json:"shift"`
+	Commands []Command `json:"orders"`
+}
+
 // WireType is a machine type as the cloud publishes it.
 type WireType struct {
 	Name        string   `json:"sku"`
--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -6,6 +6,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/marlwood/marlwood/internal/model"
@@ -121,6 +122,7 @@
 	Seen     time.Time // first heard of by this leader
 	Idle     time.Time // without tasks since
 	Silent   time.Time // expired since
+	Unsure   bool      // a start that is no longer wanted may be carried out late
 	Errors   int       // failed tasks in a row
 	failed   map[string]bool
 
@@ -316,8 +318,8 @@
 
 // Machine takes in what a member says of a machine. trusted tells that an
 // expiry may be believed even for a machine that was not yet current under
-// our token.
-func (b *Book) Machine(now time.Time, member string, pm *peerspb.Machine, trusted bool) {
+// our token; applied is the last order that the member has taken in.
+func (b *Book) Machine(now time.Time, member string, pm *peerspb.Machine, applied uint64, trusted bool) {
 	if _, lost := b.gone[pm.Name]; lost {
 		return
 	}
@@ -368,7 +370,8 @@
 			b.recordon(m)
 		}
 		b.setPhase(m, Current, now)
-		b.reconcile(now, m, pm.Delivered)
+		m.Unsure = pm.Unsure
+		b.reconcile(now, m, func(order uint64) bool { return order <= applied && !slices.Contains(pm.Undecided, order) })
 	}
 }
 
@@ -414,7 +417,7 @@
 }
 
 // reconcile compares a complete report with what is bound to the machine.
-func (b *Book) reconcile(now time.Time, m *Machine, delivered uint64) {
+func (b *Book) reconcile(now time.Time, m *Machine, decided func(order uint64) bool) {
 	seen := make(map[taskKey]bool, len(m.reported))
 	strays := 0
 	for _, r := range m.reported {
@@ -466,7 +469,7 @@
 		}
 		// Guard: a start that this report had no chance to show stays bound,
 		// for it may be on its way.
-		if t.token == b.token && t.order > delivered && t.state == model.TaskOrdered {
+		if t.token == b.token && t.state == model.TaskOrdered && !decided(t.order) {
 			continue
 		}
 		b.release(t, now)
--- a/internal/placement/book_test.go
+++ b/internal/placement/book_test.go
@@ -38,15 +38,16 @@
 }
 
 func (b bench) machine(name, typ, zone string, tasks ...*peerspb.Task) {
-	b.Machine(at(0), "n0", &peerspb.Machine{Name: name, Kind: &peerspb.Kind{Type: typ, Zone: zone}, Phase: "current", NoticeMs: -1, Tasks: tasks}, false)
+	b.Machine(at(0), "n0", &peerspb.Machine{Name: name, Kind: &peerspb.Kind{Type: typ, Zone: zone}, Phase: "current", NoticeMs: -1, Tasks: tasks}, 0, false)
 	b.HostStored(name)
 }
 
-// says is a later report of a machine.
-func (b bench) says(s float64, name, phase string, delivered uint64, tasks ...*peerspb.Task) {
+// says is a later report of a machine whose owner has taken in and settled the
+// orders up to one.
+func (b bench) says(s float64, name, phase string, settled uint64, tasks ...*peerspb.Task) {
 	m := b.machines[name]
 	b.Machine(at(s), "n0", &peerspb.Machine{Name: name, Kind: &peerspb.Kind{Type: m.Kind.Type, Zone: m.Kind.Zone}, Phase: phase,
-		NoticeMs: -1, Delivered: delivered, Tasks: tasks}, false)
+		NoticeMs: -1, Tasks: tasks}, settled, false)
 }
 
 func (b bench) job(id string, change func(j *model.Job)) {
@@ -219,6 +220,10 @@
 	}{
 		{"a report before the answer", func(b bench, id, _ uint64) { b.says(2, "m", "current", id-1) }, true},
 		{"a report after it, without the task", func(b bench, id, _ uint64) { b.says(2, "m", "current", id) }, false},
+		{"its owner says that it is open", func(b bench, id, _ uint64) {
+			b.Machine(at(2), "n0", &peerspb.Machine{Name: "m", Kind: &peerspb.Kind{Type: "small", Zone: "a"}, Phase: "current", NoticeMs: -1,
+				Undecided: []uint64{id}}, id+5, false)
+		}, true},
 		{"a report with the task", func(b bench, id, a uint64) { b.says(2, "m", "current", id, task("x", 0, a, model.TaskFetching, "")) }, true},
 		{"refused", func(b bench, id, a uint64) {
 			b.says(2, "m", "current", id, task("x", 0, a, model.TaskExited, model.CauseNoRoom))
@@ -230,7 +235,7 @@
 		{"expiry under a fresh token", func(b bench, id, _ uint64) { b.Renewed(6); b.says(2, "m", "expired", 0) }, true},
 		{"decided under a fresh token", func(b bench, id, _ uint64) { b.Renewed(6); b.says(2, "m", "current", 0) }, false},
 		{"another member speaks", func(b bench, id, _ uint64) {
-			b.Machine(at(2), "n9", &peerspb.Machine{Name: "m", Kind: &peerspb.Kind{Type: "small", Zone: "a"}, Phase: "expired"}, true)
+			b.Machine(at(2), "n9", &peerspb.Machine{Name: "m", Kind: &peerspb.Kind{Type: "small", Zone: "a"}, Phase: "expired"}, 9, true)
 		}, true},
 		{"machine gone", func(b bench, id, _ uint64) { b.Gone("m", at(2)) }, false},
 	} {
--- a/internal/settings/defaults.sexp
+++ b/internal/settings/defaults.sexp
@@ -32,4 +32,5 @@
     (call "2s")           ; deadline of calls to the state service
     (cloud-call "5s")     ; deadline of calls to the cloud
     (peer-call "1s")      ; deadline of calls between controllers
+    (direct-call "1500ms"); deadline of direct calls to workers
     (final-cache 2000)))  ; finished jobs whose answer is kept in memory
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -51,6 +51,7 @@
 		Call           time.Duration `sexp:"call"`
 		CloudCall      time.Duration `sexp:"cloud-call"`
 		PeerCall       time.Duration `sexp:"peer-call"`
+		DirectCall     time.Duration `sexp:"direct-call"`
 		FinalCache     int           `sexp:"final-cache"`
 	} `sexp:"service"`
 }
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -129,6 +129,12 @@
 	Cause string `json:"cause,omitempty"`
 }
 
+type order struct {
+	Verb  string `json:"verb"`
+	Piece string `json:"piece"`
+	Try   uint64 `json:"try"`
+}
+
 // worker is one machine. A task moves on by one stage with each report, and
 // one whose job's name ends in "stays" runs until it is stopped.
 type worker struct {
@@ -141,11 +147,53 @@
 	tally      uint64
 	baton      uint64
 	pieces     []*piece
+	server     *httptest.Server // nil: it cannot be called directly
+}
+
+// report writes the next report; the cloud's lock is held.
+func (w *worker) report() []byte {
+	w.tally++
+	addr := "127.0.0.1:1"
+	if w.server != nil {
+		addr = w.server.Listener.Addr().String()
+	}
+	b, _ := json.Marshal(map[string]any{"berth": w.name, "addr": addr, "hull": w.hull, "yard": w.yard, "loaners": w.spot,
+		"shift": w.shift, "tally": w.tally, "baton": w.baton, "recallS": nil, "pieces": w.pieces})
+	return b
+}
+
+// orders serves direct calls.
+func (w *worker) orders(rw http.ResponseWriter, r *http.Request) {
+	var q struct {
+		Baton  *uint64 `json:"baton"`
+		Shift  *uint64 `json:"shift"`
+		Orders []order `json:"orders"`
+	}
+	if json.NewDecoder(r.Body).Decode(&q) != nil || q.Baton == nil || q.Shift == nil {
+		reply(rw, 400, map[string]string{"error": "malformed"})
+		return
+	}
+	status, body := 503, []byte("{}")
+	w.set(func() {
+		status = 409
+		if *q.Baton >= w.baton && *q.Shift == w.shift {
+			status, w.baton = 200, *q.Baton
+			for _, o := range q.Orders {
+				w.order(o.Verb, o.Piece, o.Try)
+			}
+		}
+		body = w.report()
+	})
+	reply(rw, status, json.RawMessage(body))
 }
 
 func (c *Cloud) boot(name, hull, yard string, spot bool) {
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &worker{cloud: c, name: name, hull: hull, yard: yard, spot: spot, stop: cancel, shift: 1}
+	if c.count%2 == 0 { // every other one can be called directly
+		w.server = httptest.NewServer(http.HandlerFunc(w.orders))
+		w.stop = func() { cancel(); go w.server.Close() }
+	}
 	c.workers[name] = w
 	go w.run(ctx)
 }
@@ -166,13 +214,12 @@
 		}
 		pause.Reset(w.cloud.Report)
 		if time.Since(answered) > w.cloud.Lease {
-			w.set(func() { w.pieces, w.shift, w.tally = nil, w.shift+1, 0 })
+			w.set(func() { w.pieces, w.shift = nil, w.shift+1 })
 			answered = time.Now()
 		}
-		w.tally++
 		sent := time.Now()
-		body, _ := json.Marshal(map[string]any{"berth": w.name, "addr": "127.0.0.1:1", "hull": w.hull, "yard": w.yard, "loaners": w.spot,
-			"shift": w.shift, "tally": w.tally, "baton": w.baton, "recallS": nil, "pieces": w.pieces})
+		var body []byte
+		w.set(func() { body = w.report() })
 		req, _ := http.NewRequestWithContext(ctx, "POST", "http://"+w.cloud.nodes[members[at]]+"/checkin", bytes.NewReader(body))
 		resp, err := client.Do(req)
 		if err != nil {
@@ -180,13 +227,9 @@
 			continue
 		}
 		var a struct {
-			Baton   uint64 `json:"baton"`
-			Foreman string `json:"foreman"`
-			Orders  []struct {
-				Verb  string `json:"verb"`
-				Piece string `json:"piece"`
-				Try   uint64 `json:"try"`
-			} `json:"orders"`
+			Baton   uint64  `json:"baton"`
+			Foreman string  `json:"foreman"`
+			Orders  []order `json:"orders"`
 		}
 		err = json.NewDecoder(resp.Body).Decode(&a)
 		_ = resp.Body.Close()
@@ -199,11 +242,11 @@
 			}
 			continue
 		}
-		if a.Baton < w.baton {
-			continue
-		}
-		w.baton, answered = a.Baton, sent
 		w.set(func() {
+			if a.Baton < w.baton {
+				return
+			}
+			w.baton, answered = a.Baton, sent
 			w.proceed()
 			for _, o := range a.Orders {
 				w.order(o.Verb, o.Piece, o.Try)
--- a/internal/workers/desk.go
+++ b/internal/workers/desk.go
@@ -28,7 +28,18 @@
 // maxOrders bounds the orders of one answer, far below the line limit.
 const maxOrders = 200
 
-// order is one command waiting for its machine's next report.
+// orderState is where an order stands on its way to its machine.
+type orderState int
+
+// The states of an order.
+const (
+	queued  orderState = iota // waits for the machine's next report or a direct call
+	handed                    // was in the answer to a report; the next report decides
+	calling                   // a direct call that carries it is under way
+	unsure                    // a direct call went unanswered: it may be carried out late
+)
+
+// order is one command for a machine.
 type order struct {
 	id      uint64
 	op      peerspb.Op
@@ -36,9 +47,21 @@
 	index   int
 	attempt uint64
 	grace   time.Duration
-	void    bool // a start that was stopped before it was handed over
+	state   orderState
+	void    bool // a start that is no longer wanted
 }
 
+func (o *order) start() bool { return o.op == peerspb.Op_OP_START }
+
+// key is one attempt of a task.
+type key struct {
+	job     string
+	index   int
+	attempt uint64
+}
+
+func (o *order) key() key { return key{o.job, o.index, o.attempt} }
+
 type machine struct {
 	name    string
 	addr    string
@@ -49,13 +72,18 @@
 	seq     uint64
 	notice  time.Duration // -1: none
 	tasks   []*peerspb.Task
-	pending []order
+	pending []*order
 	cordon  bool
+	call    uint64 // number of the direct call under way, or 0
+	failed  bool   // the last direct call failed: the next report is awaited
+
+	// Attempts whose start may be carried out late in this session. A worker
+	// ignores a start of an attempt that it knows, so these are not forgotten
+	// until the session or the token has moved on; true: the leader wanted it.
+	kept map[key]bool
 
-	answered  time.Time // last 200: its lease runs from no later than this
-	sent      uint64    // highest start order handed over in an answer
-	delivered uint64    // highest start order that the last report had the chance to show
-	change    uint64
+	answered time.Time // last 200: its lease runs from no later than this
+	change   uint64
 }
 
 // Options are the desk's bounds.
@@ -78,6 +106,7 @@
 	sizes    map[string]model.Size
 	change   uint64
 	applied  uint64
+	calls    uint64
 	storeOK  time.Time
 	start    time.Time
 	draw     *rand.Rand
@@ -141,13 +170,9 @@
 // setPhase is the one place where a machine's phase changes.
 func (d *Desk) setPhase(m *machine, p Phase) {
 	if p == Expired {
-		// Its lease has run out: nothing runs there, and what was not yet
-		// handed over never will be. Saying "delivered" makes the leader free
-		// those starts.
-		for _, o := range m.pending {
-			m.sent = max(m.sent, o.id)
-		}
-		m.delivered, m.pending, m.tasks = m.sent, nil, nil
+		// Its lease has run out: nothing runs there, what was not yet handed
+		// over never will be, and the worker's next session refuses late calls.
+		m.pending, m.tasks, m.kept = nil, nil, nil
 	}
 	m.phase = p
 	d.touch(m)
@@ -183,8 +208,23 @@
 		return Verdict{Status: 200, Token: d.token}
 	}
 	before := d.change
+	m.answered, m.failed = now, false
+	// A worker has one report in flight, so this report shows the effect of
+	// every answer before it. A direct call's body does not: an answer may
+	// still be on its way then.
+	m.settle(func(o *order) bool { return o.state == handed })
+	d.takeReport(m, r)
+	if r.Token != d.token {
+		return Verdict{Status: 200, Token: d.token, Changed: d.change != before}
+	}
+	v := Verdict{Status: 200, Token: d.token, Commands: d.handOver(m), Changed: d.change != before}
+	return v
+}
+
+// takeReport takes in the newest report of a machine, from whichever way.
+func (d *Desk) takeReport(m *machine, r *model.Report) {
+	moved := m.session != r.Session
 	m.addr, m.spot, m.session, m.seq = r.Addr, r.Spot, r.Session, r.Seq
-	m.answered = now
 	notice := time.Duration(-1)
 	if r.NoticeS != nil {
 		notice = model.Seconds(*r.NoticeS)
@@ -193,27 +233,54 @@
 		d.touch(m)
 	}
 	m.notice = notice
-	// A worker has one report in flight, so this report shows the effect of
-	// every answer before it.
-	if m.delivered != m.sent {
-		m.delivered = m.sent
-		d.touch(m)
+	open := len(m.undecided())
+	if moved { // late direct calls are refused from here on
+		m.kept = nil
+		m.settle(func(o *order) bool { return o.state == unsure })
 	}
 	if d.setTasks(m, r.Tasks) {
 		d.touch(m)
 	}
-	if r.Token != d.token {
-		// Until the worker has shown our token, orders of an earlier one may
-		// still be on their way to it.
-		if m.phase != Joining {
-			d.setPhase(m, Joining)
+	m.settle(func(o *order) bool { // what shows is decided
+		return o.start() && (o.state == unsure || o.state == queued) && m.find(o) != nil
+	})
+	if len(m.undecided()) != open {
+		d.touch(m)
+	}
+	phase := Joining
+	if r.Token == d.token {
+		phase = Current
+	}
+	// Until the worker has shown our token, orders of an earlier one may still
+	// be on their way to it.
+	if m.phase != phase {
+		if phase == Current {
+			m.kept = nil
+		}
+		d.setPhase(m, phase)
+	}
+}
+
+// settle drops the orders that done picks.
+func (m *machine) settle(done func(o *order) bool) {
+	rest := m.pending[:0]
+	for _, o := range m.pending {
+		if !done(o) {
+			rest = append(rest, o)
 		}
-		return Verdict{Status: 200, Token: d.token, Changed: d.change != before}
 	}
-	if m.phase != Current {
-		d.setPhase(m, Current)
+	m.pending = rest
+}
+
+// undecided lists the starts whose outcome is open.
+func (m *machine) undecided() []uint64 {
+	var out []uint64
+	for _, o := range m.pending {
+		if o.start() {
+			out = append(out, o.id)
+		}
 	}
-	return Verdict{Status: 200, Token: d.token, Commands: d.handOver(m), Changed: d.change != before}
+	return out
 }
 
 // setTasks replaces the machine's tasks and tells whether anything differs.
@@ -235,47 +302,186 @@
 
 // handOver takes the orders for one answer. Starts are handed over once: if
 // the answer is lost, the next report lacks the task and the leader decides
-// anew. Stops and forgets are repeated until a report shows their effect.
+// anew. Stops and forgets are repeated until a report shows their effect, and
+// so is a start that a direct call may yet carry out: it is to show.
 func (d *Desk) handOver(m *machine) []model.Command {
 	var out []model.Command
-	var rest []order
+	m.settle(func(o *order) bool { return m.pointless(o) })
 	for _, o := range m.pending {
-		t := m.find(o)
-		switch o.op {
-		case peerspb.Op_OP_START:
-			if len(out) >= maxOrders {
-				rest = append(rest, o)
-				continue
-			}
-			m.sent = max(m.sent, o.id)
-			if o.void {
-				continue
-			}
-			out = append(out, model.Command{Op: "start", Task: model.TaskName(o.job, o.index), Attempt: o.attempt})
-		case peerspb.Op_OP_STOP:
-			if t == nil || t.State == string(model.TaskExited) {
-				continue
-			}
-			rest = append(rest, o)
-			if len(out) < maxOrders {
-				grace := o.grace.Seconds()
-				out = append(out, model.Command{Op: "stop", Task: model.TaskName(o.job, o.index), Attempt: o.attempt, GraceS: &grace})
-			}
-		case peerspb.Op_OP_FORGET:
-			if t == nil {
+		if len(out) >= maxOrders || o.state == calling || (o.state == unsure && o.void) || m.held(o) {
+			continue
+		}
+		if o.start() && o.state == queued {
+			o.state = handed
+		}
+		out = append(out, o.command())
+	}
+	return out
+}
+
+// pointless tells that a stop or a forget has had its effect.
+func (m *machine) pointless(o *order) bool {
+	t := m.find(o)
+	switch o.op {
+	case peerspb.Op_OP_STOP:
+		if t == nil { // unless its start may still come to effect
+			return m.openStart(o.key()) == nil
+		}
+		return t.State == string(model.TaskExited)
+	case peerspb.Op_OP_FORGET:
+		return t == nil
+	}
+	return false
+}
+
+// openStart finds the start of an attempt whose outcome is open.
+func (m *machine) openStart(k key) *order {
+	for _, o := range m.pending {
+		if o.start() && o.key() == k {
+			return o
+		}
+	}
+	return nil
+}
+
+// held tells that an attempt must not be forgotten: a call may yet start it.
+func (m *machine) held(o *order) bool {
+	if o.op != peerspb.Op_OP_FORGET {
+		return false
+	}
+	_, kept := m.kept[o.key()]
+	return kept || m.openStart(o.key()) != nil
+}
+
+func (o *order) command() model.Command {
+	c := model.Command{Task: model.TaskName(o.job, o.index), Attempt: o.attempt}
+	switch o.op {
+	case peerspb.Op_OP_START:
+		c.Op = "start"
+	case peerspb.Op_OP_STOP:
+		grace := o.grace.Seconds()
+		c.Op, c.GraceS = "stop", &grace
+	case peerspb.Op_OP_FORGET:
+		c.Op = "forget"
+	}
+	return c
+}
+
+// Call is a direct call to a worker.
+type Call struct {
+	Machine  string
+	Addr     string
+	Token    uint64
+	Session  uint64
+	Commands []model.Command
+	id       uint64
+}
+
+// Calls returns the direct calls that are due: one at a time for each machine
+// that has starts or stops waiting. Nothing is called without a valid grant.
+func (d *Desk) Calls(now time.Time) []Call {
+	if !d.Granted(now) {
+		return nil
+	}
+	var out []Call
+	for _, m := range d.machines {
+		if m.call != 0 || m.failed || m.phase != Current || m.addr == "" || m.notice >= 0 {
+			continue
+		}
+		c := Call{Machine: m.name, Addr: m.addr, Token: d.token, Session: m.session}
+		due := false
+		for _, o := range m.pending {
+			if o.state != queued || len(c.Commands) >= maxOrders || m.held(o) {
 				continue
 			}
-			rest = append(rest, o)
-			if len(out) < maxOrders {
-				out = append(out, model.Command{Op: "forget", Task: model.TaskName(o.job, o.index), Attempt: o.attempt})
+			if o.start() {
+				due, o.state = true, calling
 			}
+			c.Commands = append(c.Commands, o.command())
+		}
+		if !due {
+			continue
 		}
+		d.calls++
+		c.id, m.call = d.calls, d.calls
+		out = append(out, c)
 	}
-	m.pending = rest
 	return out
 }
 
-func (m *machine) find(o order) *peerspb.Task {
+// CallOutcome is what became of a direct call.
+type CallOutcome int
+
+// The outcomes.
+const (
+	Executed   CallOutcome = iota // 200, with the report after the commands
+	Refused                       // 409, 400 or never sent: nothing was executed
+	Unanswered                    // it may be executed late
+)
+
+func (o CallOutcome) String() string {
+	return [...]string{"executed", "refused", "unanswered"}[o]
+}
+
+// Called takes in the outcome of a direct call. r is the worker's report, if
+// one came with it.
+func (d *Desk) Called(now time.Time, c Call, outcome CallOutcome, r *model.Report) {
+	m := d.machines[c.Machine]
+	if m == nil || m.call != c.id {
+		return
+	}
+	m.call = 0
+	// Guard: without this pause a worker that cannot be called directly would
+	// be called again and again without end.
+	m.failed = outcome != Executed
+	if c.Token != d.token {
+		return // orders of an earlier token are void; the next report decides its starts
+	}
+	if r != nil && r.Machine == m.name && r.Token == d.token && CheckReport(r) == nil &&
+		(r.Session > m.session || (r.Session == m.session && r.Seq > m.seq)) {
+		d.takeReport(m, r)
+	}
+	for _, o := range m.pending {
+		if o.state != calling {
+			continue
+		}
+		o.state = queued
+		if outcome == Unanswered && c.Session == m.session && m.find(o) == nil {
+			o.state = unsure
+		}
+		if outcome == Unanswered && c.Session == m.session {
+			if m.kept == nil {
+				m.kept = map[key]bool{}
+			}
+			m.kept[o.key()] = false
+		}
+	}
+	m.settle(func(o *order) bool {
+		if o.start() && o.state == queued && (outcome == Executed && c.has(o) || o.void || m.find(o) != nil) {
+			return true
+		}
+		// What the leader has done with but must not be forgotten yet.
+		if _, kept := m.kept[o.key()]; kept && o.op == peerspb.Op_OP_FORGET {
+			m.kept[o.key()] = true
+			return true
+		}
+		return false
+	})
+	d.touch(m)
+}
+
+// has tells whether the call carried an order.
+func (c *Call) has(o *order) bool {
+	want := o.command()
+	for _, k := range c.Commands {
+		if k.Op == want.Op && k.Task == want.Task && k.Attempt == want.Attempt {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *machine) find(o *order) *peerspb.Task {
 	for _, t := range m.tasks {
 		if t.Job == o.job && int(t.Index) == o.index && t.Attempt == o.attempt {
 			return t
@@ -329,7 +535,7 @@
 	d.token, d.grant, d.applied = token, time.Time{}, 0
 	d.owners, d.sizes = map[model.Kind]string{}, map[string]model.Size{}
 	for _, m := range d.machines {
-		m.pending, m.sent, m.delivered, m.cordon = nil, 0, 0, false
+		m.pending, m.cordon = nil, false
 		if m.phase != Expired {
 			d.setPhase(m, Joining)
 		} else {
@@ -368,7 +574,7 @@
 		if o.Op != peerspb.Op_OP_START {
 			return
 		}
-		// Never heard of here: the start is void, and the leader is told so.
+		// Never heard of here: the start is not taken in, and the leader is told.
 		m = &machine{name: o.Machine, phase: Expired, notice: -1}
 		d.machines[o.Machine] = m
 	}
@@ -380,22 +586,34 @@
 	case peerspb.Op_OP_DROP:
 		delete(d.machines, o.Machine)
 	default:
-		next := order{id: o.Id, op: o.Op, job: o.Job, index: int(o.Index), attempt: o.Attempt,
+		next := &order{id: o.Id, op: o.Op, job: o.Job, index: int(o.Index), attempt: o.Attempt,
 			grace: time.Duration(o.GraceMs) * time.Millisecond}
-		if o.Op == peerspb.Op_OP_START && m.phase != Current {
-			m.sent, m.delivered = max(m.sent, o.Id), max(m.delivered, o.Id)
-			d.touch(m)
+		if next.start() && m.phase != Current {
+			d.touch(m) // not taken in, hence decided: the leader is told
+			return
+		}
+		if wanted, ok := m.kept[next.key()]; ok && next.op == peerspb.Op_OP_FORGET {
+			// Guard: forgotten, the attempt could be started again by a call
+			// that is still under way. It only leaves the leader's sight.
+			if !wanted {
+				m.kept[next.key()] = true
+				d.touch(m)
+			}
 			return
 		}
 		for i, p := range m.pending {
-			if p.job != next.job || p.index != next.index || p.attempt != next.attempt {
+			if p.key() != next.key() {
 				continue
 			}
-			if p.op == peerspb.Op_OP_START && next.op == peerspb.Op_OP_STOP {
-				// Guard: the start stays in its place and only turns void. Were
-				// it taken out, "delivered" would run ahead of starts before it.
-				m.pending[i].void = true
-				return
+			if p.start() && next.op == peerspb.Op_OP_STOP {
+				if p.state == queued {
+					m.settle(func(q *order) bool { return q == p })
+					d.touch(m)
+					return
+				}
+				p.void = true
+				d.touch(m)
+				break // handed over, or on its way: the stop may be needed
 			}
 			if p.op == next.op { // a second stop replaces the first
 				m.pending[i] = next
@@ -423,9 +641,22 @@
 	if m.notice >= 0 {
 		notice = m.notice.Milliseconds()
 	}
+	tasks := m.tasks
+	if len(m.kept) > 0 { // those that the leader has done with
+		tasks = nil
+		for _, t := range m.tasks {
+			if !m.kept[key{t.Job, int(t.Index), t.Attempt}] {
+				tasks = append(tasks, t)
+			}
+		}
+	}
+	doubt := false
+	for _, o := range m.pending {
+		doubt = doubt || (o.state == unsure && o.void)
+	}
 	return &peerspb.Machine{Name: m.name, Addr: m.addr, Kind: &peerspb.Kind{Type: m.kind.Type, Zone: m.kind.Zone},
-		Spot: m.spot, Phase: string(m.phase), Session: m.session, Seq: m.seq, Delivered: m.delivered,
-		NoticeMs: notice, Tasks: m.tasks}
+		Spot: m.spot, Phase: string(m.phase), Session: m.session, Seq: m.seq, Undecided: m.undecided(),
+		Unsure: doubt, NoticeMs: notice, Tasks: tasks}
 }
 
 // used is the machine's occupancy, the starts on their way included. known
@@ -442,7 +673,7 @@
 		used = used.Add(size)
 	}
 	for _, o := range m.pending {
-		if o.op == peerspb.Op_OP_START {
+		if o.start() {
 			used = used.Add(d.sizes[o.job])
 		}
 	}
--- a/internal/workers/desk_test.go
+++ b/internal/workers/desk_test.go
@@ -99,63 +99,115 @@
 	return out
 }
 
-func TestHandOver(t *testing.T) {
-	running := model.WireTask{Task: "j/1", Attempt: 9, State: model.TaskRunning}
-	ended := model.WireTask{Task: "j/1", Attempt: 9, State: model.TaskExited, Cause: model.CauseStopped}
+// TestOrders follows orders on both ways: answers to reports, and direct calls
+// with every outcome.
+func TestOrders(t *testing.T) {
+	task := func(state model.TaskState) model.WireTask {
+		return model.WireTask{Task: "j/1", Attempt: 9, State: state}
+	}
+	running, ended := task(model.TaskRunning), task(model.TaskExited)
 	start, stop, forget := peerspb.Op_OP_START, peerspb.Op_OP_STOP, peerspb.Op_OP_FORGET
 	type step struct {
-		orders    []*peerspb.Order
-		report    *model.Report
-		want      []string
-		delivered uint64 // what the leader hears after the report
+		orders  []*peerspb.Order
+		call    []string      // commands of the direct call that is due
+		outcome CallOutcome   // what becomes of it
+		body    *model.Report // and its body
+		report  *model.Report // then this report comes
+		answer  []string      // and is answered with these commands
+		open    []uint64      // starts that the leader hears are undecided
+		unsure  bool
 	}
+	hello := step{report: report(1, 1, 5)}
 	for _, c := range []struct {
-		name  string
-		steps []step
+		name   string
+		direct bool
+		steps  []step
 	}{
-		{"a start is handed over once", []step{
-			{nil, report(1, 1, 5), nil, 0},
-			{[]*peerspb.Order{ord(1, start, 1)}, report(1, 2, 5), []string{"start j/1"}, 0},
-			{nil, report(1, 3, 5), nil, 1}}},
-		{"a repeated order is one order", []step{
-			{nil, report(1, 1, 5), nil, 0},
-			{[]*peerspb.Order{ord(1, start, 1), ord(1, start, 1)}, report(1, 2, 5), []string{"start j/1"}, 0}}},
-		{"stops are repeated until the task has exited", []step{
-			{nil, report(1, 1, 5, running), nil, 0},
-			{[]*peerspb.Order{ord(1, stop, 1)}, report(1, 2, 5, running), []string{"stop j/1"}, 0},
-			{nil, report(1, 3, 5, running), []string{"stop j/1"}, 0},
-			{nil, report(1, 4, 5, ended), nil, 0}}},
-		{"forgets are repeated until the task is out of the reports", []step{
-			{nil, report(1, 1, 5, ended), nil, 0},
-			{[]*peerspb.Order{ord(1, forget, 1)}, report(1, 2, 5, ended), []string{"forget j/1"}, 0},
-			{nil, report(1, 3, 5, ended), []string{"forget j/1"}, 0},
-			{nil, report(1, 4, 5), nil, 0}}},
-		{"no orders before the worker shows the token", []step{
-			{nil, report(1, 1, 5), nil, 0},
-			{[]*peerspb.Order{ord(1, start, 1)}, report(1, 2, 4), nil, 0}}},
-		// The leader hears that a start for a silent machine is void.
-		{"a start for a machine that is not current is void", []step{
-			{[]*peerspb.Order{ord(1, start, 1)}, report(1, 1, 0), nil, 1}}},
-		{"a late report changes nothing", []step{
-			{nil, report(1, 5, 5, running), nil, 0},
-			{[]*peerspb.Order{ord(1, start, 2)}, report(1, 4, 5), nil, 0},
-			{nil, report(1, 6, 5, running), []string{"start j/2"}, 0}}},
-		// Taking a stopped start out would let "delivered" pass starts before it.
-		{"a stop voids a start that is still here", []step{
-			{nil, report(1, 1, 5), nil, 0},
-			{[]*peerspb.Order{ord(1, start, 1), ord(2, start, 2), ord(3, stop, 2)}, report(1, 2, 5), []string{"start j/1"}, 0},
-			{nil, report(1, 3, 5), nil, 2}}},
+		{"a start is handed over once", false, []step{hello,
+			{orders: []*peerspb.Order{ord(1, start, 1)}, report: report(1, 2, 5), answer: []string{"start j/1"}, open: []uint64{1}},
+			{report: report(1, 3, 5)}}},
+		{"a repeated order is one order", false, []step{hello,
+			{orders: []*peerspb.Order{ord(1, start, 1), ord(1, start, 1)}, report: report(1, 2, 5), answer: []string{"start j/1"}, open: []uint64{1}}}},
+		{"stops are repeated until the task has exited", false, []step{
+			{report: report(1, 1, 5, running)},
+			{orders: []*peerspb.Order{ord(1, stop, 1)}, report: report(1, 2, 5, running), answer: []string{"stop j/1"}},
+			{report: report(1, 3, 5, running), answer: []string{"stop j/1"}},
+			{report: report(1, 4, 5, ended)}}},
+		{"forgets are repeated until the task is out of the reports", false, []step{
+			{report: report(1, 1, 5, ended)},
+			{orders: []*peerspb.Order{ord(1, forget, 1)}, report: report(1, 2, 5, ended), answer: []string{"forget j/1"}},
+			{report: report(1, 3, 5, ended), answer: []string{"forget j/1"}},
+			{report: report(1, 4, 5)}}},
+		{"no orders before the worker shows the token", false, []step{hello,
+			{orders: []*peerspb.Order{ord(1, start, 1)}, report: report(1, 2, 4), open: []uint64{1}}}},
+		{"a start for a machine that is not current is not taken in", false, []step{
+			{orders: []*peerspb.Order{ord(1, start, 1)}, report: report(1, 1, 0)}}},
+		{"a late report changes nothing", false, []step{
+			{report: report(1, 5, 5, running)},
+			{orders: []*peerspb.Order{ord(1, start, 2)}, report: report(1, 4, 5), open: []uint64{1}},
+			{report: report(1, 6, 5, running), answer: []string{"start j/2"}, open: []uint64{1}}}},
+		{"a stop takes back a start that is still here", false, []step{hello,
+			{orders: []*peerspb.Order{ord(1, start, 1), ord(2, start, 2), ord(3, stop, 2)}, report: report(1, 2, 5), answer: []string{"start j/1"}, open: []uint64{1}},
+			{report: report(1, 3, 5)}}},
+		{"a stop waits for a start that was handed over", false, []step{hello,
+			{orders: []*peerspb.Order{ord(1, start, 1)}, report: report(1, 2, 5), answer: []string{"start j/1"}, open: []uint64{1}},
+			{orders: []*peerspb.Order{ord(2, stop, 1)}, report: report(1, 3, 5, running), answer: []string{"stop j/1"}}}},
+
+		{"called and executed", true, []step{hello,
+			{orders: []*peerspb.Order{ord(1, start, 1)}, call: []string{"start j/1"}, body: report(1, 2, 5, running), report: report(1, 3, 5, running)}}},
+		// A report that overtook the call's body must not bring the start back.
+		{"executed, and a newer report is here", true, []step{
+			{report: report(1, 7, 5, running)},
+			{orders: []*peerspb.Order{ord(1, start, 1)}, call: []string{"start j/1"}, body: report(1, 2, 5), report: report(1, 8, 5, ended)},
+			{orders: []*peerspb.Order{ord(2, forget, 1)}, report: report(1, 9, 5, ended), answer: []string{"forget j/1"}},
+			{report: report(1, 10, 5)}}},
+		{"refused, then handed over", true, []step{hello,
+			{orders: []*peerspb.Order{ord(1, start, 1)}, call: []string{"start j/1"}, outcome: Refused, report: report(1, 2, 5), answer: []string{"start j/1"}, open: []uint64{1}},
+			{report: report(1, 3, 5)}}},
+		// It may be carried out late, so it stays open until it shows.
+		{"unanswered, pressed until it shows", true, []step{hello,
+			{orders: []*peerspb.Order{ord(1, start, 1)}, call: []string{"start j/1"}, outcome: Unanswered, report: report(1, 2, 5), answer: []string{"start j/1"}, open: []uint64{1}},
+			{report: report(1, 3, 5), answer: []string{"start j/1"}, open: []uint64{1}},
+			{report: report(1, 4, 5, running)}}},
+		// Forgotten, it could be started again by the late call.
+		{"unanswered, not forgotten in this session", true, []step{hello,
+			{orders: []*peerspb.Order{ord(1, start, 1)}, call: []string{"start j/1"}, outcome: Unanswered, report: report(1, 2, 5, ended)},
+			{orders: []*peerspb.Order{ord(2, forget, 1)}, report: report(1, 3, 5, ended)},
+			{report: report(2, 1, 5, ended)},
+			{orders: []*peerspb.Order{ord(3, forget, 1)}, report: report(2, 2, 5, ended), answer: []string{"forget j/1"}}}},
+		{"unanswered, then not wanted: open until the session moves on", true, []step{hello,
+			{orders: []*peerspb.Order{ord(1, start, 1)}, call: []string{"start j/1"}, outcome: Unanswered, report: report(1, 2, 5), answer: []string{"start j/1"}, open: []uint64{1}},
+			{orders: []*peerspb.Order{ord(2, stop, 1)}, report: report(1, 3, 5), answer: []string{"stop j/1"}, open: []uint64{1}, unsure: true},
+			{report: report(2, 1, 5)}}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			d := desk()
 			for i, s := range c.steps {
 				d.Round(at(0.1), grant(5, 10, s.orders...))
-				v := d.CheckIn(at(0.2), s.report)
-				if got := commands(v); !reflect.DeepEqual(got, s.want) {
-					t.Errorf("step %d: %v, want %v", i, got, s.want)
+				if c.direct {
+					var got []string
+					calls := d.Calls(at(0.1))
+					for _, k := range calls {
+						got = append(got, commands(Verdict{Commands: k.Commands})...)
+						if len(d.Calls(at(0.1))) > 0 {
+							t.Error("two calls at once")
+						}
+						d.Called(at(0.2), k, s.outcome, s.body)
+						if s.outcome != Executed && len(d.Calls(at(0.2))) > 0 {
+							t.Error("called again at once after a failure")
+						}
+					}
+					if !reflect.DeepEqual(got, s.call) {
+						t.Errorf("step %d: calls %v, want %v", i, got, s.call)
+					}
+				}
+				if s.report != nil {
+					if got := commands(d.CheckIn(at(0.2), s.report)); !reflect.DeepEqual(got, s.answer) {
+						t.Errorf("step %d: answers %v, want %v", i, got, s.answer)
+					}
 				}
 				out := d.Round(at(0.3), grant(5, 10))
-				if len(out.Machines) != 1 || out.Machines[0].Delivered != s.delivered {
+				if len(out.Machines) != 1 || !reflect.DeepEqual(out.Machines[0].Undecided, s.open) || out.Machines[0].Unsure != s.unsure {
 					t.Errorf("step %d: leader hears %v", i, out.Machines)
 				}
 			}
@@ -163,6 +215,30 @@
 	}
 }
 
+// Nothing is called without a grant, and a call under an earlier token or
+// after the machine's record is gone changes nothing.
+func TestCallsAndTokens(t *testing.T) {
+	d := desk()
+	d.CheckIn(at(1), report(1, 1, 5))
+	d.Round(at(2), grant(5, 10, ord(1, peerspb.Op_OP_START, 1)))
+	if len(d.Calls(at(11))) != 0 {
+		t.Error("called without a grant")
+	}
+	call := d.Calls(at(3))[0]
+	d.Round(at(4), grant(6, 10))
+	d.Called(at(5), call, Unanswered, nil)
+	d.CheckIn(at(6), report(1, 2, 6))
+	out := d.Round(at(7), grant(6, 10))
+	if m := out.Machines[0]; m.Phase != string(Current) || len(m.Undecided) != 0 || m.Unsure {
+		t.Errorf("a fresh token does not settle a late call: %v", m)
+	}
+	d.Round(at(8), grant(6, 10, ord(1, peerspb.Op_OP_DROP, 0)))
+	d.Called(at(9), call, Executed, report(1, 3, 6))
+	if len(d.machines) != 0 {
+		t.Error("a call brings a machine back")
+	}
+}
+
 // An expired machine has no tasks left, and starts that were never handed
 // over count as decided; the lease runs from the last answer.
 func TestExpiry(t *testing.T) {
@@ -173,7 +249,7 @@
 		t.Fatalf("expired within its lease: %v", out.Machines)
 	}
 	out := d.Round(at(12.1), grant(5, 20))
-	if m := out.Machines[0]; m.Phase != string(Expired) || m.Delivered != 4 || len(m.Tasks) != 0 {
+	if m := out.Machines[0]; m.Phase != string(Expired) || len(m.Undecided) != 0 || len(m.Tasks) != 0 {
 		t.Errorf("got %v", m)
 	}
 	if v := d.CheckIn(at(13), report(2, 1, 5)); len(v.Commands) > 0 {
