Greet machines after a fresh token; return the missing ones; owners stay

Owners now call their machines with the new token; machines neither listed nor heard of are returned, which proves them gone; kinds go back only after 60 s.

--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -111,7 +111,7 @@
 	t.token = token
 	t.renewing = time.Time{}
 	t.round = nil
-	t.book.Renewed(token)
+	t.book.Renewed(token, now)
 	for _, l := range t.n.links {
 		l.bound = l.grantEnd
 		l.acked, l.seen, l.sizes = false, 0, map[string]bool{}
@@ -161,6 +161,7 @@
 type host struct {
 	Kind model.Kind `json:"kind"`
 	Spot bool       `json:"spot"`
+	Addr string     `json:"addr"`
 }
 
 func (t *term) take(hosts, charters, jobs, parts []store.Item, rev uint64) {
@@ -170,7 +171,7 @@
 		if err := json.Unmarshal(it.Value, &h); err != nil {
 			t.n.log.Error("host record", "key", it.Key, "err", err)
 		}
-		t.book.AddHost(strings.TrimPrefix(it.Key, placement.HostPrefix), h.Kind, h.Spot, now)
+		t.book.AddHost(strings.TrimPrefix(it.Key, placement.HostPrefix), h.Addr, h.Kind, h.Spot, now)
 	}
 	for _, it := range charters {
 		var c fleet.Charter
@@ -313,6 +314,7 @@
 		owners[k] = live[i].member
 	}
 	t.book.SetOwners(owners)
+	t.book.Greet()
 	t.assigned = now
 	t.n.log.Info("owners", "kinds", len(kinds), "live", len(live))
 }
@@ -323,6 +325,7 @@
 	if !t.loaded || (!t.renewing.IsZero() && now.Sub(t.renewing) < time.Second) {
 		return
 	}
+	back := t.n.op.Placement.OwnerBack
 	owned := map[string]bool{}
 	for _, m := range t.book.Owners() {
 		owned[m] = true
@@ -334,7 +337,7 @@
 			why = "owner lost"
 		case owned[l.member] && l.failures < 0:
 			why = "owner restarted"
-		case !owned[l.member] && l.live(now) && now.Sub(l.okSince) > 4*time.Second && now.Sub(t.assigned) > 4*time.Second:
+		case !owned[l.member] && l.live(now) && t.book.Complete() && now.Sub(l.okSince) > back && now.Sub(t.assigned) > back:
 			why = "owner back"
 		default:
 			continue
@@ -673,7 +676,7 @@
 	for name, m := range t.book.Machines() {
 		if m.Phase == placement.Current && !m.Hosted && len(txn.Writes) < t.n.cfg.TxnOps {
 			names = append(names, name)
-			txn.Writes = append(txn.Writes, store.Put(placement.HostPrefix+name, host{m.Kind, m.Spot}))
+			txn.Writes = append(txn.Writes, store.Put(placement.HostPrefix+name, host{m.Kind, m.Spot, m.Addr}))
 		}
 	}
 	drop := t.dropHosts[:min(len(t.dropHosts), t.n.cfg.TxnOps-len(txn.Writes))]
@@ -815,8 +818,16 @@
 		if err != nil || t.ctx.Err() != nil {
 			return
 		}
-		if failed := t.fleet.List(all, t.book.Machines(), time.Now()); len(failed) > 0 {
-			t.queueCloud(func() { t.release(failed) })
+		now := time.Now()
+		leave := t.fleet.List(all, t.book.Machines(), now)
+		listed := make(map[string]bool, len(all))
+		for _, l := range all {
+			listed[l.Name] = true
+		}
+		leave = append(leave, t.book.Missing(listed, now.Add(-2*t.n.cfg.ReportEvery-2*time.Second))...)
+		if leave = t.fleet.Claim(leave); len(leave) > 0 {
+			t.n.log.Info("missing or failed machines", "machines", leave)
+			t.queueCloud(func() { t.release(leave) })
 		}
 	})
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -188,6 +188,18 @@
 	return failed
 }
 
+// Claim marks machines as leaving and returns those that were not yet.
+func (f *Fleet) Claim(names []string) []string {
+	var out []string
+	for _, n := range names {
+		if !f.leaving[n] && len(out) < 100 {
+			f.leaving[n] = true
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
 // Released takes in the outcome of a release.
 func (f *Fleet) Released(names []string, ok bool) {
 	for _, n := range names {
--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -114,6 +114,7 @@
 	Kind     model.Kind
 	Spot     bool
 	Phase    MachinePhase
+	Since    time.Time     // in this phase since
 	Hosted   bool          // its host record is stored
 	Cordoned bool          // for good
 	Retiring bool          // until its room is needed again
@@ -122,6 +123,8 @@
 	Seen     time.Time // first heard of by this leader
 	Idle     time.Time // without tasks since
 	Silent   time.Time // expired since
+	Quiet    bool      // its owner has not heard of it for longer than reports are apart
+	Listed   bool      // the cloud has listed it
 	Unsure   bool      // a start that is no longer wanted may be carried out late
 	Errors   int       // failed tasks in a row
 	failed   map[string]bool
@@ -180,12 +183,12 @@
 // Renewed goes on under a fresh token of the same leader. All bindings are
 // kept; a start of the old token is decided by the machine's first complete
 // report under the new one.
-func (b *Book) Renewed(token uint64) {
+func (b *Book) Renewed(token uint64, now time.Time) {
 	b.token = token
 	b.out = map[string][]*peerspb.Order{}
 	for _, m := range b.machines {
 		if m.Phase != Expired {
-			m.Phase = Unseen
+			b.setPhase(m, Unseen, now)
 		}
 		m.Retiring = false
 	}
@@ -206,9 +209,9 @@
 func (b *Book) Owners() map[model.Kind]string { return b.owners }
 
 // AddHost takes in a host record: a machine on which tasks may run.
-func (b *Book) AddHost(name string, kind model.Kind, spot bool, now time.Time) {
+func (b *Book) AddHost(name, addr string, kind model.Kind, spot bool, now time.Time) {
 	if b.machines[name] == nil {
-		b.machines[name] = &Machine{Name: name, Kind: kind, Spot: spot, Hosted: true, Notice: -1, Seen: now, Idle: now,
+		b.machines[name] = &Machine{Name: name, Addr: addr, Kind: kind, Spot: spot, Hosted: true, Notice: -1, Seen: now, Idle: now, Since: now, Listed: true,
 			tasks: map[taskKey]*Task{}, log: b.opt.Log}
 	}
 }
@@ -221,6 +224,32 @@
 	}
 }
 
+// Greet has the owners call the machines that have not been heard of under
+// our token, rather than wait for their reports.
+func (b *Book) Greet() {
+	for _, m := range b.machines {
+		if m.Phase == Unseen && m.Addr != "" {
+			b.give(m, &peerspb.Order{Op: peerspb.Op_OP_GREET, Addr: m.Addr, Kind: &peerspb.Kind{Type: m.Kind.Type, Zone: m.Kind.Zone}})
+		}
+	}
+}
+
+// Missing lists the machines that the cloud no longer lists and nobody hears
+// of. The list lags, so this is no proof that they are gone; returning them
+// is, for a returned machine is gone for sure.
+func (b *Book) Missing(listed map[string]bool, heardBy time.Time) []string {
+	var out []string
+	for name, m := range b.machines {
+		silent := m.Quiet || m.Phase == Expired || (m.Phase == Unseen && m.Since.Before(heardBy))
+		if listed[name] {
+			m.Listed = true
+		} else if m.Listed && silent {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // Machines returns the machines by name.
 func (b *Book) Machines() map[string]*Machine { return b.machines }
 
@@ -341,9 +370,10 @@
 			Seen: now, Idle: now, tasks: map[taskKey]*Task{}, log: b.opt.Log}
 		b.machines[pm.Name] = m
 	}
+	m.Quiet = pm.Quiet
 	switch pm.Phase {
 	case "joining":
-		m.Spot, m.Addr = pm.Spot, pm.Addr
+		m.Addr = pm.Addr
 		b.setPhase(m, Joining, now)
 	case "expired":
 		if trusted || m.current == b.token {
@@ -380,7 +410,7 @@
 	if m.Phase == p {
 		return
 	}
-	m.Phase = p
+	m.Phase, m.Since = p, now
 	b.room++
 	if p == Expired {
 		m.Silent = now
--- a/internal/placement/book_test.go
+++ b/internal/placement/book_test.go
@@ -229,11 +229,11 @@
 			b.says(2, "m", "current", id, task("x", 0, a, model.TaskExited, model.CauseNoRoom))
 		}, false},
 		{"lease run out", func(b bench, id, _ uint64) { b.says(2, "m", "expired", id) }, false},
-		{"not yet heard of under a fresh token", func(b bench, id, _ uint64) { b.Renewed(6); b.says(2, "m", "joining", 0) }, true},
+		{"not yet heard of under a fresh token", func(b bench, id, _ uint64) { b.Renewed(6, at(1.5)); b.says(2, "m", "joining", 0) }, true},
 		// An expiry is not believed of a machine that another owner may have
 		// answered under the token before.
-		{"expiry under a fresh token", func(b bench, id, _ uint64) { b.Renewed(6); b.says(2, "m", "expired", 0) }, true},
-		{"decided under a fresh token", func(b bench, id, _ uint64) { b.Renewed(6); b.says(2, "m", "current", 0) }, false},
+		{"expiry under a fresh token", func(b bench, id, _ uint64) { b.Renewed(6, at(1.5)); b.says(2, "m", "expired", 0) }, true},
+		{"decided under a fresh token", func(b bench, id, _ uint64) { b.Renewed(6, at(1.5)); b.says(2, "m", "current", 0) }, false},
 		{"another member speaks", func(b bench, id, _ uint64) {
 			b.Machine(at(2), "n9", &peerspb.Machine{Name: "m", Kind: &peerspb.Kind{Type: "small", Zone: "a"}, Phase: "expired"}, 9, true)
 		}, true},
@@ -278,7 +278,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			b := newBench(t)
-			b.AddHost("old", model.Kind{Type: "small", Zone: "a"}, false, at(0))
+			b.AddHost("old", "x:1", model.Kind{Type: "small", Zone: "a"}, false, at(0))
 			b.machine("new", "small", "b")
 			b.job("x", nil)
 			c.do(b)
@@ -353,7 +353,7 @@
 		t.Error("the limit forgets tasks that are stopping")
 	}
 	// A start that was under way shows up later and is stopped again.
-	b.Renewed(6)
+	b.Renewed(6, at(1.5))
 	b.says(3, "m", "current", 9, task("x", 0, attempt, model.TaskRunning, ""))
 	if b.orders(peerspb.Op_OP_STOP) != 1 {
 		t.Error("a late start of a cancelled job goes on")
--- a/internal/settings/defaults.sexp
+++ b/internal/settings/defaults.sexp
@@ -15,6 +15,7 @@
     (tasks-per-round 64)  ; most tasks drawn for in one round
     (preempt-wait "1s")   ; how long a job waits without room before it preempts
     (short-first 10)      ; a job without a deadline gives way by this many times the time it keeps its team's limit busy
+    (owner-back "60s")    ; how long a controller must be back before it is given kinds again
     (spare 0.2))          ; share of the machines in use that is kept free
   (fleet
     (tick "1s")
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -33,6 +33,7 @@
 		PreemptWait   time.Duration `sexp:"preempt-wait"`
 		ShortFirst    float64       `sexp:"short-first"`
 		Spare         float64       `sexp:"spare"`
+		OwnerBack     time.Duration `sexp:"owner-back"`
 	} `sexp:"placement"`
 	Fleet struct {
 		Tick        time.Duration `sexp:"tick"`
--- a/internal/workers/desk.go
+++ b/internal/workers/desk.go
@@ -74,6 +74,7 @@
 	tasks   []*peerspb.Task
 	pending []*order
 	cordon  bool
+	quiet   bool   // no report for longer than they are apart
 	call    uint64 // number of the direct call under way, or 0
 	failed  bool   // the last direct call failed: the next report is awaited
 
@@ -89,6 +90,7 @@
 // Options are the desk's bounds.
 type Options struct {
 	Member string
+	Report time.Duration // between a worker's reports
 	Lease  time.Duration
 	Margin time.Duration
 }
@@ -378,20 +380,22 @@
 }
 
 // Calls returns the direct calls that are due: one at a time for each machine
-// that has starts or stops waiting. Nothing is called without a valid grant.
+// that has starts waiting, and an empty one for each that has not shown our
+// token yet: it takes the token in and answers with a report that does. Nothing
+// is called without a valid grant.
 func (d *Desk) Calls(now time.Time) []Call {
 	if !d.Granted(now) {
 		return nil
 	}
 	var out []Call
 	for _, m := range d.machines {
-		if m.call != 0 || m.failed || m.phase != Current || m.addr == "" || m.notice >= 0 {
+		if m.call != 0 || m.failed || m.phase == Expired || m.addr == "" || m.notice >= 0 || d.owners[m.kind] != d.opt.Member {
 			continue
 		}
-		c := Call{Machine: m.name, Addr: m.addr, Token: d.token, Session: m.session}
-		due := false
+		c := Call{Machine: m.name, Addr: m.addr, Token: d.token, Session: m.session, Commands: []model.Command{}}
+		due := m.phase == Joining
 		for _, o := range m.pending {
-			if o.state != queued || len(c.Commands) >= maxOrders || m.held(o) {
+			if o.state != queued || len(c.Commands) >= maxOrders || m.held(o) || m.phase != Current {
 				continue
 			}
 			if o.start() {
@@ -432,12 +436,13 @@
 	}
 	m.call = 0
 	// Guard: without this pause a worker that cannot be called directly would
-	// be called again and again without end.
-	m.failed = outcome != Executed
+	// be called again and again without end. A session that we did not know is
+	// worth one more try.
+	m.failed = outcome != Executed && (r == nil || r.Session == c.Session)
 	if c.Token != d.token {
 		return // orders of an earlier token are void; the next report decides its starts
 	}
-	if r != nil && r.Machine == m.name && r.Token == d.token && CheckReport(r) == nil &&
+	if r != nil && r.Machine == m.name && r.Token <= d.token && CheckReport(r) == nil &&
 		(r.Session > m.session || (r.Session == m.session && r.Seq > m.seq)) {
 		d.takeReport(m, r)
 	}
@@ -512,7 +517,7 @@
 		if until := d.start.Add(time.Duration(r.GrantUntilNs)); until.After(d.grant) {
 			d.grant = until
 		}
-		d.take(r)
+		d.take(now, r)
 	}
 	d.expire(now)
 	out.Applied, out.Change = d.applied, d.change
@@ -535,7 +540,7 @@
 	d.token, d.grant, d.applied = token, time.Time{}, 0
 	d.owners, d.sizes = map[model.Kind]string{}, map[string]model.Size{}
 	for _, m := range d.machines {
-		m.pending, m.cordon = nil, false
+		m.pending, m.cordon, m.failed = nil, false, false
 		if m.phase != Expired {
 			d.setPhase(m, Joining)
 		} else {
@@ -544,7 +549,7 @@
 	}
 }
 
-func (d *Desk) take(r *peerspb.RoundRequest) {
+func (d *Desk) take(now time.Time, r *peerspb.RoundRequest) {
 	if len(r.Owners) > 0 {
 		d.owners = make(map[model.Kind]string, len(r.Owners))
 		for _, o := range r.Owners {
@@ -564,13 +569,19 @@
 			continue
 		}
 		d.applied = o.Id
-		d.apply(o)
+		d.apply(now, o)
 	}
 }
 
-func (d *Desk) apply(o *peerspb.Order) {
+func (d *Desk) apply(now time.Time, o *peerspb.Order) {
 	m := d.machines[o.Machine]
 	if m == nil {
+		if o.Op == peerspb.Op_OP_GREET {
+			// Its lease may have been extended until now, for all we know.
+			d.machines[o.Machine] = &machine{name: o.Machine, addr: o.Addr, notice: -1, phase: Joining, answered: now,
+				kind: model.Kind{Type: o.Kind.GetType(), Zone: o.Kind.GetZone()}}
+			return
+		}
 		if o.Op != peerspb.Op_OP_START {
 			return
 		}
@@ -579,6 +590,7 @@
 		d.machines[o.Machine] = m
 	}
 	switch o.Op {
+	case peerspb.Op_OP_GREET:
 	case peerspb.Op_OP_CORDON:
 		m.cordon = true
 	case peerspb.Op_OP_UNCORDON:
@@ -633,6 +645,10 @@
 		if m.phase != Expired && now.Sub(m.answered) > limit {
 			d.setPhase(m, Expired)
 		}
+		if quiet := now.Sub(m.answered) > 2*d.opt.Report+time.Second; quiet != m.quiet {
+			m.quiet = quiet
+			d.touch(m)
+		}
 	}
 }
 
@@ -656,7 +672,7 @@
 	}
 	return &peerspb.Machine{Name: m.name, Addr: m.addr, Kind: &peerspb.Kind{Type: m.kind.Type, Zone: m.kind.Zone},
 		Spot: m.spot, Phase: string(m.phase), Session: m.session, Seq: m.seq, Undecided: m.undecided(),
-		Unsure: doubt, NoticeMs: notice, Tasks: tasks}
+		Unsure: doubt, Quiet: m.quiet, NoticeMs: notice, Tasks: tasks}
 }
 
 // used is the machine's occupancy, the starts on their way included. known
