Forget tasks of jobs whose end the watch tells first

Cause: a done job's record is deleted by the leader's own write, and the watch often told of it before the write was answered.

--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -114,6 +114,7 @@
 	t.book.Renewed(token, now)
 	for _, l := range t.n.links {
 		l.bound = l.grantEnd
+		l.failures = max(l.failures, 0) // a restart is dealt with by this token
 		l.acked, l.seen, l.sizes = false, 0, map[string]bool{}
 	}
 	t.assign(now)
@@ -633,17 +634,16 @@
 				if t.ctx.Err() != nil {
 					return
 				}
-				at := time.Now()
 				switch {
 				case over:
 					t.n.log.Debug("job was over already", "job", s.ID)
-					t.book.Over(at, s.ID)
+					t.book.Over(s.ID)
 				case fresh != nil:
 					if perr := t.book.PutJob(time.Now(), s.ID, fresh.Value, fresh.Stamp, nil); perr != nil {
 						t.n.log.Error("job record", "err", perr)
 					}
 				}
-				t.book.Saved(at, s, ok, out.Revision)
+				t.book.Saved(s, ok, out.Revision)
 				if ok && s.Over != nil {
 					t.n.log.Debug("job done", "job", s.ID)
 				}
--- a/internal/placement/book_test.go
+++ b/internal/placement/book_test.go
@@ -316,12 +316,12 @@
 	if len(saves) != 1 || saves[0].Over != nil || saves[0].Record.Count != 1 {
 		t.Fatalf("saves: %+v", saves)
 	}
-	b.Saved(at(3), saves[0], false, 0)
+	b.Saved(saves[0], false, 0)
 	if b.orders(peerspb.Op_OP_FORGET) != 0 {
 		t.Fatal("forgotten although the save failed")
 	}
 	saves = b.Saves(at(5), time.Second, 4)
-	b.Saved(at(5), saves[0], true, 11)
+	b.Saved(saves[0], true, 11)
 	if b.orders(peerspb.Op_OP_FORGET) != 1 {
 		t.Fatal("not forgotten after the save")
 	}
@@ -330,12 +330,29 @@
 	if len(saves) != 1 || saves[0].Over == nil || saves[0].Stamp != 11 {
 		t.Fatalf("saves: %+v", saves)
 	}
-	b.Saved(at(6), saves[0], true, 12)
+	b.Saved(saves[0], true, 12)
 	if len(b.jobs) != 0 || b.orders(peerspb.Op_OP_FORGET) != 2 {
 		t.Error("the job is not over")
 	}
 }
 
+// The watch may tell that a done job's record is gone before the write is
+// answered: its exited tasks are forgotten all the same, or their machines
+// would never be idle.
+func TestDoneToldByWatch(t *testing.T) {
+	b := newBench(t)
+	b.machine("m", "small", "a")
+	b.job("x", nil)
+	b.round(1)
+	b.says(2, "m", "current", 9, task("x", 0, b.jobs["x"].bound[0].attempt, model.TaskExited, model.CauseDone))
+	saves := b.Saves(at(2), time.Second, 4)
+	b.Cancel("x")
+	b.Saved(saves[0], true, 12)
+	if b.orders(peerspb.Op_OP_FORGET) != 1 || b.jobs["x"] != nil {
+		t.Error("the exited task is not forgotten")
+	}
+}
+
 // A cancelled job's tasks are stopped at once, count until they are gone, and
 // nothing of it starts again.
 func TestCancel(t *testing.T) {
@@ -479,7 +496,7 @@
 			for p, text := range s.Parts {
 				parts[p] = text
 			}
-			b.Saved(at(float64(10*i)), s, true, uint64(20+i))
+			b.Saved(s, true, uint64(20+i))
 		}
 	}
 	v, err := json.Marshal(rec)
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -69,19 +69,12 @@
 	return nil
 }
 
-// Cancel takes in that a job is cancelled: its tasks are stopped at once and
-// none is started any more.
+// Cancel takes in that a job's open record is gone: its tasks are stopped at
+// once and none is started any more. The record also goes when the job is
+// done, and the watch may tell of it before the write's own answer does.
 func (b *Book) Cancel(id string) {
-	j := b.jobs[id]
-	if j == nil || j.Cancelled {
-		return
-	}
-	j.Cancelled = true
-	for _, t := range j.bound {
-		b.stopOne(t, 0)
-	}
-	if len(j.bound) == 0 {
-		delete(b.jobs, id)
+	if j := b.jobs[id]; j != nil && !j.Cancelled {
+		b.close(j)
 	}
 }
 
@@ -177,7 +170,7 @@
 
 // Saved takes in the outcome of a save. Only an answered success counts; a
 // failure is tried again with the job's then stamp.
-func (b *Book) Saved(now time.Time, s *Save, ok bool, stamp uint64) {
+func (b *Book) Saved(s *Save, ok bool, stamp uint64) {
 	j := b.jobs[s.ID]
 	if j == nil {
 		return
@@ -188,7 +181,7 @@
 		return
 	}
 	if s.Over != nil {
-		b.over(now, j)
+		b.close(j)
 		return
 	}
 	j.Stamp = max(j.Stamp, stamp)
@@ -201,19 +194,19 @@
 }
 
 // Over takes in that a job's final record is stored.
-func (b *Book) Over(now time.Time, id string) {
+func (b *Book) Over(id string) {
 	if j := b.jobs[id]; j != nil {
-		b.over(now, j)
+		b.close(j)
 	}
 }
 
-// over drops a done job. Its exited tasks are forgotten as tasks of no open
-// job from here on.
-func (b *Book) over(now time.Time, j *Job) {
-	for _, t := range j.bound { // a gang's tasks whose own reports are still due
+// close ends a job: what still runs is stopped, and its exited tasks are
+// forgotten, for nothing depends on their reports any more.
+func (b *Book) close(j *Job) {
+	j.Cancelled = true
+	for _, t := range j.bound {
 		b.stopOne(t, 0)
 	}
-	j.Cancelled = true
 	for i := range j.Spec.Tasks {
 		j.stored.Add(i)
 	}
--- a/internal/workers/desk_test.go
+++ b/internal/workers/desk_test.go
@@ -215,6 +215,43 @@
 	}
 }
 
+// After a fresh token, and for a machine that the leader names, the owner calls
+// the worker with an empty order to see its tasks under the token at once.
+func TestGreeting(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		do   func(d *Desk) // leads to a machine that has not shown token 6
+	}{
+		{"known machine", func(d *Desk) {
+			d.CheckIn(at(1), report(1, 1, 5))
+			d.Round(at(2), grant(6, 10))
+		}},
+		{"named machine, session unknown", func(d *Desk) {
+			d.Round(at(2), grant(6, 10, &peerspb.Order{Id: 1, Machine: "m1", Op: peerspb.Op_OP_GREET, Addr: "x:1", Kind: kindA}))
+			calls := d.Calls(at(2))
+			if len(calls) != 1 || len(calls[0].Commands) != 0 || calls[0].Addr != "x:1" {
+				t.Fatalf("calls: %v", calls)
+			}
+			d.Called(at(2.1), calls[0], Refused, report(1, 2, 5)) // it tells its session
+		}},
+	} {
+		d := desk()
+		c.do(d)
+		out := d.Round(at(2.2), grant(6, 10))
+		if len(out.Machines) != 1 || out.Machines[0].Phase != string(Joining) {
+			t.Fatalf("%s: %v", c.name, out.Machines)
+		}
+		calls := d.Calls(at(2.3))
+		if len(calls) != 1 || calls[0].Token != 6 || calls[0].Session != 1 {
+			t.Fatalf("%s: %v", c.name, calls)
+		}
+		d.Called(at(2.4), calls[0], Executed, report(1, 3, 6, model.WireTask{Task: "j/1", Attempt: 9, State: model.TaskRunning}))
+		if m := d.Round(at(2.5), grant(6, 10)).Machines[0]; m.Phase != string(Current) || len(m.Tasks) != 1 {
+			t.Errorf("%s: %v", c.name, m)
+		}
+	}
+}
+
 // Nothing is called without a grant, and a call under an earlier token or
 // after the machine's record is gone changes nothing.
 func TestCallsAndTokens(t *testing.T) {
