--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -67,6 +67,7 @@
 	nextList    time.Time
 	nextTypes   time.Time
 	nextSummary time.Time
+	batch       int // writes in one transaction of host records
 	hosting     bool
 	listing     bool
 	cloudBusy   bool
@@ -84,7 +85,7 @@
 
 func newTerm(n *Node, token uint64, now time.Time) *term {
 	ctx, cancel := context.WithCancel(n.ctx)
-	t := &term{n: n, ctx: ctx, end: cancel, token: token, began: now, nextTypes: now.Add(20 * time.Second)}
+	t := &term{n: n, ctx: ctx, end: cancel, token: token, began: now, nextTypes: now.Add(20 * time.Second), batch: n.cfg.TxnOps}
 	t.book = placement.NewBook(placement.Options{
 		Log: n.log, Draws: n.op.Placement.Draws, ScanAfter: n.op.Placement.ScanAfter, TasksPerRound: n.op.Placement.TasksPerRound,
 		ShortFirst: n.op.Placement.ShortFirst, Spare: n.op.Placement.Spare, PreemptWait: n.op.Placement.PreemptWait, PartTasks: model.PartTasks(max(256, n.cfg.ValueBytes-2048)),
@@ -674,12 +675,12 @@
 	var names []string
 	txn := store.Txn{Guards: []store.Guard{t.guard()}}
 	for name, m := range t.book.Machines() {
-		if m.Phase == placement.Current && !m.Hosted && len(txn.Writes) < t.n.cfg.TxnOps {
+		if m.Phase == placement.Current && !m.Hosted && len(txn.Writes) < t.batch {
 			names = append(names, name)
 			txn.Writes = append(txn.Writes, store.Put(placement.HostPrefix+name, host{m.Kind, m.Spot, m.Addr}))
 		}
 	}
-	drop := t.dropHosts[:min(len(t.dropHosts), t.n.cfg.TxnOps-len(txn.Writes))]
+	drop := t.dropHosts[:min(len(t.dropHosts), t.batch-len(txn.Writes))]
 	for _, name := range drop {
 		txn.Writes = append(txn.Writes, store.Del(placement.HostPrefix+name))
 	}
@@ -696,9 +697,13 @@
 		}
 		t.n.post(func() {
 			t.hosting = false
+			if !ok { // the limits may have become tighter than the settings say
+				t.batch = max(1, t.batch/2)
+			}
 			if !ok || t.ctx.Err() != nil {
 				return
 			}
+			t.batch = min(t.n.cfg.TxnOps, t.batch+1)
 			t.dropHosts = t.dropHosts[dropped:]
 			for _, name := range names {
 				t.book.HostStored(name)
