--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -442,6 +442,14 @@
 // send sends one message to a controller.
 func (t *term) send(l *link, now time.Time, wants []*peerspb.Want) {
 	n := t.n
+	if !n.lead.MayAct(now) {
+		// Guard: answers still come in after the right to act has ended, and
+		// must not lead to another grant or order.
+		if t.round != nil {
+			delete(t.round.waiting, l)
+		}
+		return
+	}
 	r := &peerspb.RoundRequest{Token: t.token, Leader: n.cfg.Member, Boot: l.boot, Seen: l.seen,
 		StoreOk: now.Sub(n.lead.Checked()) < 2500*time.Millisecond}
 	if !t.loaded {
