--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -87,10 +87,10 @@
 	ctx, cancel := context.WithCancel(n.ctx)
 	t := &term{n: n, ctx: ctx, end: cancel, token: token, began: now, nextTypes: now.Add(20 * time.Second), batch: n.cfg.TxnOps}
 	t.book = placement.NewBook(placement.Options{
-		Log: n.log, Draws: n.op.Placement.Draws, ScanAfter: n.op.Placement.ScanAfter, TasksPerRound: n.op.Placement.TasksPerRound,
+		Log: n.log, Aims: n.cfg.Aims, Horizon: n.op.Fleet.Horizon, Draws: n.op.Placement.Draws, ScanAfter: n.op.Placement.ScanAfter, TasksPerRound: n.op.Placement.TasksPerRound,
 		ShortFirst: n.op.Placement.ShortFirst, Spare: n.op.Placement.Spare, PreemptWait: n.op.Placement.PreemptWait, PartTasks: model.PartTasks(max(256, n.cfg.ValueBytes-2048)),
 	}, token, n.cfg.Teams, n.knownTypes())
-	t.fleet = fleet.New(fleet.Options{Idle: n.op.Fleet.Idle, Keep: n.op.Fleet.Keep, Horizon: n.op.Fleet.Horizon, RefusedWait: n.op.Fleet.RefusedWait,
+	t.fleet = fleet.New(fleet.Options{Idle: n.op.Fleet.Idle, Keep: n.op.Fleet.Keep, RefusedWait: n.op.Fleet.RefusedWait,
 		BootFactor: n.op.Fleet.BootFactor, SilentWait: n.op.Fleet.SilentWait, ListLag: n.cfg.ListLag, Errors: n.op.Fleet.Errors}, token)
 	for _, l := range n.links {
 		l.acked, l.seen, l.sizes, l.busy = false, 0, map[string]bool{}, false
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -23,7 +23,6 @@
 type Options struct {
 	Idle        time.Duration
 	Keep        time.Duration // least time that a machine is kept after its first report
-	Horizon     time.Duration
 	RefusedWait time.Duration
 	BootFactor  float64
 	SilentWait  time.Duration
@@ -286,9 +285,9 @@
 	var sources []Source
 	for _, need := range needs {
 		tasks := need.Tasks
-		if !need.Whole && need.Estimate > 0 && need.Estimate < f.opt.Horizon {
+		if left := need.Horizon; !need.Whole && need.Estimate > 0 && need.Estimate < left {
 			// Short tasks take turns: what is rented runs several of them.
-			tasks = int(math.Ceil(float64(tasks) * need.Estimate.Seconds() / f.opt.Horizon.Seconds()))
+			tasks = int(math.Ceil(float64(tasks) * need.Estimate.Seconds() / left.Seconds()))
 		}
 		allowed := map[model.Kind]bool{}
 		for _, k := range need.Kinds {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -22,12 +22,12 @@
 func at(s float64) time.Time { return t0.Add(time.Duration(s * float64(time.Second))) }
 
 func newFleet() *Fleet {
-	return New(Options{Idle: 30 * time.Second, Keep: 20 * time.Second, Horizon: 45 * time.Second, RefusedWait: 20 * time.Second, BootFactor: 4,
+	return New(Options{Idle: 30 * time.Second, Keep: 20 * time.Second, RefusedWait: 20 * time.Second, BootFactor: 4,
 		SilentWait: 20 * time.Second}, 5)
 }
 
 func need(tasks int, spot bool, estimate time.Duration) placement.Need {
-	return placement.Need{Job: "x", Size: model.Size{CPUs: 2}, Tasks: tasks, Kinds: []model.Kind{large, small}, Spot: spot, Estimate: estimate}
+	return placement.Need{Job: "x", Size: model.Size{CPUs: 2}, Tasks: tasks, Kinds: []model.Kind{large, small}, Spot: spot, Estimate: estimate, Horizon: 55 * time.Second}
 }
 
 // rents returns what a tick wants to rent.
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -192,6 +192,12 @@
 
 func within(used, limit float64) bool { return limit == 0 || used <= limit+eps }
 
+// Aim is what the settings expect of a class of jobs; 0: nothing.
+type Aim struct {
+	Wait     time.Duration // until all tasks have started
+	Finished time.Duration // until the job is done
+}
+
 // Job is what a user asked for.
 type Job struct {
 	ID              string
--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -22,9 +22,11 @@
 	GangPeer      time.Duration
 	ReportEvery   time.Duration
 	Errors        int
-	ShortFirst    float64 // how strongly short jobs go first within a team's limit
-	Spare         float64 // share of the machines in use that is kept free
-	PartTasks     int     // tasks whose marks one stored value holds
+	Aims          map[string]model.Aim // by class
+	Horizon       time.Duration        // within which an array of no class is to end its turns
+	ShortFirst    float64              // how strongly short jobs go first within a team's limit
+	Spare         float64              // share of the machines in use that is kept free
+	PartTasks     int                  // tasks whose marks one stored value holds
 	Log           *slog.Logger
 }
 
--- a/internal/settings/platform.go
+++ b/internal/settings/platform.go
@@ -30,6 +30,7 @@
 	CloudAddr  string
 	StateAddr  string
 	Teams      map[string]model.Team
+	Aims       map[string]model.Aim // by class of jobs
 
 	ReportEvery time.Duration
 	Lease       time.Duration
@@ -69,6 +70,11 @@
 			GPUs    float64 `json:"gpus"`
 			GPUsMax float64 `json:"gpus_max"`
 		} `json:"teams"`
+		Objectives []struct {
+			Kind    string  `json:"kind"`
+			Class   string  `json:"class"`
+			WithinS float64 `json:"within_s"`
+		} `json:"objectives"`
 		Workers struct {
 			ReportS   float64 `json:"report_s"`
 			LeaseS    float64 `json:"lease_s"`
@@ -119,7 +125,7 @@
 	}
 	p := &Platform{
 		Member: w.Member, Zone: w.Zone, Listen: w.Listen, PeerListen: w.PeerListen,
-		CloudAddr: w.Services.Cloud, StateAddr: w.Services.State, Teams: map[string]model.Team{},
+		CloudAddr: w.Services.Cloud, StateAddr: w.Services.State, Teams: map[string]model.Team{}, Aims: map[string]model.Aim{},
 		ReportEvery: model.Seconds(w.Params.Workers.ReportS), Lease: model.Seconds(w.Params.Workers.LeaseS),
 		GangWait: model.Seconds(w.Params.Workers.GangWaitS), GangPeer: model.Seconds(w.Params.Workers.GangPeerS),
 		CancelWait: model.Seconds(w.Params.Workers.CancelS),
@@ -160,6 +166,19 @@
 		p.Teams[t.Name] = model.Team{Name: t.Name, Guarantee: model.Size{CPUs: t.CPUs, GPUs: t.GPUs},
 			Limit: model.Size{CPUs: t.CPUsMax, GPUs: t.GPUsMax}}
 	}
+	for i, o := range w.Params.Objectives {
+		if o.WithinS < 0 || o.WithinS > 1e9 {
+			return nil, fmt.Errorf("deployment.objectives[%d].within_s: out of range", i)
+		}
+		aim, within := p.Aims[o.Class], model.Seconds(o.WithinS)
+		switch { // of several, the tightest
+		case o.Kind == "wait" && (aim.Wait == 0 || within < aim.Wait):
+			aim.Wait = within
+		case o.Kind == "finished" && (aim.Finished == 0 || within < aim.Finished):
+			aim.Finished = within
+		}
+		p.Aims[o.Class] = aim
+	}
 	for _, f := range []struct {
 		name string
 		v    float64
