Standing room for classes that must start sooner than a machine boots

Cause: tax-reclaim is to start within 4 s, a boot takes 20-30 s, and nothing kept room for it. Now as much room as arrives during a boot is kept on the fullest machines, others of no higher priority may not take it, and it is rented again when it is used.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -250,7 +250,7 @@
 		case m.Phase == placement.Expired && now.Sub(m.Silent) > f.opt.SilentWait:
 			give(name)
 		case !settled || m.Phase != placement.Current || m.Busy():
-		case m.Cordoned, now.Sub(m.Idle) > f.opt.Idle && now.Sub(m.Seen) > f.opt.Keep:
+		case m.Cordoned, !m.KeepsRoom() && now.Sub(m.Idle) > f.opt.Idle && now.Sub(m.Seen) > f.opt.Keep:
 			give(name)
 		}
 	}
--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -25,6 +25,8 @@
 	Aims          map[string]model.Aim // by class
 	Horizon       time.Duration        // within which an array of no class is to end its turns
 	ShortFirst    float64              // how strongly short jobs go first within a team's limit
+	TightWait     time.Duration        // classes that must start sooner get standing room
+	Standing      float64              // how much of it, as a multiple of the arrivals during a boot
 	Spare         float64              // share of the machines in use that is kept free
 	PartTasks     int                  // tasks whose marks one stored value holds
 	Log           *slog.Logger
@@ -142,6 +144,8 @@
 
 type reservation struct {
 	size  model.Size
+	class string // of standing room; else it is for one job
+	rank  int
 	until time.Time
 }
 
@@ -161,6 +165,7 @@
 	room     uint64 // counts events that may have made room
 	gone     map[string]time.Time
 	plan     []*planned
+	classes  map[string]*class
 }
 
 // NewBook makes an empty book under a token.
@@ -170,7 +175,7 @@
 	}
 	return &Book{opt: opt, token: token, teams: teams, types: types, jobs: map[string]*Job{},
 		machines: map[string]*Machine{}, owners: map[model.Kind]string{}, out: map[string][]*peerspb.Order{},
-		gone: map[string]time.Time{}}
+		gone: map[string]time.Time{}, classes: map[string]*class{}}
 }
 
 // SetTypes replaces what is known of machine types.
--- a/internal/placement/book_test.go
+++ b/internal/placement/book_test.go
@@ -511,3 +511,48 @@
 		t.Errorf("%d marks came back", got.Finished())
 	}
 }
+
+// A class that must start sooner than a machine boots finds room that others
+// of no higher priority may not take, on machines that are not let go.
+func TestStandingRoom(t *testing.T) {
+	b := newBench(t)
+	b.opt.Aims = map[string]model.Aim{"urgent": {Wait: 4 * time.Second}}
+	b.opt.TightWait, b.opt.Standing, b.opt.Spare = 15*time.Second, 1, 0.2
+	for name, mt := range b.types {
+		mt.Boot = 30 * time.Second
+		b.types[name] = mt
+	}
+	b.machine("m1", "small", "a")
+	b.machine("m2", "small", "a")
+	urgent := func(j *model.Job) { j.Class, j.Size, j.Priority = "urgent", model.Size{CPUs: 3}, model.High }
+	b.job("u0", urgent)
+	b.Cancel("u0")
+	b.Settle()
+	b.StandingRoom(at(1))
+	b.job("x", func(j *model.Job) { j.Tasks = 4 })
+	if got := b.round(1); got != 2 {
+		t.Errorf("%d tasks placed, want 2: the rest is standing room", got)
+	}
+	for i := range 4 {
+		b.StandingRoom(at(float64(2 + i)))
+		b.Consolidate(at(float64(2 + i)))
+	}
+	b.job("u1", urgent)
+	if b.round(8) < 1 || b.where("u1", 0) == "" {
+		t.Error("the class finds no room")
+	}
+	b.StandingRoom(at(9))
+	short := 0
+	for _, n := range b.Needs(at(9)) {
+		if n.Job == "urgent" {
+			short += n.Tasks
+		}
+	}
+	if short != 1 {
+		t.Errorf("%d slots are asked for to restore it, want 1", short)
+	}
+	b.StandingRoom(at(500))
+	if b.classes["urgent"].short != 0 {
+		t.Error("room is kept although nothing arrives any more")
+	}
+}
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -65,6 +65,7 @@
 	}
 	j.dirty = j.finished.Len() == j.Spec.Tasks
 	b.jobs[id] = j
+	b.arrived(j)
 	b.room++
 	return nil
 }
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -191,12 +192,13 @@
 }
 
 // free is the room that a job may use on a machine.
-func (b *Book) free(m *Machine, job string, now time.Time) model.Size {
+func (b *Book) free(m *Machine, j *Job, now time.Time) model.Size {
 	room := b.types[m.Kind.Type].Size.Sub(m.used())
 	for id, r := range m.reserved {
-		if now.After(r.until) || b.jobs[id] == nil || b.jobs[id].Unplaced() == 0 {
+		switch {
+		case now.After(r.until) || (r.class == "" && (b.jobs[id] == nil || b.jobs[id].Unplaced() == 0)):
 			delete(m.reserved, id)
-		} else if id != job {
+		case id != j.Spec.ID && r.class != j.Spec.Class && r.rank >= j.Spec.Priority.Rank():
 			room = room.Sub(r.size)
 		}
 	}
@@ -214,7 +216,7 @@
 	if !m.usable() || (m.Spot && !j.Spec.Spot) || !j.Spec.Allows(b.types[m.Kind.Type], m.Kind.Zone) {
 		return false
 	}
-	return j.zoneAllows(m.Kind.Zone) && j.Spec.Size.Fits(b.free(m, j.Spec.ID, now))
+	return j.zoneAllows(m.Kind.Zone) && j.Spec.Size.Fits(b.free(m, j, now))
 }
 
 // zoneAllows checks the job's own rules about zones. Everything bound counts,
@@ -449,7 +451,7 @@
 			!j.Spec.Allows(b.types[m.Kind.Type], m.Kind.Zone) || !j.zoneAllows(m.Kind.Zone) {
 			continue
 		}
-		room := b.free(m, j.Spec.ID, now)
+		room := b.free(m, j, now)
 		var victims []*Task
 		for _, t := range m.tasks {
 			if t.stopping {
@@ -481,7 +483,7 @@
 	if best.reserved == nil {
 		best.reserved = map[string]reservation{}
 	}
-	best.reserved[j.Spec.ID] = reservation{j.Spec.Size, now.Add(15 * time.Second)}
+	best.reserved[j.Spec.ID] = reservation{size: j.Spec.Size, rank: j.Spec.Priority.Rank(), until: now.Add(15 * time.Second)}
 	for _, t := range bestVictims {
 		b.stop(t, graceFor(t.job.Spec))
 	}
@@ -532,6 +534,9 @@
 	waiting := false
 	for _, n := range b.Needs(now) {
 		j := b.jobs[n.Job]
+		if j == nil { // standing room
+			j = b.classes[n.Job].last
+		}
 		left := n.Tasks
 		waiting = waiting || left > 0
 		for _, m := range retiring {
@@ -541,7 +546,7 @@
 			if !m.Retiring || (m.Spot && !j.Spec.Spot) || !j.Spec.Allows(b.types[m.Kind.Type], m.Kind.Zone) {
 				continue
 			}
-			if slots := j.Spec.Size.Slots(b.free(m, n.Job, now)); slots > 0 {
+			if slots := j.Spec.Size.Slots(b.free(m, j, now)); slots > 0 {
 				b.retire(m, false)
 				left -= slots
 			}
@@ -574,6 +579,9 @@
 	})
 	for _, m := range candidates {
 		size := b.types[m.Kind.Type].Size.CPUs
+		if m.KeepsRoom() {
+			continue
+		}
 		if used <= (capacity-size)*(1-b.opt.Spare) {
 			b.retire(m, true)
 			return // one at a time
@@ -606,6 +614,90 @@
 	return out
 }
 
+// class is what was seen of a class whose tasks are to start sooner than a
+// machine boots.
+type class struct {
+	last     *Job
+	arrivals []time.Time
+	short    int // slots that standing room lacks
+}
+
+// rateWindow is how far back arrivals count.
+const rateWindow = 2 * time.Minute
+
+// arrived takes in a new job.
+func (b *Book) arrived(j *Job) {
+	aim := b.opt.Aims[j.Spec.Class]
+	if aim.Wait == 0 || aim.Wait >= b.opt.TightWait {
+		return
+	}
+	c := b.classes[j.Spec.Class]
+	if c == nil {
+		c = &class{}
+		b.classes[j.Spec.Class] = c
+	}
+	c.last = j
+	c.arrivals = append(c.arrivals, j.Accepted)
+}
+
+// StandingRoom is an exception to the paper's rule for classes that must start
+// sooner than a machine boots: as much room as arrivals during a boot need is
+// kept on the fullest machines that have it. Others may not take it.
+func (b *Book) StandingRoom(now time.Time) {
+	for name, c := range b.classes {
+		c.short = 0
+		kept := c.arrivals[:0]
+		for _, at := range c.arrivals {
+			if now.Sub(at) < rateWindow {
+				kept = append(kept, at)
+			}
+		}
+		c.arrivals = kept
+		if len(kept) == 0 || !b.complete {
+			continue
+		}
+		var boot time.Duration
+		for _, k := range b.kindsFor(c.last.Spec) {
+			boot = max(boot, b.types[k.Type].Boot)
+		}
+		slots := int(math.Ceil(b.opt.Standing * float64(len(kept)*c.last.Spec.Tasks) * boot.Seconds() / rateWindow.Seconds()))
+		var room []*Machine
+		for _, m := range b.machines {
+			delete(m.reserved, name)
+			if b.fits(&Job{Spec: c.last.Spec}, m, now) {
+				room = append(room, m)
+			}
+		}
+		sort.Slice(room, func(i, k int) bool {
+			x, y := room[i], room[k]
+			a, e := x.used().Share(b.types[x.Kind.Type].Size), y.used().Share(b.types[y.Kind.Type].Size)
+			return a > e || (a == e && x.Name < y.Name)
+		})
+		for _, m := range room {
+			n := min(slots, c.last.Spec.Size.Slots(b.free(m, c.last, now)))
+			if n <= 0 {
+				break
+			}
+			if m.reserved == nil {
+				m.reserved = map[string]reservation{}
+			}
+			m.reserved[name] = reservation{size: c.last.Spec.Size.Times(n), class: name, rank: c.last.Spec.Priority.Rank(), until: now.Add(3 * time.Second)}
+			slots -= n
+		}
+		c.short = slots
+	}
+}
+
+// KeepsRoom tells that a machine has standing room.
+func (m *Machine) KeepsRoom() bool {
+	for _, r := range m.reserved {
+		if r.class != "" {
+			return true
+		}
+	}
+	return false
+}
+
 // Need is a job's demand for room that no machine has.
 type Need struct {
 	Job      string
@@ -669,6 +761,13 @@
 			out = append(out, need)
 		}
 	}
+	for name, c := range b.classes {
+		if c.short > 0 {
+			j := c.last
+			out = append(out, Need{Job: name, Size: j.Spec.Size, Tasks: c.short, Kinds: b.kindsFor(j.Spec), Spot: j.Spec.Spot, Whole: true,
+				Estimate: j.Spec.Estimate, Horizon: b.opt.Horizon})
+		}
+	}
 	return out
 }
 
--- a/internal/settings/defaults.sexp
+++ b/internal/settings/defaults.sexp
@@ -16,6 +16,8 @@
     (preempt-wait "1s")   ; how long a job waits without room before it preempts
     (short-first 10)      ; a job without a deadline gives way by this many times the time it keeps its team's limit busy
     (owner-back "60s")    ; how long a controller must be back before it is given kinds again
+    (tight-wait "15s")    ; classes whose aim is to start sooner than this get standing room
+    (standing 1)          ; how much: a multiple of the tasks that arrive while a machine boots
     (spare 0.2))          ; share of the machines in use that is kept free
   (fleet
     (tick "1s")
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -34,6 +34,8 @@
 		ShortFirst    float64       `sexp:"short-first"`
 		Spare         float64       `sexp:"spare"`
 		OwnerBack     time.Duration `sexp:"owner-back"`
+		TightWait     time.Duration `sexp:"tight-wait"`
+		Standing      float64       `sexp:"standing"`
 	} `sexp:"placement"`
 	Fleet struct {
 		Tick        time.Duration `sexp:"tick"`
