--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -26,8 +26,6 @@
 	RefusedWait time.Duration
 	BootFactor  float64
 	SilentWait  time.Duration
-	ListLag     time.Duration
-	Errors      int
 }
 
 // Source is a kind of machine, ordinary or spot.
--- a/internal/httpwire/message.go
+++ b/internal/httpwire/message.go
@@ -49,7 +49,6 @@
 	chunked     bool
 	close       bool
 	keepAlive   bool
-	minorZero   bool
 	retryAfter  string
 	bodyStarts  int
 	lengthGiven bool
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -74,7 +74,6 @@
 	nextTouch time.Time
 	highest   uint64 // highest token heard of
 	renewing  bool   // a guarded write by the leader itself, for a fresh token
-	deposed   time.Time
 }
 
 // New makes a follower.
@@ -161,9 +160,6 @@
 	if found && (v.Member != m.opt.Member || stamp < m.highest) {
 		return nil // somebody else leads
 	}
-	if now.Before(m.deposed) {
-		return nil
-	}
 	// Nobody holds the key, or an earlier process of this member does.
 	m.guard = 0
 	if found {
@@ -239,12 +235,3 @@
 		m.nextRead = now
 	}
 }
-
-// Refused makes a leader step down because only it is refused by the state
-// service; the hold runs out and another node takes over.
-func (m *Machine) Refused(now time.Time, pause time.Duration) {
-	if m.state == Leading {
-		m.deposed = now.Add(pause)
-		m.to(Following, now)
-	}
-}
--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -19,9 +19,6 @@
 	ScanAfter     int
 	TasksPerRound int
 	PreemptWait   time.Duration
-	GangPeer      time.Duration
-	ReportEvery   time.Duration
-	Errors        int
 	Aims          map[string]model.Aim // by class
 	Horizon       time.Duration        // within which an array of no class is to end its turns
 	ShortFirst    float64              // how strongly short jobs go first within a team's limit
@@ -91,7 +88,8 @@
 	again    []int // tasks to be tried again
 	retryAt  time.Time
 	errors   int
-	empty    int // rounds without room in a row
+	failedOn map[string]bool // machines on which its tasks failed since one was done
+	empty    int             // rounds without room in a row
 	tried    uint64
 	waiting  time.Time // since when it has had work without room
 	writing  bool
@@ -131,7 +129,6 @@
 	Listed   bool      // the cloud has listed it
 	Unsure   bool      // a start that is no longer wanted may be carried out late
 	Errors   int       // failed tasks in a row
-	failed   map[string]bool
 
 	session, seq uint64
 	current      uint64 // token under which it was last current
@@ -587,13 +584,16 @@
 	switch model.Cause(r.Cause) {
 	case model.CauseDone:
 		b.finish(j, t.index)
-		m.Errors, j.errors, m.failed = 0, 0, nil
+		m.Errors, j.errors, j.failedOn = 0, 0, nil
 	case model.CauseError:
-		m.Errors++
-		if m.failed == nil {
-			m.failed = map[string]bool{}
+		// A job that fails on every machine is to blame itself.
+		if j.failedOn == nil {
+			j.failedOn = map[string]bool{}
+		}
+		j.failedOn[m.Name] = true
+		if len(j.failedOn) <= faultyMachines {
+			m.Errors++
 		}
-		m.failed[j.Spec.ID] = true
 		j.errors++
 		j.retryAt = now.Add(min(time.Minute, time.Second<<min(j.errors/4, 6)))
 	case model.CauseNoRoom, model.CauseBusy, model.CauseUnknown, model.CauseAlone:
@@ -655,9 +655,11 @@
 // Bound counts the job's bound tasks.
 func (j *Job) Bound() int { return len(j.bound) }
 
-// Suspect tells whether a machine rather than a job is at fault: several
-// failures in a row, of more than one job or more than the job's own retries
-// explain.
+// faultyMachines is how many machines may fail one job's tasks before the job
+// itself is blamed.
+const faultyMachines = 2
+
+// Suspect tells whether a machine rather than a job is at fault.
 func (m *Machine) Suspect(errors int) bool { return m.Errors >= errors }
 
 // Summary is the state of the cluster in a few figures, for the log.
