--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -639,25 +639,9 @@
 	c.arrivals = append(c.arrivals, j.Accepted)
 }
 
-// startup is how long a task takes to start on a machine that is rented for it.
-func (b *Book) startup(j *Job) time.Duration {
-	var longest time.Duration
-	for _, k := range b.kindsFor(j.Spec) {
-		t := b.types[k.Type]
-		d := t.Boot
-		if t.FetchGBPerS > 0 {
-			d += model.Seconds(j.Spec.ImageGB / t.FetchGBPerS)
-		}
-		longest = max(longest, d)
-	}
-	return longest
-}
-
 // StandingRoom is an exception to the paper's rule for classes that must start
 // sooner than a machine boots: as much room as arrivals during a boot need is
-// kept on the fullest machines that have it. Others may not take it. Classes
-// that can wait for room to be cleared, but not for a boot and a fetch, only
-// have machines kept from being returned.
+// kept on the fullest machines that have it. Others may not take it.
 func (b *Book) StandingRoom(now time.Time) {
 	for name, c := range b.classes {
 		c.short = 0
@@ -671,7 +655,7 @@
 			}
 		}
 		c.arrivals = kept
-		if len(kept) == 0 || !b.complete || b.opt.Aims[name].Wait >= b.startup(c.last) {
+		if len(kept) == 0 || !b.complete || b.opt.Aims[name].Wait >= b.opt.TightWait {
 			continue
 		}
 		var boot time.Duration
@@ -679,10 +663,6 @@
 			boot = max(boot, b.types[k.Type].Boot)
 		}
 		slots := int(math.Ceil(b.opt.Standing * float64(len(kept)*c.last.Spec.Tasks) * boot.Seconds() / rateWindow.Seconds()))
-		if b.opt.Aims[name].Wait >= b.opt.TightWait {
-			c.short = b.keepMachines(now, name, c, slots)
-			continue
-		}
 		var room []*Machine
 		for _, m := range b.machines {
 			if b.fits(&Job{Spec: c.last.Spec}, m, now) {
@@ -709,39 +689,6 @@
 	}
 }
 
-// keepMachines keeps the cheapest machines that together hold a class's present
-// tasks and slots more, and returns how many slots are lacking.
-func (b *Book) keepMachines(now time.Time, name string, c *class, slots int) int {
-	var fit []*Machine
-	for _, m := range b.machines {
-		if m.Phase == Current && !m.Cordoned && m.Notice < 0 && (!m.Spot || c.last.Spec.Spot) &&
-			c.last.Spec.Allows(b.types[m.Kind.Type], m.Kind.Zone) {
-			fit = append(fit, m)
-		}
-		for _, t := range m.tasks {
-			if t.job.Spec.Class == name {
-				slots++
-			}
-		}
-	}
-	sort.Slice(fit, func(i, k int) bool {
-		a, e := b.price(fit[i]), b.price(fit[k])
-		return a < e || (a == e && fit[i].Name < fit[k].Name)
-	})
-	for _, m := range fit {
-		if slots <= 0 {
-			break
-		}
-		b.retire(m, false)
-		if m.reserved == nil {
-			m.reserved = map[string]reservation{}
-		}
-		m.reserved[name] = reservation{class: name, rank: c.last.Spec.Priority.Rank(), until: now.Add(3 * time.Second)}
-		slots -= c.last.Spec.Size.Slots(b.types[m.Kind.Type].Size)
-	}
-	return max(0, slots)
-}
-
 // KeepsRoom tells that a machine has standing room.
 func (m *Machine) KeepsRoom() bool {
 	for _, r := range m.reserved {
--- /dev/null
+++ b/internal/store/client_test.go
@@ -0,0 +1,104 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/standin"
+)
+
+// What the state service answers decides what may be believed: refused means
+// not executed, anything odd means that only a read can tell.
+func TestOutcomes(t *testing.T) {
+	txn := Txn{Guards: []Guard{{Key: "a"}}, Writes: []Write{Put("a", 1)}}
+	do := func(c *Client) error { _, err := c.Do(context.Background(), txn); return err }
+	get := func(c *Client) error { _, err := c.Get(context.Background(), "a"); return err }
+	watch := func(c *Client) error {
+		_, _, err := c.Watch(context.Background(), "a", 1, time.Millisecond)
+		return err
+	}
+	for _, c := range []struct {
+		name   string
+		status int // 0: the connection ends without an answer
+		body   string
+		call   func(c *Client) error
+		want   error
+	}{
+		{"executed", 200, `{"ledgerRev":2}`, do, nil},
+		{"guard failed", 409, `{"failed":["a"],"ledgerRev":2}`, do, nil},
+		{"outage", 503, `{}`, do, ErrRefused},
+		{"over budget", 429, `{}`, do, ErrRefused},
+		{"malformed or hold gone", 400, `{"error":"no such lease"}`, do, ErrRefused},
+		{"no answer", 0, ``, do, ErrUnknown},
+		{"nonsense", 200, `hello`, do, ErrUnknown},
+		{"odd status", 500, `{}`, do, ErrUnknown},
+		{"found", 200, `{"k":"a","value":1,"stamp":3}`, get, nil},
+		{"absent", 404, `{"ledgerRev":3}`, get, ErrNotFound},
+		{"a 404 that is not the service's", 404, `not here`, get, ErrUnknown},
+		{"another key's value", 200, `{"k":"b","value":1,"stamp":3}`, get, ErrUnknown},
+		{"changes", 200, `{"ledgerRev":3,"news":[]}`, watch, nil},
+		{"too old", 410, `{}`, watch, ErrCompacted},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if c.status == 0 {
+					panic(http.ErrAbortHandler)
+				}
+				w.WriteHeader(c.status)
+				_, _ = w.Write([]byte(c.body))
+			}))
+			defer s.Close()
+			if err := c.call(New(strings.TrimPrefix(s.URL, "http://"), 5*time.Second)); !errors.Is(err, c.want) || (err == nil) != (c.want == nil) {
+				t.Errorf("got %v, want %v", err, c.want)
+			}
+		})
+	}
+	if _, err := New("127.0.0.1:1", time.Second).Do(context.Background(), txn); !errors.Is(err, ErrRefused) {
+		t.Errorf("nobody listens: %v", err)
+	}
+}
+
+// Against the stand-in: guards, pages, holds and watches.
+func TestAgainstStandIn(t *testing.T) {
+	ctx := context.Background()
+	s := standin.NewState()
+	defer s.Close()
+	c := New(s.Listener.Addr().String(), 5*time.Second)
+	c.SetBudgets(1e6, 1e6, 16)
+	for i := range 600 { // more than a page
+		if out, err := c.Do(ctx, Txn{Writes: []Write{Put("p/"+string(rune('a'+i%26))+strings.Repeat("x", i/26), i)}}); err != nil || !out.OK() {
+			t.Fatal(out, err)
+		}
+	}
+	items, rev, err := c.List(ctx, "p/")
+	if err != nil || len(items) != 600 || rev != 600 {
+		t.Fatalf("%d items at %d, %v", len(items), rev, err)
+	}
+	it, err := c.Get(ctx, "p/a")
+	if err != nil || string(it.Value) != "0" {
+		t.Fatal(it, err)
+	}
+	if out, err := c.Do(ctx, Txn{Guards: []Guard{{Key: "p/a", Stamp: it.Stamp + 1}}, Writes: []Write{Del("p/a")}}); err != nil || out.OK() {
+		t.Errorf("a wrong guard passed: %v, %v", out, err)
+	}
+	hold, err := c.Hold(ctx, time.Minute)
+	if err != nil || c.Touch(ctx, hold) != nil || !errors.Is(c.Touch(ctx, hold+1), ErrNoHold) {
+		t.Errorf("holds: %v", err)
+	}
+	if _, err := c.Do(ctx, Txn{Writes: []Write{Put("q/1", 1), Del("p/a")}}); err != nil {
+		t.Fatal(err)
+	}
+	events, _, err := c.Watch(ctx, "p/", rev, time.Second)
+	if err != nil || len(events) != 1 || events[0].Delete != "p/a" {
+		t.Errorf("%v, %v", events, err)
+	}
+	if !json.Valid(items[0].Value) {
+		t.Error("value is not JSON")
+	}
+}
