Believe an expiry only after a later look at the leader key

It may act for H (20 s); after 10 s another node took the key and won over the machines outside the zone. Excluded: lost orders, late direct calls (the logs show none open). Now a lapse counts once a look at the key sent after it shows the key as ours. A takeover or an expiry waits up to one poll longer. Table tests: lapses with no look, an older look, a younger look, and return.

--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -374,6 +374,9 @@
 	if !t.loaded {
 		return
 	}
+	if names := t.book.Expire(t.n.lead.Checked(), now); len(names) > 0 {
+		t.n.log.Info("machines expired", "count", len(names), "machines", names)
+	}
 	t.save(now)
 	t.saveHosts(now)
 	if !now.Before(t.nextFleet) {
@@ -584,9 +587,7 @@
 	}
 	l.seen = max(l.seen, resp.Change)
 	if trusted {
-		for _, name := range t.book.UnseenExpired(l.member, now) {
-			t.n.log.Info("machine expired unseen", "machine", name, "owner", l.member)
-		}
+		t.book.UnseenLapsed(l.member, now)
 	}
 }
 
--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -7,6 +7,7 @@
 import (
 	"log/slog"
 	"slices"
+	"sort"
 	"time"
 
 	"github.com/marlwood/marlwood/internal/model"
@@ -37,11 +38,12 @@
 	Unseen  MachinePhase = iota // has a host record; not heard of under our token
 	Joining                     // heard of, its report may still be incomplete
 	Current                     // all of its tasks are known
+	Lapsed                      // its owner says that its lease has run out; not yet believed
 	Expired                     // its lease has run out: it has no tasks
 )
 
 func (p MachinePhase) String() string {
-	return [...]string{"unseen", "joining", "current", "expired"}[p]
+	return [...]string{"unseen", "joining", "current", "lapsed", "expired"}[p]
 }
 
 type taskKey struct {
@@ -244,7 +246,7 @@
 func (b *Book) Missing(listed map[string]bool, heardBy time.Time) []string {
 	var out []string
 	for name, m := range b.machines {
-		silent := m.Quiet || m.Phase == Expired || (m.Phase == Unseen && m.Since.Before(heardBy))
+		silent := m.Quiet || m.Phase == Lapsed || m.Phase == Expired || (m.Phase == Unseen && m.Since.Before(heardBy))
 		if listed[name] {
 			m.Listed = true
 		} else if m.Listed && silent {
@@ -380,9 +382,11 @@
 		m.Addr = pm.Addr
 		b.setPhase(m, Joining, now)
 	case "expired":
+		if m.Phase == Expired {
+			break // said again: it has no tasks
+		}
 		if trusted || m.current == b.token {
-			b.releaseAll(m, now)
-			b.setPhase(m, Expired, now)
+			b.setPhase(m, Lapsed, now)
 		} else {
 			// Guard: the owner says this only once. The machine counts as
 			// unseen again until an expiry can be trusted; were it left
@@ -421,16 +425,33 @@
 	}
 }
 
-// UnseenExpired takes in that machines of a member's kinds which it has not
-// mentioned have surely run out of their leases.
-func (b *Book) UnseenExpired(member string, now time.Time) (names []string) {
+// UnseenLapsed takes in that machines of a member's kinds which it has not
+// mentioned have surely run out of the leases that it or anybody before it
+// extended.
+func (b *Book) UnseenLapsed(member string, now time.Time) {
 	for _, m := range b.machines {
 		if m.Phase == Unseen && b.owners[m.Kind] == member {
+			b.setPhase(m, Lapsed, now)
+		}
+	}
+}
+
+// Expire believes the lapses that were told before checked, the moment when
+// the last look that showed the key as ours was sent, and names the machines.
+//
+// Guard: a leader that was deposed without knowing it may still act, and to
+// its owners a machine that the next leader has won over looks like one whose
+// lease ran out, while its tasks go on. Only a look at the key that is younger
+// than the lapse shows that nobody else can have extended the lease.
+func (b *Book) Expire(checked, now time.Time) (names []string) {
+	for _, m := range b.machines {
+		if m.Phase == Lapsed && m.Since.Before(checked) {
 			b.releaseAll(m, now)
 			b.setPhase(m, Expired, now)
 			names = append(names, m.Name)
 		}
 	}
+	sort.Strings(names)
 	return names
 }
 
@@ -441,7 +462,7 @@
 		return true
 	}
 	for _, m := range b.machines {
-		if m.Hosted && (m.Phase == Unseen || m.Phase == Joining) {
+		if m.Hosted && (m.Phase == Unseen || m.Phase == Joining || m.Phase == Lapsed) {
 			return false
 		}
 	}
--- a/internal/placement/book_test.go
+++ b/internal/placement/book_test.go
@@ -228,14 +228,27 @@
 		{"refused", func(b bench, id, a uint64) {
 			b.says(2, "m", "current", id, task("x", 0, a, model.TaskExited, model.CauseNoRoom))
 		}, false},
-		{"lease run out", func(b bench, id, _ uint64) { b.says(2, "m", "expired", id) }, false},
+		{"lease run out", func(b bench, id, _ uint64) { b.says(2, "m", "expired", id); b.Expire(at(2.5), at(3)) }, false},
+		// The next leader may have won the machine over: silence alone proves
+		// nothing, nor does a look at the key from before it.
+		{"lease run out, the key not looked at since", func(b bench, id, _ uint64) { b.says(2, "m", "expired", id); b.Expire(at(1.9), at(3)) }, true},
+		{"lapsed, then heard of again", func(b bench, id, a uint64) {
+			b.says(2, "m", "expired", id)
+			b.says(3, "m", "current", id, task("x", 0, a, model.TaskRunning, ""))
+			b.Expire(at(3.5), at(4))
+		}, true},
 		{"not yet heard of under a fresh token", func(b bench, id, _ uint64) { b.Renewed(6, at(1.5)); b.says(2, "m", "joining", 0) }, true},
 		// An expiry is not believed of a machine that another owner may have
 		// answered under the token before.
-		{"expiry under a fresh token", func(b bench, id, _ uint64) { b.Renewed(6, at(1.5)); b.says(2, "m", "expired", 0) }, true},
+		{"expiry under a fresh token", func(b bench, id, _ uint64) {
+			b.Renewed(6, at(1.5))
+			b.says(2, "m", "expired", 0)
+			b.Expire(at(3), at(3))
+		}, true},
 		{"decided under a fresh token", func(b bench, id, _ uint64) { b.Renewed(6, at(1.5)); b.says(2, "m", "current", 0) }, false},
 		{"another member speaks", func(b bench, id, _ uint64) {
 			b.Machine(at(2), "n9", &peerspb.Machine{Name: "m", Kind: &peerspb.Kind{Type: "small", Zone: "a"}, Phase: "expired"}, 9, true)
+			b.Expire(at(3), at(3))
 		}, true},
 		{"machine gone", func(b bench, id, _ uint64) { b.Gone("m", at(2)) }, false},
 	} {
@@ -263,15 +276,17 @@
 	}{
 		{"a silent machine blocks", func(bench) {}, 0},
 		{"one that is joining too", func(b bench) { b.says(1, "old", "joining", 0) }, 0},
-		{"its expiry counts only when trusted", func(b bench) { b.says(1, "old", "expired", 0) }, 0},
+		{"its expiry counts only when trusted", func(b bench) { b.says(1, "old", "expired", 0); b.Expire(at(1.5), at(1.5)) }, 0},
 		{"it answered and has the task", func(b bench) { b.says(1, "old", "current", 0, task("x", 0, 77, model.TaskRunning, "")) }, 0},
 		{"it answered without", func(b bench) { b.says(1, "old", "current", 0) }, 1},
-		{"it expired", func(b bench) { b.UnseenExpired("n0", at(1)) }, 1},
+		{"it expired", func(b bench) { b.UnseenLapsed("n0", at(1)); b.Expire(at(1.5), at(1.5)) }, 1},
+		{"it lapsed, the key not looked at since", func(b bench) { b.UnseenLapsed("n0", at(1)); b.Expire(at(1), at(1.5)) }, 0},
 		// The owner's word came too early to be trusted and is not repeated.
 		{"it joined, then fell silent", func(b bench) {
 			b.says(1, "old", "joining", 0)
 			b.says(1, "old", "expired", 0)
-			b.UnseenExpired("n0", at(1.5))
+			b.UnseenLapsed("n0", at(1.5))
+			b.Expire(at(1.8), at(1.8))
 		}, 1},
 		{"it is gone", func(b bench) { b.Gone("old", at(1)) }, 1},
 		{"it holds the result", func(b bench) { b.says(1, "old", "current", 0, task("x", 0, 77, model.TaskExited, model.CauseDone)) }, 0},
