--- /dev/null
+++ b/internal/placement/room.go
@@ -0,0 +1,185 @@
+package placement
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+// Consolidate is the exception to the paper's rule that lets machines go:
+// preferring empty shares leaves every machine partly used and none idle. A
+// machine whose tasks would fit into the others' free room gets no more tasks
+// and is returned when its last one ends. When work finds no room, retiring
+// machines are used again before new ones are rented.
+func (b *Book) Consolidate(now time.Time) {
+	if !b.complete {
+		return
+	}
+	retiring := b.retiring()
+	waiting := false
+	for _, n := range b.Needs(now) {
+		j := b.jobs[n.Job]
+		if j == nil { // standing room
+			j = b.classes[n.Job].last
+		}
+		left := n.Tasks
+		waiting = waiting || left > 0
+		for _, m := range retiring {
+			if left <= 0 {
+				break
+			}
+			if !m.Retiring || (m.Spot && !j.Spec.Spot) || !j.Spec.Allows(b.types[m.Kind.Type], m.Kind.Zone) {
+				continue
+			}
+			if slots := j.Spec.Size.Slots(b.free(m, j, now)); slots > 0 {
+				b.retire(m, false)
+				left -= slots
+			}
+		}
+	}
+	if waiting {
+		return // while work waits, nothing is let go
+	}
+	var capacity, used float64
+	var candidates []*Machine
+	for _, m := range b.machines {
+		if !m.usable() {
+			continue
+		}
+		size := b.types[m.Kind.Type].Size
+		capacity += size.CPUs
+		used += m.used().Share(size) * size.CPUs
+		candidates = append(candidates, m)
+	}
+	// The dearest per CPU goes first, of equals the one least in use.
+	sort.Slice(candidates, func(i, k int) bool {
+		x, y := candidates[i], candidates[k]
+		if a, c := b.price(x), b.price(y); a != c {
+			return a > c
+		}
+		if a, c := x.used().Share(b.types[x.Kind.Type].Size), y.used().Share(b.types[y.Kind.Type].Size); a != c {
+			return a < c
+		}
+		return x.Name < y.Name
+	})
+	for _, m := range candidates {
+		size := b.types[m.Kind.Type].Size.CPUs
+		if m.KeepsRoom() {
+			continue
+		}
+		if used <= (capacity-size)*(1-b.opt.Spare) {
+			b.retire(m, true)
+			return // one at a time
+		}
+	}
+}
+
+// price is what a machine costs an hour per CPU.
+func (b *Book) price(m *Machine) float64 {
+	t := b.types[m.Kind.Type]
+	if m.Spot {
+		return t.SpotPrice / t.Size.CPUs
+	}
+	return t.Price / t.Size.CPUs
+}
+
+// retiring lists the retiring machines that could be used again, the
+// cheapest first.
+func (b *Book) retiring() []*Machine {
+	var out []*Machine
+	for _, m := range b.machines {
+		if m.Retiring && !m.Cordoned && m.Phase == Current && m.Notice < 0 {
+			out = append(out, m)
+		}
+	}
+	sort.Slice(out, func(i, k int) bool {
+		a, c := b.price(out[i]), b.price(out[k])
+		return a < c || (a == c && out[i].Name < out[k].Name)
+	})
+	return out
+}
+
+// class is what was seen of a class whose tasks are to start sooner than a
+// machine boots.
+type class struct {
+	last     *Job
+	arrivals []time.Time
+	short    int // slots that standing room lacks
+}
+
+// rateWindow is how far back arrivals count.
+const rateWindow = 2 * time.Minute
+
+// arrived takes in a new job.
+func (b *Book) arrived(j *Job) {
+	if b.opt.Aims[j.Spec.Class].Wait == 0 {
+		return
+	}
+	c := b.classes[j.Spec.Class]
+	if c == nil {
+		c = &class{}
+		b.classes[j.Spec.Class] = c
+	}
+	c.last = j
+	c.arrivals = append(c.arrivals, j.Accepted)
+}
+
+// StandingRoom is an exception to the paper's rule for classes that must start
+// sooner than a machine boots: as much room as arrivals during a boot need is
+// kept on the fullest machines that have it. Others may not take it.
+func (b *Book) StandingRoom(now time.Time) {
+	for name, c := range b.classes {
+		c.short = 0
+		for _, m := range b.machines {
+			delete(m.reserved, name)
+		}
+		kept := c.arrivals[:0]
+		for _, at := range c.arrivals {
+			if now.Sub(at) < rateWindow {
+				kept = append(kept, at)
+			}
+		}
+		c.arrivals = kept
+		if len(kept) == 0 || !b.complete || b.opt.Aims[name].Wait >= b.opt.TightWait {
+			continue
+		}
+		var boot time.Duration
+		for _, k := range b.kindsFor(c.last.Spec) {
+			boot = max(boot, b.types[k.Type].Boot)
+		}
+		slots := int(math.Ceil(b.opt.Standing * float64(len(kept)*c.last.Spec.Tasks) * boot.Seconds() / rateWindow.Seconds()))
+		var room []*Machine
+		for _, m := range b.machines {
+			if b.fits(&Job{Spec: c.last.Spec}, m, now) {
+				room = append(room, m)
+			}
+		}
+		sort.Slice(room, func(i, k int) bool {
+			x, y := room[i], room[k]
+			a, e := x.used().Share(b.types[x.Kind.Type].Size), y.used().Share(b.types[y.Kind.Type].Size)
+			return a > e || (a == e && x.Name < y.Name)
+		})
+		for _, m := range room {
+			n := min(slots, c.last.Spec.Size.Slots(b.free(m, c.last, now)))
+			if n <= 0 {
+				break
+			}
+			if m.reserved == nil {
+				m.reserved = map[string]reservation{}
+			}
+			m.reserved[name] = reservation{size: c.last.Spec.Size.Times(n), class: name, rank: c.last.Spec.Priority.Rank(), until: now.Add(3 * time.Second)}
+			slots -= n
+		}
+		c.short = slots
+	}
+}
+
+// KeepsRoom tells that a machine has standing room.
+func (m *Machine) KeepsRoom() bool {
+	for _, r := range m.reserved {
+		if r.class != "" {
+			return true
+		}
+	}
+	return false
+}
