Let go of all machines that the rest can do without, not one a second

Tasks on retiring machines and work that waits now count as load, so the pool does not shrink below what is used; only kinds that work waits for are kept, not all. A machine's load is kept as a sum instead of being added up at each look.

--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -135,6 +135,7 @@
 	session, seq uint64
 	current      uint64 // token under which it was last current
 	tasks        map[taskKey]*Task
+	load         model.Size // what the bound tasks take
 	reported     []*peerspb.Task
 	strays       int // running tasks of jobs the book does not know
 	reserved     map[string]reservation
@@ -337,8 +338,7 @@
 // unless it is finished.
 func (b *Book) release(t *Task, now time.Time) {
 	m, j := t.machine, t.job
-	delete(m.tasks, taskKey{j.Spec.ID, t.index})
-	delete(j.bound, t.index)
+	t.unbind()
 	b.room++
 	if len(m.tasks) == 0 {
 		m.Idle = now
@@ -534,6 +534,18 @@
 func (b *Book) bind(t *Task) {
 	t.job.bound[t.index] = t
 	t.machine.tasks[taskKey{t.job.Spec.ID, t.index}] = t
+	t.machine.load = t.machine.load.Add(t.job.Spec.Size)
+}
+
+// unbind undoes bind.
+func (t *Task) unbind() {
+	m := t.machine
+	delete(t.job.bound, t.index)
+	delete(m.tasks, taskKey{t.job.Spec.ID, t.index})
+	m.load = m.load.Sub(t.job.Spec.Size)
+	if len(m.tasks) == 0 {
+		m.load = model.Size{} // rounding must not add up
+	}
 }
 
 // shown takes in a bound task's state from a report.
@@ -639,15 +651,6 @@
 	}
 }
 
-// used is what a machine's bound tasks take.
-func (m *Machine) used() model.Size {
-	var used model.Size
-	for _, t := range m.tasks {
-		used = used.Add(t.job.Spec.Size)
-	}
-	return used
-}
-
 // Busy tells whether anything is bound to the machine or still to be settled
 // on it.
 func (m *Machine) Busy() bool { return len(m.tasks) > 0 || m.strays > 0 || len(m.reported) > 0 }
@@ -701,7 +704,7 @@
 			s.Retiring++
 		}
 		s.CPUs += b.types[m.Kind.Type].Size.CPUs
-		s.Used += m.used().CPUs
+		s.Used += m.load.CPUs
 		if len(m.tasks) > 0 {
 			s.Busy++
 		}
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -1,29 +1,75 @@
 package placement
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"sort"
 	"time"
+
+	"github.com/marlwood/marlwood/internal/model"
 )
 
+// source is what a need may be met from.
+type source struct {
+	kind model.Kind
+	spot bool
+}
+
 // Consolidate is the exception to the paper's rule that lets machines go:
-// preferring empty shares leaves every machine partly used and none idle. A
-// machine whose tasks would fit into the others' free room gets no more tasks
-// and is returned when its last one ends. When work finds no room, retiring
+// preferring empty shares leaves every machine partly used and none idle. As
+// many machines as the others could do without get no more tasks and are
+// returned when their last one ends. When work finds no room, retiring
 // machines are used again before new ones are rented.
 func (b *Book) Consolidate(now time.Time) {
 	if !b.complete {
 		return
 	}
+	wanted, used := b.reuse(now)
+	var capacity float64
+	var candidates []*Machine
+	for _, m := range b.machines {
+		if m.Phase != Current {
+			continue
+		}
+		// Tasks on retiring machines count: others will follow them.
+		size := b.types[m.Kind.Type].Size
+		used += m.load.Share(size) * size.CPUs
+		if !m.usable() {
+			continue
+		}
+		capacity += size.CPUs
+		if !wanted[source{m.Kind, m.Spot}] && !m.KeepsRoom() {
+			candidates = append(candidates, m)
+		}
+	}
+	// The dearest per CPU goes first, of equals the one least in use.
+	slices.SortFunc(candidates, func(x, y *Machine) int {
+		return cmp.Or(cmp.Compare(b.price(y), b.price(x)),
+			cmp.Compare(x.load.Share(b.types[x.Kind.Type].Size), y.load.Share(b.types[y.Kind.Type].Size)),
+			cmp.Compare(x.Name, y.Name))
+	})
+	for _, m := range candidates {
+		if size := b.types[m.Kind.Type].Size.CPUs; used <= (capacity-size)*(1-b.opt.Spare) {
+			b.retire(m, true)
+			capacity -= size
+		}
+	}
+}
+
+// reuse takes retiring machines back for work that finds no room, the cheapest
+// first. It returns the sources that work waits for, of which no machine is
+// let go, and how many CPUs it will take.
+func (b *Book) reuse(now time.Time) (wanted map[source]bool, cpus float64) {
 	retiring := b.retiring()
-	waiting := false
+	wanted = map[source]bool{}
 	for _, n := range b.Needs(now) {
+		cpus += n.Size.CPUs * float64(n.Tasks)
 		j := b.jobs[n.Job]
 		if j == nil { // standing room
 			j = b.classes[n.Job].last
 		}
 		left := n.Tasks
-		waiting = waiting || left > 0
 		for _, m := range retiring {
 			if left <= 0 {
 				break
@@ -36,42 +82,14 @@
 				left -= slots
 			}
 		}
-	}
-	if waiting {
-		return // while work waits, nothing is let go
-	}
-	var capacity, used float64
-	var candidates []*Machine
-	for _, m := range b.machines {
-		if !m.usable() {
-			continue
-		}
-		size := b.types[m.Kind.Type].Size
-		capacity += size.CPUs
-		used += m.used().Share(size) * size.CPUs
-		candidates = append(candidates, m)
-	}
-	// The dearest per CPU goes first, of equals the one least in use.
-	sort.Slice(candidates, func(i, k int) bool {
-		x, y := candidates[i], candidates[k]
-		if a, c := b.price(x), b.price(y); a != c {
-			return a > c
-		}
-		if a, c := x.used().Share(b.types[x.Kind.Type].Size), y.used().Share(b.types[y.Kind.Type].Size); a != c {
-			return a < c
-		}
-		return x.Name < y.Name
-	})
-	for _, m := range candidates {
-		size := b.types[m.Kind.Type].Size.CPUs
-		if m.KeepsRoom() {
-			continue
-		}
-		if used <= (capacity-size)*(1-b.opt.Spare) {
-			b.retire(m, true)
-			return // one at a time
+		for _, k := range n.Kinds {
+			wanted[source{k, false}] = true
+			if n.Spot {
+				wanted[source{k, true}] = true
+			}
 		}
 	}
+	return wanted, cpus
 }
 
 // price is what a machine costs an hour per CPU.
@@ -156,7 +174,7 @@
 		}
 		sort.Slice(room, func(i, k int) bool {
 			x, y := room[i], room[k]
-			a, e := x.used().Share(b.types[x.Kind.Type].Size), y.used().Share(b.types[y.Kind.Type].Size)
+			a, e := x.load.Share(b.types[x.Kind.Type].Size), y.load.Share(b.types[y.Kind.Type].Size)
 			return a > e || (a == e && x.Name < y.Name)
 		})
 		for _, m := range room {
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -192,7 +192,7 @@
 
 // free is the room that a job may use on a machine.
 func (b *Book) free(m *Machine, j *Job, now time.Time) model.Size {
-	room := b.types[m.Kind.Type].Size.Sub(m.used())
+	room := b.types[m.Kind.Type].Size.Sub(m.load)
 	for id, r := range m.reserved {
 		switch {
 		case now.After(r.until) || (r.class == "" && (b.jobs[id] == nil || b.jobs[id].Unplaced() == 0)):
@@ -243,7 +243,7 @@
 			continue
 		}
 		capacity := b.types[m.Kind.Type].Size
-		share, slots := m.used().Share(capacity), j.Spec.Size.Slots(capacity)
+		share, slots := m.load.Share(capacity), j.Spec.Size.Slots(capacity)
 		if best == nil || share < bestShare || (share == bestShare && slots > bestSlots) {
 			best, bestShare, bestSlots = m, share, slots
 		}
@@ -364,8 +364,7 @@
 		whole := len(tentative) == len(p.tasks)
 		for _, t := range tentative {
 			if !whole {
-				delete(j.bound, t.index)
-				delete(t.machine.tasks, taskKey{j.Spec.ID, t.index})
+				t.unbind()
 				continue
 			}
 			b.order(t)
