--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -74,7 +74,7 @@
 	n := &Node{cfg: cfg, op: op, log: log, boot: hex.EncodeToString(id[:]), terms: terms, start: time.Now(),
 		events: make(chan func(), 1024), users: make(chan struct{}, 64), dials: map[string]*httpwire.Client{}}
 	n.store = store.New(cfg.StateAddr, op.Service.Call)
-	n.cloud = fleet.NewCloud(cfg.CloudAddr, cfg.CloudRPS*0.7, op.Service.CloudCall)
+	n.cloud = fleet.NewCloud(cfg.CloudAddr, cfg.CloudRPS*0.85, op.Service.CloudCall)
 	n.desk = workers.NewDesk(workers.Options{Member: cfg.Member, Report: cfg.ReportEvery, Lease: cfg.Lease, Margin: time.Second / 2},
 		n.boot, n.start, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	n.lead = leadership.New(leadership.Options{Member: cfg.Member, Boot: n.boot, Poll: terms.Poll,
--- a/internal/fleet/cloud.go
+++ b/internal/fleet/cloud.go
@@ -24,7 +24,7 @@
 // NewCloud makes a client that sends at most rps requests a second.
 func NewCloud(addr string, rps float64, timeout time.Duration) *Cloud {
 	return &Cloud{http: httpwire.NewClient(addr, 2, httpwire.Limits{Head: 8 << 10, Body: 1 << 20}),
-		calls: rate.NewLimiter(rate.Limit(rps), 2), timeout: timeout}
+		calls: rate.NewLimiter(rate.Limit(rps), max(2, int(rps))), timeout: timeout}
 }
 
 var errCloud = errors.New("cloud")
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -13,8 +13,8 @@
 	"github.com/marlwood/marlwood/internal/placement"
 )
 
-// MaxRent bounds one rental request.
-const MaxRent = 12
+// MaxRent is the most machines that one rental request may ask for.
+const MaxRent = 50
 
 // CharterPrefix begins the keys of rental intents.
 const CharterPrefix = "charter/"
@@ -78,14 +78,14 @@
 	n        int
 	charters map[string]*Charter
 	booting  map[string]*rented
-	refused  map[Source]time.Time
+	market   market
 	leaving  map[string]bool // a release is under way
 }
 
 // New makes a fleet that names its charters after the token.
 func New(opt Options, token uint64) *Fleet {
 	return &Fleet{opt: opt, token: token, charters: map[string]*Charter{}, booting: map[string]*rented{},
-		refused: map[Source]time.Time{}, leaving: map[string]bool{}}
+		market: newMarket(opt.RefusedWait), leaving: map[string]bool{}}
 }
 
 // Adopt takes over an unresolved charter of an earlier leader.
@@ -145,11 +145,9 @@
 		for _, m := range names {
 			f.booting[m] = &rented{source: src, since: now}
 		}
-		if len(names) < c.Count {
-			f.refused[src] = now
-		}
+		f.market.granted(src, len(names), c.Count, now)
 	case Refused:
-		f.refused[src] = now
+		f.market.granted(src, 0, c.Count, now)
 	case Unknown:
 		c.to(Stored, now)
 		return false
@@ -223,6 +221,7 @@
 		out = append(out, Action{Release: release})
 	}
 	if settled {
+		f.market.count(machines, f.booting, now)
 		out = append(out, f.rent(now, needs, types)...)
 	}
 	return out
@@ -270,11 +269,15 @@
 		return b
 	}
 	for name, r := range f.booting {
-		if !f.leaving[name] && now.Sub(r.since) < 2*types[r.source.Kind.Type].Boot+5*time.Second {
+		// Guard: machines that were rented in a zone which then fell silent
+		// stand in nobody's way.
+		if !f.leaving[name] && !f.market.silent(r.source.Kind.Zone) && now.Sub(r.since) < 2*types[r.source.Kind.Type].Boot+5*time.Second {
 			add(r.source)
 		}
 	}
+	flying := map[Source]int{}
 	for _, c := range f.charters {
+		flying[Source{c.Kind, c.Spot}] += c.Count
 		for range c.Count {
 			add(Source{c.Kind, c.Spot})
 		}
@@ -299,11 +302,15 @@
 			b.room = b.room.Sub(need.Size.Times(n))
 			tasks -= n
 		}
+		zone := ""
 		for tasks > 0 {
-			src, ok := f.cheapest(now, need, types, order)
+			src, ok := f.cheapest(need, types, zone, func(s Source) bool { return order[s] < f.market.left(s, flying[s], now) })
 			if !ok {
 				break
 			}
+			if need.OneZone {
+				zone = src.Kind.Zone
+			}
 			if order[src] == 0 {
 				sources = append(sources, src)
 			}
@@ -318,35 +325,33 @@
 	for _, src := range sources {
 		f.n++
 		c := &Charter{Name: fmt.Sprintf("c-%d-%d", f.token, f.n), Kind: src.Kind, Spot: src.Spot, Count: order[src], since: now}
+		f.market.asked(src, now)
 		f.charters[c.Name] = c
 		out = append(out, Action{Store: c})
 	}
 	return out
 }
 
-// cheapest picks the source with the lowest price per task that it holds.
-// Small remainders count: a machine is only worth what the need can use.
-func (f *Fleet) cheapest(now time.Time, need placement.Need, types map[string]model.MachineType, order map[Source]int) (Source, bool) {
+// cheapest picks the source with the lowest price per task that it holds, in
+// one zone only if it is named. Small remainders count: a machine is only worth
+// what the need can use.
+func (f *Fleet) cheapest(need placement.Need, types map[string]model.MachineType, zone string, has func(Source) bool) (Source, bool) {
 	var best Source
 	bestCost, found := math.Inf(1), false
 	for _, k := range need.Kinds {
 		t := types[k.Type]
+		slots := need.Size.Slots(t.Size)
+		if slots == 0 || (zone != "" && k.Zone != zone) {
+			continue
+		}
 		for _, spot := range []bool{false, true} {
-			src := Source{k, spot}
-			if spot && (!need.Spot || t.SpotPrice <= 0) {
-				continue
-			}
-			if at, ok := f.refused[src]; (ok && now.Sub(at) < f.opt.RefusedWait) || order[src] >= MaxRent {
-				continue
-			}
-			slots := need.Size.Slots(t.Size)
-			if slots == 0 {
-				continue
-			}
-			price := t.Price
+			src, price := Source{k, spot}, t.Price
 			if spot {
 				price = t.SpotPrice
 			}
+			if spot && (!need.Spot || price <= 0) || !has(src) {
+				continue
+			}
 			if cost := price / float64(min(slots, need.Tasks)); cost < bestCost {
 				best, bestCost, found = src, cost, true
 			}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -54,9 +54,20 @@
 		{"spot where allowed", nil, need(2, true, 0), map[Source]int{{small, true}: 1}},
 		{"short tasks take turns", nil, need(16, false, 15*time.Second), map[Source]int{{large, false}: 1}},
 		{"long ones do not", nil, need(16, false, time.Minute), map[Source]int{{large, false}: 2}},
-		{"a refused kind is left alone", func(f *Fleet) { f.refused[Source{large, false}] = at(0) }, need(4, false, 0),
+		{"a refused kind is left alone", func(f *Fleet) { f.market.refused[Source{large, false}] = refusal{at: at(0)} }, need(4, false, 0),
 			map[Source]int{{small, false}: 2}},
-		{"for a while", func(f *Fleet) { f.refused[Source{large, false}] = at(-20) }, need(8, false, 0), map[Source]int{{large, false}: 1}},
+		{"after a while one is tried", func(f *Fleet) { f.market.refused[Source{large, false}] = refusal{at: at(-20)} }, need(24, false, 0),
+			map[Source]int{{large, false}: 1, {small, false}: 8}},
+		{"what we gave back can be had", func(f *Fleet) { f.market.refused[Source{large, false}] = refusal{at: at(0), held: 2} }, need(24, false, 0),
+			map[Source]int{{large, false}: 2, {small, false}: 4}},
+		{"a silent zone is left alone", func(f *Fleet) { f.market.dark["a"] = at(0) }, need(8, false, 0), map[Source]int{}},
+		{"until one is tried", func(f *Fleet) { f.market.dark["a"] = at(-20) }, need(64, false, 0), map[Source]int{{large, false}: 1, {small, false}: 1}},
+		{"what boots in a silent zone does not count", func(f *Fleet) {
+			f.booting["m"] = &rented{source: Source{model.Kind{Type: "large", Zone: "b"}, false}, since: at(0)}
+			f.market.dark["b"] = at(0)
+		}, placement.Need{Job: "x", Size: model.Size{CPUs: 2}, Tasks: 8, Kinds: []model.Kind{{Type: "large", Zone: "b"}, large}}, map[Source]int{{large, false}: 1}},
+		{"one zone for a job that must stay in one", nil, placement.Need{Job: "x", Size: model.Size{CPUs: 16}, Tasks: 60, Whole: true, OneZone: true,
+			Kinds: []model.Kind{large, {Type: "large", Zone: "b"}}}, map[Source]int{{large, false}: 50}},
 		{"what is booting counts", func(f *Fleet) { f.booting["m"] = &rented{source: Source{large, false}, since: at(0)} }, need(8, false, 0),
 			map[Source]int{}},
 		{"a spot machine on its way is no use to others", func(f *Fleet) { f.booting["m"] = &rented{source: Source{large, true}, since: at(0)} },
@@ -72,6 +83,32 @@
 	}
 }
 
+// A zone whose machines fell silent is dark until one of them is heard of.
+func TestSilentZone(t *testing.T) {
+	k := newMarket(20 * time.Second)
+	machines := map[string]*placement.Machine{}
+	for _, n := range []string{"m1", "m2", "m3"} {
+		machines[n] = &placement.Machine{Name: n, Kind: small, Phase: placement.Current}
+	}
+	for _, c := range []struct {
+		name   string
+		change func()
+		dark   bool
+	}{
+		{"all are heard", func() {}, false},
+		{"one is quiet", func() { machines["m1"].Quiet = true }, false},
+		{"most are silent", func() { machines["m2"].Phase = placement.Expired }, true},
+		{"they were returned", func() { clear(machines) }, true},
+		{"a new one is heard", func() { machines["m4"] = &placement.Machine{Name: "m4", Kind: small, Phase: placement.Current} }, false},
+	} {
+		c.change()
+		k.count(machines, nil, at(1))
+		if k.silent("a") != c.dark {
+			t.Errorf("%s: dark is %v", c.name, k.silent("a"))
+		}
+	}
+}
+
 // A charter is stored, then sent, and sent again under its name until it is
 // resolved; an earlier leader's are resolved too.
 func TestCharters(t *testing.T) {
