Draw machines that have the image too, and prefer them

What a machine has is seen from its tasks that got past fetching; its cache is followed as the protocol describes it.

--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sort"
 	"strconv"
@@ -88,6 +89,7 @@
 	t.book = placement.NewBook(placement.Options{
 		Log: n.log, Aims: n.cfg.Aims, TightWait: n.op.Placement.TightWait, Standing: n.op.Placement.Standing, Horizon: n.op.Fleet.Horizon, Draws: n.op.Placement.Draws, ScanAfter: n.op.Placement.ScanAfter, TasksPerRound: n.op.Placement.TasksPerRound,
 		ShortFirst: n.op.Placement.ShortFirst, Spare: n.op.Placement.Spare, PreemptWait: n.op.Placement.PreemptWait, PartTasks: model.PartTasks(max(256, n.cfg.ValueBytes-2048)),
+		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}, token, n.cfg.Teams, n.knownTypes())
 	t.fleet = fleet.New(fleet.Options{Idle: n.op.Fleet.Idle, Keep: n.op.Fleet.Keep, RefusedWait: n.op.Fleet.RefusedWait,
 		BootFactor: n.op.Fleet.BootFactor, SilentWait: n.op.Fleet.SilentWait}, token)
--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -6,6 +6,7 @@
 
 import (
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"sort"
 	"time"
@@ -27,6 +28,7 @@
 	Standing      float64              // how much of it, as a multiple of the arrivals during a boot
 	Spare         float64              // share of the machines in use that is kept free
 	PartTasks     int                  // tasks whose marks one stored value holds
+	Rand          *rand.Rand
 	Log           *slog.Logger
 }
 
@@ -136,6 +138,7 @@
 	current      uint64 // token under which it was last current
 	tasks        map[taskKey]*Task
 	load         model.Size // what the bound tasks take
+	images       []held     // in its cache, the last used one last
 	reported     []*peerspb.Task
 	strays       int // running tasks of jobs the book does not know
 	reserved     map[string]reservation
@@ -166,6 +169,7 @@
 	gone     map[string]time.Time
 	plan     []*planned
 	classes  map[string]*class
+	holders  map[string]map[*Machine]bool // by image: the machines that have it
 }
 
 // NewBook makes an empty book under a token.
@@ -173,9 +177,12 @@
 	if opt.Log == nil {
 		opt.Log = slog.New(slog.DiscardHandler)
 	}
+	if opt.Rand == nil {
+		opt.Rand = rand.New(rand.NewPCG(token, 0))
+	}
 	return &Book{opt: opt, token: token, teams: teams, types: types, jobs: map[string]*Job{},
 		machines: map[string]*Machine{}, owners: map[model.Kind]string{}, out: map[string][]*peerspb.Order{},
-		gone: map[string]time.Time{}, classes: map[string]*class{}}
+		gone: map[string]time.Time{}, classes: map[string]*class{}, holders: map[string]map[*Machine]bool{}}
 }
 
 // SetTypes replaces what is known of machine types.
@@ -320,6 +327,7 @@
 	}
 	b.releaseAll(m, now)
 	b.give(m, &peerspb.Order{Op: peerspb.Op_OP_DROP})
+	b.dropImages(m)
 	delete(b.machines, name)
 	b.gone[name] = now
 }
@@ -552,6 +560,9 @@
 func (b *Book) shown(now time.Time, t *Task, state model.TaskState) {
 	j := t.job
 	t.to(state, now)
+	if state != model.TaskFetching {
+		b.hasImage(t.machine, j.Spec)
+	}
 	if state == model.TaskRunning {
 		if !j.Started {
 			j.Started, j.dirty = true, true
--- a/internal/placement/book_test.go
+++ b/internal/placement/book_test.go
@@ -114,7 +114,7 @@
 		{"full kinds do not count", 2, 15, "big"},
 	} {
 		b := newBench(t)
-		b.job("load", func(j *model.Job) { j.Tasks = 20 })
+		b.job("load", func(j *model.Job) { j.Tasks, j.Image = 20, "other" })
 		var s, g []*peerspb.Task
 		for i := range c.small {
 			s = append(s, task("load", i, 1, model.TaskRunning, ""))
@@ -133,6 +133,39 @@
 	}
 }
 
+// Of the drawn machines those that have the image come first, and those that
+// have it are drawn as from a kind of their own, while they have it.
+func TestImages(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		prepare func(b bench)
+		want    string
+	}{
+		{"the one that has it, though it is fuller", func(bench) {}, "b"},
+		{"not while it fetches", func(b bench) { b.dropImages(b.machines["b"]) }, "a"},
+		{"not when it is full", func(b bench) { b.machines["b"].load = model.Size{CPUs: 3} }, "a"},
+		{"not after others filled the cache", func(b bench) {
+			for i := range 3 {
+				b.hasImage(b.machines["b"], &model.Job{Image: fmt.Sprint(i), ImageGB: 2})
+			}
+		}, "a"},
+		{"not when it is gone", func(b bench) { b.Gone("b", at(1)) }, "a"},
+	} {
+		b := newBench(t)
+		small := b.types["small"]
+		small.CacheGB = 5
+		b.types["small"] = small
+		b.job("load", func(j *model.Job) { j.ImageGB, j.Size = 2, model.Size{CPUs: 1} })
+		b.machine("a", "small", "a")
+		b.machine("b", "small", "b", task("load", 0, 1, model.TaskRunning, ""))
+		b.job("x", func(j *model.Job) { j.ImageGB = 2 })
+		c.prepare(b)
+		if b.round(2); b.where("x", 0) != c.want {
+			t.Errorf("%s: on %q, want %q", c.name, b.where("x", 0), c.want)
+		}
+	}
+}
+
 func TestPlacementRules(t *testing.T) {
 	for _, c := range []struct {
 		name    string
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 	"time"
 
@@ -14,6 +16,9 @@
 	tasks []int
 	scan  bool
 	want  uint32
+
+	now     time.Time  // of placing
+	holders []*Machine // machines with the image, and room when placing began
 }
 
 // kindsFor returns the kinds that a job's tasks may run on.
@@ -233,19 +238,23 @@
 }
 
 // choose is the paper's rule among the drawn machines: the lowest share in
-// use wins; ties go to the kind with the larger capacity for this task.
+// use wins; ties go to the kind with the larger capacity for this task. Those
+// that have the job's image come before those that must fetch it.
 func (b *Book) choose(j *Job, drawn []*Machine, now time.Time) *Machine {
 	var best *Machine
 	var bestShare float64
 	var bestSlots int
+	var bestHas bool
+	having := b.holders[j.Spec.Image]
 	for _, m := range drawn {
 		if !b.fits(j, m, now) {
 			continue
 		}
 		capacity := b.types[m.Kind.Type].Size
-		share, slots := m.load.Share(capacity), j.Spec.Size.Slots(capacity)
-		if best == nil || share < bestShare || (share == bestShare && slots > bestSlots) {
-			best, bestShare, bestSlots = m, share, slots
+		has, share, slots := having[m], m.load.Share(capacity), j.Spec.Size.Slots(capacity)
+		better := share < bestShare || (share == bestShare && slots > bestSlots)
+		if best == nil || (has && !bestHas) || (has == bestHas && better) {
+			best, bestHas, bestShare, bestSlots = m, has, share, slots
 		}
 	}
 	return best
@@ -265,6 +274,8 @@
 			continue
 		}
 		n := 0
+		p.now = now
+		p.holders = b.holdersOf(p)
 		if j.Spec.Shape == model.Gang {
 			n = b.placeGang(now, p, byWant[p.want])
 		} else {
@@ -285,10 +296,14 @@
 	return total
 }
 
-// drawn returns the machines drawn for the k-th task of a plan.
-func (b *Book) drawn(p *planned, samples []*peerspb.Sample, k int) []*Machine {
-	var out []*Machine
+// drawn returns the machines drawn for the k-th task of a plan, those that have
+// its image first; in one zone only if it is named.
+func (b *Book) drawn(p *planned, samples []*peerspb.Sample, k int, zone string) []*Machine {
+	out := b.drawHolders(p, zone)
 	for _, s := range samples {
+		if zone != "" && s.Kind.GetZone() != zone {
+			continue
+		}
 		names := s.Machines
 		if !p.scan {
 			from := min(k*b.opt.Draws, len(names))
@@ -309,7 +324,7 @@
 		if j.bound[index] != nil || j.finished.Has(index) || b.headroom(j) == 0 {
 			continue
 		}
-		m := b.choose(j, b.drawn(p, samples, k), now)
+		m := b.choose(j, b.drawn(p, samples, k, ""), now)
 		if m == nil {
 			continue
 		}
@@ -329,31 +344,13 @@
 	}
 	zones := []string{""}
 	if j.Spec.OneZone {
-		zones = nil
-		have := map[string]bool{}
-		for _, s := range samples {
-			if z := s.Kind.GetZone(); !have[z] {
-				have[z] = true
-				zones = append(zones, z)
-			}
-		}
-		sort.Strings(zones)
+		zones = p.zones(samples)
 	}
 	attempt := b.nextAttempt()
 	for _, zone := range zones {
 		var tentative []*Task
 		for k, index := range p.tasks {
-			drawn := b.drawn(p, samples, k)
-			if zone != "" {
-				kept := drawn[:0]
-				for _, m := range drawn {
-					if m.Kind.Zone == zone {
-						kept = append(kept, m)
-					}
-				}
-				drawn = kept
-			}
-			m := b.choose(j, drawn, now)
+			m := b.choose(j, b.drawn(p, samples, k, zone), now)
 			if m == nil {
 				break
 			}
@@ -377,6 +374,23 @@
 	return 0
 }
 
+// zones lists the sampled zones, those with most machines that have the image
+// first.
+func (p *planned) zones(samples []*peerspb.Sample) []string {
+	having := map[string]int{}
+	for _, m := range p.holders {
+		having[m.Kind.Zone]++
+	}
+	var out []string
+	for _, s := range samples {
+		if z := s.Kind.GetZone(); !slices.Contains(out, z) {
+			out = append(out, z)
+		}
+	}
+	slices.SortFunc(out, func(x, y string) int { return cmp.Or(cmp.Compare(having[y], having[x]), cmp.Compare(x, y)) })
+	return out
+}
+
 // nextAttempt numbers attempts so that no two leaders ever use the same one.
 func (b *Book) nextAttempt() uint64 {
 	b.attempts++
