--- a/internal/placement/book_test.go
+++ b/internal/placement/book_test.go
@@ -509,7 +509,10 @@
 	b := newBench(t)
 	b.opt.ShortFirst = 10
 	b.teams["sure"] = model.Team{Name: "sure", Guarantee: model.Size{CPUs: 8}}
+	b.opt.Aims = map[string]model.Aim{"asked": {Finished: 2 * time.Minute}, "urgent": {Wait: 10 * time.Second}}
 	b.job("plain", nil)
+	b.job("asked", func(j *model.Job) { j.Class, j.Estimate = "asked", time.Minute })
+	b.job("urgent", func(j *model.Job) { j.Class, j.Estimate = "urgent", 5*time.Second })
 	b.job("soon", func(j *model.Job) { j.Deadline = time.Minute })
 	b.job("lost", func(j *model.Job) { j.Deadline, j.Estimate, j.Team, j.Tasks = time.Minute, time.Hour, "tight", 9 })
 	b.job("sure", func(j *model.Job) { j.Team = "sure" })
@@ -520,7 +523,7 @@
 	for _, j := range b.queue(at(1)) {
 		got = append(got, j.Spec.ID)
 	}
-	if want := "[first sure soon plain short long lost]"; fmt.Sprint(got) != want {
+	if want := "[first sure urgent soon asked plain short long lost]"; fmt.Sprint(got) != want {
 		t.Errorf("%v, want %v", got, want)
 	}
 }
@@ -637,7 +640,6 @@
 		b.Consolidate(at(1))
 		if c.waiting != nil {
 			b.job("w", c.waiting)
-			b.jobs["w"].empty = 1
 			b.Consolidate(at(2))
 		}
 		got := 0
@@ -652,6 +654,44 @@
 	}
 }
 
+// What the machines that are up cannot take, now or in turn within what is
+// asked of the class, is needed, whatever the last round placed.
+func TestNeeds(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		job     func(j *model.Job)
+		prepare func(b bench)
+		need    int
+	}{
+		{"there is room", func(j *model.Job) { j.Tasks = 4 }, nil, 0},
+		{"there is not", func(j *model.Job) { j.Tasks = 7 }, nil, 3},
+		{"though some were placed", func(j *model.Job) { j.Tasks = 7 }, func(b bench) { b.round(1) }, 3},
+		{"in turn", func(j *model.Job) { j.Tasks, j.Estimate = 8, 10*time.Second }, func(b bench) { b.round(1) }, 0},
+		{"in turn, as far as they get", func(j *model.Job) { j.Tasks, j.Estimate = 20, 10*time.Second }, func(b bench) { b.round(1) }, 2},
+		{"not in turn for a gang", func(j *model.Job) { j.Tasks, j.Shape, j.Estimate = 6, model.Gang, 10*time.Second }, nil, 2},
+		{"a gang in one zone", func(j *model.Job) { j.Tasks, j.Shape, j.OneZone = 4, model.Gang, true }, nil, 2},
+		{"a fresh token does not make machines vanish", func(j *model.Job) { j.Tasks = 4 }, func(b bench) { b.Renewed(6, at(1)) }, 0},
+		{"expired ones are none", func(j *model.Job) { j.Tasks = 4 }, func(b bench) { b.says(1, "m1", "expired", 0) }, 2},
+	} {
+		b := newBench(t)
+		b.opt.Horizon = 45 * time.Second
+		b.machine("m1", "small", "a")
+		b.machine("m2", "small", "b")
+		b.Settle()
+		b.job("x", c.job)
+		if c.prepare != nil {
+			c.prepare(b)
+		}
+		got := 0
+		for _, n := range b.Needs(at(2)) {
+			got += n.Tasks
+		}
+		if got != c.need {
+			t.Errorf("%s: %d needed, want %d", c.name, got, c.need)
+		}
+	}
+}
+
 // A machine that fails tasks of jobs which run elsewhere is suspect; a job that
 // fails everywhere casts no suspicion on the machines.
 func TestWhoIsToBlame(t *testing.T) {
--- a/internal/placement/needs.go
+++ b/internal/placement/needs.go
@@ -1,7 +1,8 @@
 package placement
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/marlwood/marlwood/internal/model"
@@ -42,13 +43,131 @@
 	return h
 }
 
-// Needs returns the demand of jobs that at least one round found no room for,
-// in the queue's order. Of an array, tasks that the present machines can take
-// in turn within its horizon are left out.
+// pool is the room of the machines that are up, as it is promised to one job
+// after the other.
+type pool struct {
+	b     *Book
+	now   time.Time
+	slack []*slack
+}
+
+// slack is what one machine of the pool can still take.
+type slack struct {
+	m        *Machine
+	leaving  model.Size // of tasks that are being stopped
+	promised model.Size
+	ends     []ending
+	turns    float64 // seconds of the whole machine that are promised
+}
+
+// ending is when a share of a machine comes free, as estimated.
+type ending struct {
+	after time.Duration
+	share float64
+}
+
+func (b *Book) pool(now time.Time) *pool {
+	p := &pool{b: b, now: now}
+	for _, m := range b.machines {
+		// Guard: a machine that has yet to show a fresh token, or whose record
+		// is being stored, is about to be used; it must not be rented again.
+		if m.Phase == Lapsed || m.Phase == Expired || m.Cordoned || m.Retiring || m.Notice >= 0 {
+			continue
+		}
+		s := &slack{m: m}
+		for _, t := range m.tasks {
+			spec := t.job.Spec
+			switch {
+			case t.stopping:
+				s.leaving = s.leaving.Add(spec.Size)
+			case spec.Shape != model.Service:
+				s.ends = append(s.ends, ending{max(spec.Estimate-now.Sub(t.since), spec.Estimate/5), spec.Size.Share(b.types[m.Kind.Type].Size)})
+			}
+		}
+		p.slack = append(p.slack, s)
+	}
+	slices.SortFunc(p.slack, func(x, y *slack) int { return cmp.Compare(x.m.Name, y.m.Name) })
+	return p
+}
+
+// fitting calls do for each machine on which a job's tasks may run, in one
+// zone only if it is named, until it returns false.
+func (p *pool) fitting(j *Job, zone string, do func(s *slack) bool) {
+	for _, s := range p.slack {
+		m := s.m
+		if (m.Spot && !j.Spec.Spot) || (zone != "" && m.Kind.Zone != zone) || !j.Spec.Allows(p.b.types[m.Kind.Type], m.Kind.Zone) {
+			continue
+		}
+		if !do(s) {
+			return
+		}
+	}
+}
+
+// slots counts how many of n tasks there is room for.
+func (p *pool) slots(j *Job, zone string, n int) int {
+	found := 0
+	p.fitting(j, zone, func(s *slack) bool {
+		found += j.Spec.Size.Slots(p.b.free(s.m, j, p.now).Add(s.leaving).Sub(s.promised))
+		return found < n
+	})
+	return min(n, found)
+}
+
+// take promises room to up to n tasks and returns how many are left.
+func (p *pool) take(j *Job, zone string, n int) int {
+	p.fitting(j, zone, func(s *slack) bool {
+		k := min(n, j.Spec.Size.Slots(p.b.free(s.m, j, p.now).Add(s.leaving).Sub(s.promised)))
+		s.promised = s.promised.Add(j.Spec.Size.Times(k))
+		n -= k
+		return n > 0
+	})
+	return n
+}
+
+// takeTurns promises the time of machines whose present tasks end within the
+// horizon to up to n tasks, and returns how many are left.
+func (p *pool) takeTurns(j *Job, horizon time.Duration, n int) int {
+	estimate := j.Spec.Estimate.Seconds()
+	p.fitting(j, "", func(s *slack) bool {
+		free := -s.turns
+		for _, e := range s.ends {
+			if e.after < horizon {
+				free += e.share * (horizon - e.after).Seconds()
+			}
+		}
+		share := j.Spec.Size.Share(p.b.types[s.m.Kind.Type].Size)
+		if share > 0 && estimate > 0 {
+			k := max(0, min(n, int(free/(share*estimate))))
+			s.turns += float64(k) * share * estimate
+			n -= k
+		}
+		return n > 0
+	})
+	return n
+}
+
+// bestZone is the zone with most room for a job that must stay in one.
+func (p *pool) bestZone(j *Job, kinds []model.Kind, n int) string {
+	best, most := "", -1
+	for _, k := range kinds {
+		if got := p.slots(j, k.Zone, n); got > most {
+			best, most = k.Zone, got
+		}
+	}
+	return best
+}
+
+// Needs returns the demand that the present machines have no room for, in the
+// queue's order. Of an array, tasks that they can take in turn within its
+// horizon are left out.
+//
+// Guard: what counts is the room, not whether the last round placed something.
+// A large array that gets a few places in every round still needs machines.
 func (b *Book) Needs(now time.Time) []Need {
 	var out []Need
 	asked := map[string]model.Size{} // by team: demand of the jobs before
-	turns := map[*Machine]float64{}  // seconds of the whole machine already promised
+	pool := b.pool(now)
 	for _, j := range b.queue(now) {
 		n := b.headroom(j)
 		if size := j.Spec.Size; size.CPUs > 0 {
@@ -58,13 +177,20 @@
 		if limit := b.teams[j.Spec.Team].Limit; limit.CPUs > 0 || limit.GPUs > 0 {
 			asked[j.Spec.Team] = asked[j.Spec.Team].Add(j.Spec.Size.Times(n))
 		}
-		if j.empty == 0 || n == 0 || (j.Spec.Shape == model.Gang && n < j.Unplaced()) {
+		if n == 0 || (j.Spec.Shape == model.Gang && n < j.Unplaced()) {
 			continue
 		}
-		need := Need{Job: j.Spec.ID, Size: j.Spec.Size, Tasks: n, Kinds: b.kindsFor(j.Spec), Spot: j.Spec.Spot,
+		need := Need{Job: j.Spec.ID, Size: j.Spec.Size, Kinds: b.kindsFor(j.Spec), Spot: j.Spec.Spot,
 			Whole: j.Spec.Shape != model.Array, OneZone: j.Spec.OneZone, Estimate: j.Spec.Estimate, Horizon: b.horizon(j, now)}
-		if !need.Whole && need.Estimate > 0 {
-			need.Tasks -= b.inTurn(j, need, turns, now)
+		zone := ""
+		if need.OneZone {
+			zone = pool.bestZone(j, need.Kinds, n)
+			// What is rented should join what is there.
+			slices.SortStableFunc(need.Kinds, func(x, y model.Kind) int { return cmp.Compare(rank(x.Zone == zone), rank(y.Zone == zone)) })
+		}
+		need.Tasks = pool.take(j, zone, n)
+		if !need.Whole {
+			need.Tasks = pool.takeTurns(j, need.Horizon, need.Tasks)
 		}
 		if need.Tasks > 0 {
 			out = append(out, need)
@@ -80,43 +206,10 @@
 	return out
 }
 
-// inTurn counts how many of a need's tasks the machines that are up will take
-// as their present tasks end.
-func (b *Book) inTurn(j *Job, need Need, turns map[*Machine]float64, now time.Time) int {
-	taken := 0
-	names := make([]string, 0, len(b.machines))
-	for name := range b.machines {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	for _, name := range names {
-		m := b.machines[name]
-		if taken >= need.Tasks {
-			break
-		}
-		capacity := b.types[m.Kind.Type].Size
-		if !m.usable() || (m.Spot && !j.Spec.Spot) || !j.Spec.Allows(b.types[m.Kind.Type], m.Kind.Zone) {
-			continue
-		}
-		// Seconds of the whole machine that come free within the horizon,
-		// less what jobs before were promised.
-		free := -turns[m]
-		for _, t := range m.tasks {
-			left := max(t.job.Spec.Estimate-now.Sub(t.since), t.job.Spec.Estimate/5)
-			if t.job.Spec.Shape == model.Service {
-				left = need.Horizon
-			}
-			if left < need.Horizon {
-				free += t.job.Spec.Size.Share(capacity) * (need.Horizon - left).Seconds()
-			}
-		}
-		share := j.Spec.Size.Share(capacity)
-		if share <= 0 {
-			continue
-		}
-		n := max(0, min(need.Tasks-taken, int(free/(share*need.Estimate.Seconds()))))
-		turns[m] += float64(n) * share * need.Estimate.Seconds()
-		taken += n
+// rank sorts what is true first.
+func rank(first bool) int {
+	if first {
+		return 0
 	}
-	return taken
+	return 1
 }
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -84,14 +84,22 @@
 // noDeadline puts jobs without a deadline behind those with one.
 const noDeadline = 24 * time.Hour
 
-// due is when a job should be complete for the queue's order. One whose
-// deadline can no longer be met goes with those that have none: hurrying it
-// would only make others late. Those go by age, but a job is counted as younger
-// by what it still needs of its team's limit: while a limit holds a team back,
-// short jobs go first without long ones waiting for ever.
+// due is when a job should be complete for the queue's order: by its deadline,
+// or by what is asked of its class. One that can no longer be in time goes with
+// those of which nothing is asked: hurrying it would only make others late.
+// Those go by age, but a job is counted as younger by what it still needs of
+// its team's limit: while a limit holds a team back, short jobs go first
+// without long ones waiting for ever.
 func (b *Book) due(j *Job, now time.Time) time.Time {
-	if d := j.Spec.Deadline; d > 0 && now.Add(j.Spec.Estimate).Before(j.Accepted.Add(d)) {
-		return j.Accepted.Add(d)
+	within := j.Spec.Deadline
+	aim := b.opt.Aims[j.Spec.Class]
+	for _, d := range []time.Duration{aim.Finished, aim.Wait + j.Spec.Estimate} {
+		if d > j.Spec.Estimate && (within == 0 || d < within) {
+			within = d
+		}
+	}
+	if by := j.Accepted.Add(within); now.Add(j.Spec.Estimate).Before(by) {
+		return by
 	}
 	wait := noDeadline
 	if limit := b.teams[j.Spec.Team].Limit.CPUs; limit > 0 && j.Spec.Shape != model.Service {
