Keep a tenth of the machines in use free instead of a fifth

Cause: the larger the cluster, the smaller its relative fluctuations; a fifth of 1500 CPUs stood idle.

--- a/internal/settings/defaults.sexp
+++ b/internal/settings/defaults.sexp
@@ -18,7 +18,7 @@
     (owner-back "60s")    ; how long a controller must be back before it is given kinds again
     (tight-wait "15s")    ; classes whose aim is to start sooner than this get standing room
     (standing 1)          ; how much: a multiple of the tasks that arrive while a machine boots
-    (spare 0.2))          ; share of the machines in use that is kept free
+    (spare 0.1))          ; share of the machines in use that is kept free
   (fleet
     (tick "1s")
     (idle "10s")          ; a machine without tasks is returned after this
