--- a/cmd/marlwood/main.go
+++ b/cmd/marlwood/main.go
@@ -72,6 +72,7 @@
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
 	// The share of one core that a controller gets pays for no second thread.
 	runtime.GOMAXPROCS(1)
+	debug.SetGCPercent(o.Service.HeapGrowth)
 	debug.SetMemoryLimit(int64(p.MemoryMB * o.Service.MemoryShare * (1 << 20)))
 	node, err := controller.New(p, o, log)
 	if err != nil {
--- a/internal/settings/defaults.sexp
+++ b/internal/settings/defaults.sexp
@@ -31,6 +31,7 @@
     (errors 3))           ; failed tasks in a row that make a machine suspect
   (service
     (memory-share 0.6)    ; soft limit of the Go heap, as a share of the quota
+    (heap-growth 400)     ; percent by which the heap grows between collections, below that limit
     (user-conns-share 0.6); sockets for users and workers, as a share of the quota
     (call "2s")           ; deadline of calls to the state service
     (cloud-call "5s")     ; deadline of calls to the cloud
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -50,6 +50,7 @@
 	} `sexp:"fleet"`
 	Service struct {
 		MemoryShare    float64       `sexp:"memory-share"`
+		HeapGrowth     int           `sexp:"heap-growth"`
 		UserConnsShare float64       `sexp:"user-conns-share"`
 		Call           time.Duration `sexp:"call"`
 		CloudCall      time.Duration `sexp:"cloud-call"`
