Preempt for a whole gang in one zone, where its image is, after 300 ms

Cause: room for a gang that must stay in one zone was cleared machine by machine in any zone, so tasks were stopped in vain and again (tax-reclaim queued 3 to 5 s during bursts, aim 6 s); robusto machines without the image were chosen although others had it (pianta-solve fetched for 11 to 29 s, aim 30 s).

--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -385,7 +385,6 @@
 		t.nextFleet = now.Add(t.n.op.Fleet.Tick)
 		t.book.Mend(now)
 		t.book.Drain(now)
-		t.book.Preempt(now)
 		t.book.StandingRoom(now)
 		t.book.Consolidate(now)
 		t.suspects()
@@ -441,6 +440,7 @@
 		t.n.log.Debug("placed", "tasks", placed)
 		t.beatSoon()
 	}
+	t.book.Preempt(now)
 	for _, l := range t.n.links {
 		if !l.busy && len(t.book.Orders(l.member)) > 0 {
 			t.send(l, now, nil)
--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -96,6 +96,7 @@
 	empty    int             // rounds without room in a row
 	tried    uint64
 	waiting  time.Time // since when it has had work without room
+	cleared  time.Time // when room was last made for it
 	writing  bool
 	wroteAt  time.Time
 	dirty    bool
--- a/internal/placement/book_test.go
+++ b/internal/placement/book_test.go
@@ -503,6 +503,52 @@
 	}
 }
 
+// Room for a gang is made where all of it can be, counting what is free and
+// where its image is; nothing is stopped if it cannot all be made.
+func TestPreemptGang(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		job   func(j *model.Job)
+		stops map[string]int // by machine
+	}{
+		{"in one zone", func(j *model.Job) { j.Tasks, j.OneZone = 2, true }, map[string]int{"a1": 1}},
+		{"in any", func(j *model.Job) { j.Tasks = 2 }, map[string]int{"b1": 1}},
+		{"where the image is", func(j *model.Job) { j.Tasks, j.Zone, j.Image, j.ImageGB = 1, "b", "i", 9 }, map[string]int{"b2": 1}},
+		{"not for a part", func(j *model.Job) { j.Tasks, j.OneZone = 4, true }, map[string]int{}},
+	} {
+		b := newBench(t)
+		b.types["small"] = model.MachineType{Name: "small", Size: model.Size{CPUs: 4, MemoryGB: 16}, Zones: []string{"a", "b"}, FetchGBPerS: 0.5}
+		for i, name := range []string{"a1", "b1", "b2"} {
+			id := fmt.Sprintf("low%d", i)
+			b.job(id, func(j *model.Job) { j.Priority, j.Size, j.Image = model.Low, model.Size{CPUs: 4}, "k"+name })
+			if name == "b2" {
+				b.jobs[id].Spec.Image = "i"
+			}
+			// b1 loses least, then a1, then b2.
+			b.machine(name, "small", name[:1], task(id, 0, 1, model.TaskRunning, ""))
+			b.jobs[id].bound[0].since = at([]float64{5, 8, 2}[i])
+		}
+		b.machine("a2", "small", "a")
+		b.job("g", func(j *model.Job) {
+			j.Shape, j.Priority, j.Size, j.Image = model.Gang, model.High, model.Size{CPUs: 4}, "new"
+			c.job(j)
+		})
+		b.jobs["g"].empty, b.jobs["g"].waiting = 3, at(5)
+		b.Settle()
+		b.Preempt(at(10))
+		b.Preempt(at(10.5))
+		got := map[string]int{}
+		for _, o := range b.Orders("n0") {
+			if o.Op == peerspb.Op_OP_STOP {
+				got[o.Machine]++
+			}
+		}
+		if fmt.Sprint(got) != fmt.Sprint(c.stops) {
+			t.Errorf("%s: stopped on %v, want %v", c.name, got, c.stops)
+		}
+	}
+}
+
 // Jobs go by priority, then guarantee, deadline and age; within a team's limit
 // short jobs go first, and a deadline that is lost counts no more.
 func TestQueueOrder(t *testing.T) {
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -1,7 +1,8 @@
 package placement
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/marlwood/marlwood/internal/model"
@@ -27,77 +28,163 @@
 	return j.SaveTime + time.Second
 }
 
+// clearing is a plan to make room for a job's tasks.
+type clearing struct {
+	places  []place
+	victims []*Task
+	loss    time.Duration // in CPU time
+}
+
+// place is a machine with the tasks of the job that it is to take.
+type place struct {
+	machine *Machine
+	tasks   int
+}
+
 // Preempt makes room for jobs that found none in a scan, by stopping tasks of
-// lower priority, those first that lose least. A machine that is being
-// cleared is kept for the job.
+// lower priority, those first that lose least. The room, what is free of it
+// included, is kept for the job.
 func (b *Book) Preempt(now time.Time) {
 	if !b.complete {
 		return
 	}
 	for _, j := range b.queue(now) {
-		if j.Spec.Priority.Rank() <= 0 || j.empty <= b.opt.ScanAfter || now.Sub(j.waiting) < b.opt.PreemptWait {
+		if j.Spec.Priority.Rank() <= 0 || j.empty <= b.opt.ScanAfter || now.Sub(j.waiting) < b.opt.PreemptWait || now.Sub(j.cleared) < clearAgain {
 			continue
 		}
 		n := b.headroom(j)
-		if j.Spec.Shape == model.Gang && n < j.Unplaced() {
+		if n == 0 || (j.Spec.Shape == model.Gang && n < j.Unplaced()) {
 			continue
 		}
-		for range min(n, 8) {
-			if !b.clear(now, j) {
-				break
+		if j.Spec.Shape != model.Gang {
+			n = min(n, b.opt.TasksPerRound)
+		}
+		c := b.clearingFor(now, j, n)
+		if c == nil {
+			continue
+		}
+		j.cleared = now
+		for _, p := range c.places {
+			if p.machine.reserved == nil {
+				p.machine.reserved = map[string]reservation{}
 			}
+			p.machine.reserved[j.Spec.ID] = reservation{size: j.Spec.Size.Times(p.tasks), rank: j.Spec.Priority.Rank(), until: now.Add(15 * time.Second)}
+		}
+		for _, t := range c.victims {
+			b.stop(t, graceFor(t.job.Spec))
 		}
 	}
 }
 
-// clear stops what must go from one machine so that a task of j fits. It
-// reports false when no machine can be cleared.
-func (b *Book) clear(now time.Time, j *Job) bool {
-	var best *Machine
-	var bestVictims []*Task
-	var bestLoss time.Duration
+// clearAgain is how long a job waits for the room that was made for it before
+// more is made.
+const clearAgain = 3 * time.Second
+
+// clearingFor finds the least loss at which n tasks of a job get room, all of
+// them in one zone if they must stay together. An array takes what it can get;
+// for a gang it is all or nothing.
+//
+// Guard: a gang that must stay in one zone gains nothing from a place here and
+// another there; tasks were once stopped for it in every zone, over and over.
+func (b *Book) clearingFor(now time.Time, j *Job, n int) *clearing {
+	zones := []string{""}
+	if j.Spec.OneZone {
+		zones = nil
+		for _, k := range b.kindsFor(j.Spec) {
+			if !slices.Contains(zones, k.Zone) {
+				zones = append(zones, k.Zone)
+			}
+		}
+	}
+	var best *clearing
+	for _, zone := range zones {
+		if c := b.clearingIn(now, j, n, zone); c != nil && (best == nil || c.loss < best.loss) {
+			best = c
+		}
+	}
+	return best
+}
+
+// candidate is a machine on which room could be made.
+type candidate struct {
+	machine *Machine
+	room    model.Size
+	victims []*Task // that may be stopped, what loses least first
+	tasks   int     // of the job that room was found for
+	fetch   time.Duration
+}
+
+// next counts how many victims must go, and what is lost by it, for one more
+// task to fit.
+func (c *candidate) next(size model.Size, now time.Time) (victims int, loss time.Duration, ok bool) {
+	room := c.room
+	for !size.Fits(room) {
+		if victims == len(c.victims) {
+			return 0, 0, false
+		}
+		t := c.victims[victims]
+		room, loss = room.Add(t.job.Spec.Size), loss+t.loss(now)
+		victims++
+	}
+	return victims, loss + c.fetch, true
+}
+
+func (b *Book) clearingIn(now time.Time, j *Job, n int, zone string) *clearing {
+	var all []*candidate
 	for _, m := range b.machines {
-		if _, kept := m.reserved[j.Spec.ID]; kept || !m.usable() || (m.Spot && !j.Spec.Spot) ||
+		if !m.usable() || (m.Spot && !j.Spec.Spot) || (zone != "" && m.Kind.Zone != zone) ||
 			!j.Spec.Allows(b.types[m.Kind.Type], m.Kind.Zone) || !j.zoneAllows(m.Kind.Zone) {
 			continue
 		}
-		room := b.free(m, j, now)
-		var victims []*Task
+		c := &candidate{machine: m, room: b.free(m, j, now)}
+		if speed := b.types[m.Kind.Type].FetchGBPerS; speed > 0 && !b.holders[j.Spec.Image][m] {
+			// A place where the image is missing costs the time of its fetch.
+			c.fetch = model.Seconds(j.Spec.ImageGB / speed * j.Spec.Size.CPUs)
+		}
 		for _, t := range m.tasks {
 			if t.stopping {
-				room = room.Add(t.job.Spec.Size)
+				c.room = c.room.Add(t.job.Spec.Size)
 			} else if t.job.Spec.Priority.Rank() < j.Spec.Priority.Rank() && t.state != model.TaskOrdered {
-				victims = append(victims, t)
+				c.victims = append(c.victims, t)
 			}
 		}
-		sort.Slice(victims, func(i, k int) bool {
-			a, c := victims[i].loss(now), victims[k].loss(now)
-			return a < c || (a == c && victims[i].attempt < victims[k].attempt)
+		slices.SortFunc(c.victims, func(x, y *Task) int {
+			return cmp.Or(cmp.Compare(x.loss(now), y.loss(now)), cmp.Compare(x.attempt, y.attempt))
 		})
-		var loss time.Duration
-		i := 0
-		for ; i < len(victims) && !j.Spec.Size.Fits(room); i++ {
-			room = room.Add(victims[i].job.Spec.Size)
-			loss += victims[i].loss(now)
+		all = append(all, c)
+	}
+	slices.SortFunc(all, func(x, y *candidate) int { return cmp.Compare(x.machine.Name, y.machine.Name) })
+	out := &clearing{}
+	for range n {
+		var best *candidate
+		var bestVictims int
+		var bestLoss time.Duration
+		for _, c := range all {
+			if victims, loss, ok := c.next(j.Spec.Size, now); ok && (best == nil || loss < bestLoss) {
+				best, bestVictims, bestLoss = c, victims, loss
+			}
 		}
-		if !j.Spec.Size.Fits(room) {
-			continue
+		if best == nil {
+			if j.Spec.Shape == model.Gang {
+				return nil
+			}
+			break
 		}
-		if best == nil || loss < bestLoss || (loss == bestLoss && m.Name < best.Name) {
-			best, bestVictims, bestLoss = m, victims[:i], loss
+		for _, t := range best.victims[:bestVictims] {
+			out.victims = append(out.victims, t)
+			best.room = best.room.Add(t.job.Spec.Size)
 		}
+		best.victims = best.victims[bestVictims:]
+		best.room = best.room.Sub(j.Spec.Size)
+		best.tasks++
+		out.loss += bestLoss
 	}
-	if best == nil {
-		return false
-	}
-	if best.reserved == nil {
-		best.reserved = map[string]reservation{}
-	}
-	best.reserved[j.Spec.ID] = reservation{size: j.Spec.Size, rank: j.Spec.Priority.Rank(), until: now.Add(15 * time.Second)}
-	for _, t := range bestVictims {
-		b.stop(t, graceFor(t.job.Spec))
+	for _, c := range all {
+		if c.tasks > 0 {
+			out.places = append(out.places, place{c.machine, c.tasks})
+		}
 	}
-	return true
+	return out
 }
 
 // Drain stops tasks that can save on machines that the cloud will take away,
--- a/internal/settings/defaults.sexp
+++ b/internal/settings/defaults.sexp
@@ -13,7 +13,7 @@
     (heartbeat "400ms")   ; longest time between two rounds
     (scan-after 2)        ; empty rounds after which a job scans its kinds
     (tasks-per-round 64)  ; most tasks drawn for in one round
-    (preempt-wait "1s")   ; how long a job waits without room before it preempts
+    (preempt-wait "300ms"); how long a job waits without room before it preempts
     (short-first 10)      ; a job without a deadline gives way by this many times the time it keeps its team's limit busy
     (owner-back "60s")    ; how long a controller must be back before it is given kinds again
     (tight-wait "15s")    ; classes whose aim is to start sooner than this get standing room
