Standing room a deviation above the mean, in one zone; no tight-wait setting

Cause: standing room for the mean of the arrivals is too little half of the time, and spread over zones it is of no use to a gang that must stay in one. Classes that must start sooner than a machine boots get it; that follows from the aims and the types, so the setting is gone.

--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -87,7 +87,7 @@
 	ctx, cancel := context.WithCancel(n.ctx)
 	t := &term{n: n, ctx: ctx, end: cancel, token: token, began: now, nextTypes: now.Add(20 * time.Second), batch: n.cfg.TxnOps}
 	t.book = placement.NewBook(placement.Options{
-		Log: n.log, Aims: n.cfg.Aims, TightWait: n.op.Placement.TightWait, Standing: n.op.Placement.Standing, Horizon: n.op.Fleet.Horizon, Draws: n.op.Placement.Draws, ScanAfter: n.op.Placement.ScanAfter, TasksPerRound: n.op.Placement.TasksPerRound,
+		Log: n.log, Aims: n.cfg.Aims, Standing: n.op.Placement.Standing, Horizon: n.op.Fleet.Horizon, Draws: n.op.Placement.Draws, ScanAfter: n.op.Placement.ScanAfter, TasksPerRound: n.op.Placement.TasksPerRound,
 		ShortFirst: n.op.Placement.ShortFirst, Spare: n.op.Placement.Spare, PreemptWait: n.op.Placement.PreemptWait, PartTasks: model.PartTasks(max(256, n.cfg.ValueBytes-2048)),
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}, token, n.cfg.Teams, n.knownTypes())
--- a/internal/placement/book_test.go
+++ b/internal/placement/book_test.go
@@ -614,7 +614,7 @@
 func TestStandingRoom(t *testing.T) {
 	b := newBench(t)
 	b.opt.Aims = map[string]model.Aim{"urgent": {Wait: 4 * time.Second}}
-	b.opt.TightWait, b.opt.Standing, b.opt.Spare = 15*time.Second, 1, 0.2
+	b.opt.Standing, b.opt.Spare = 1, 0.2
 	for name, mt := range b.types {
 		mt.Boot = 30 * time.Second
 		b.types[name] = mt
@@ -645,8 +645,8 @@
 			short += n.Tasks
 		}
 	}
-	if short != 1 {
-		t.Errorf("%d slots are asked for to restore it, want 1", short)
+	if short != 2 {
+		t.Errorf("%d slots are asked for to restore it, want 2", short)
 	}
 	b.StandingRoom(at(500))
 	if b.classes["urgent"].short != 0 || b.machines["m1"].KeepsRoom() || b.machines["m2"].KeepsRoom() {
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -121,10 +121,16 @@
 // machine boots.
 type class struct {
 	last     *Job
-	arrivals []time.Time
+	arrivals []arrival
 	short    int // slots that standing room lacks
 }
 
+// arrival is a job of a class.
+type arrival struct {
+	at    time.Time
+	tasks int
+}
+
 // rateWindow is how far back arrivals count.
 const rateWindow = 2 * time.Minute
 
@@ -139,45 +145,29 @@
 		b.classes[j.Spec.Class] = c
 	}
 	c.last = j
-	c.arrivals = append(c.arrivals, j.Accepted)
+	c.arrivals = append(c.arrivals, arrival{j.Accepted, j.Spec.Tasks})
 }
 
 // StandingRoom is an exception to the paper's rule for classes that must start
 // sooner than a machine boots: as much room as arrivals during a boot need is
-// kept on the fullest machines that have it. Others may not take it.
+// kept on machines that are not let go. Work of lower priority may not take it,
+// for stopping that work would cost time too.
 func (b *Book) StandingRoom(now time.Time) {
 	for name, c := range b.classes {
 		c.short = 0
 		for _, m := range b.machines {
 			delete(m.reserved, name)
 		}
-		kept := c.arrivals[:0]
-		for _, at := range c.arrivals {
-			if now.Sub(at) < rateWindow {
-				kept = append(kept, at)
-			}
-		}
-		c.arrivals = kept
-		if len(kept) == 0 || !b.complete || b.opt.Aims[name].Wait >= b.opt.TightWait {
+		c.arrivals = slices.DeleteFunc(c.arrivals, func(a arrival) bool { return now.Sub(a.at) >= rateWindow })
+		if len(c.arrivals) == 0 || !b.complete {
 			continue
 		}
-		var boot time.Duration
-		for _, k := range b.kindsFor(c.last.Spec) {
-			boot = max(boot, b.types[k.Type].Boot)
-		}
-		slots := int(math.Ceil(b.opt.Standing * float64(len(kept)*c.last.Spec.Tasks) * boot.Seconds() / rateWindow.Seconds()))
-		var room []*Machine
-		for _, m := range b.machines {
-			if b.fits(&Job{Spec: c.last.Spec}, m, now) {
-				room = append(room, m)
-			}
+		boot := b.boot(c.last.Spec)
+		if b.opt.Aims[name].Wait >= boot {
+			continue
 		}
-		sort.Slice(room, func(i, k int) bool {
-			x, y := room[i], room[k]
-			a, e := x.load.Share(b.types[x.Kind.Type].Size), y.load.Share(b.types[y.Kind.Type].Size)
-			return a > e || (a == e && x.Name < y.Name)
-		})
-		for _, m := range room {
+		slots := int(math.Ceil(b.opt.Standing * c.stock(boot)))
+		for _, m := range b.standing(c.last, now) {
 			n := min(slots, c.last.Spec.Size.Slots(b.free(m, c.last, now)))
 			if n <= 0 {
 				break
@@ -192,6 +182,51 @@
 	}
 }
 
+// stock is how many tasks arrive within a lead time, a standard deviation more
+// than on average.
+func (c *class) stock(lead time.Duration) float64 {
+	share := lead.Seconds() / rateWindow.Seconds()
+	mean, square := 0.0, 0.0
+	for _, a := range c.arrivals {
+		mean += float64(a.tasks)
+		square += float64(a.tasks * a.tasks)
+	}
+	return mean*share + math.Sqrt(square*share)
+}
+
+// boot is how long a machine for a job boots, of the slowest kind.
+func (b *Book) boot(j *model.Job) time.Duration {
+	var boot time.Duration
+	for _, k := range b.kindsFor(j) {
+		boot = max(boot, b.types[k.Type].Boot)
+	}
+	return boot
+}
+
+// standing lists the machines that may hold standing room for a job's class:
+// for one that must stay in one zone those of the zone with most of it first,
+// then the cheapest, of equals the fullest.
+func (b *Book) standing(j *Job, now time.Time) []*Machine {
+	var out []*Machine
+	zones := map[string]int{}
+	for _, m := range b.machines {
+		if !m.usable() || (m.Spot && !j.Spec.Spot) || !j.Spec.Allows(b.types[m.Kind.Type], m.Kind.Zone) {
+			continue
+		}
+		if n := j.Spec.Size.Slots(b.free(m, j, now)); n > 0 {
+			out = append(out, m)
+			if j.Spec.OneZone {
+				zones[m.Kind.Zone] += n
+			}
+		}
+	}
+	slices.SortFunc(out, func(x, y *Machine) int {
+		return cmp.Or(cmp.Compare(zones[y.Kind.Zone], zones[x.Kind.Zone]), cmp.Compare(b.price(x), b.price(y)),
+			cmp.Compare(y.load.Share(b.types[y.Kind.Type].Size), x.load.Share(b.types[x.Kind.Type].Size)), cmp.Compare(x.Name, y.Name))
+	})
+	return out
+}
+
 // KeepsRoom tells that a machine has standing room.
 func (m *Machine) KeepsRoom() bool {
 	for _, r := range m.reserved {
--- a/internal/settings/defaults.sexp
+++ b/internal/settings/defaults.sexp
@@ -16,8 +16,7 @@
     (preempt-wait "300ms"); how long a job waits without room before it preempts
     (short-first 10)      ; a job without a deadline gives way by this many times the time it keeps its team's limit busy
     (owner-back "60s")    ; how long a controller must be back before it is given kinds again
-    (tight-wait "15s")    ; classes whose aim is to start sooner than this get standing room
-    (standing 1)          ; how much: a multiple of the tasks that arrive while a machine boots
+    (standing 1)          ; room for classes that must start sooner than a machine boots: a multiple of what arrives meanwhile
     (spare 0.1))          ; share of the machines in use that is kept free
   (fleet
     (tick "1s")
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -34,7 +34,6 @@
 		ShortFirst    float64       `sexp:"short-first"`
 		Spare         float64       `sexp:"spare"`
 		OwnerBack     time.Duration `sexp:"owner-back"`
-		TightWait     time.Duration `sexp:"tight-wait"`
 		Standing      float64       `sexp:"standing"`
 	} `sexp:"placement"`
 	Fleet struct {
