--- a/internal/workers/desk.go
+++ b/internal/workers/desk.go
@@ -49,6 +49,7 @@
 	grace   time.Duration
 	state   orderState
 	void    bool // a start that is no longer wanted
+	told    bool // a stop that a direct call has delivered
 }
 
 func (o *order) start() bool { return o.op == peerspb.Op_OP_START }
@@ -380,7 +381,7 @@
 }
 
 // Calls returns the direct calls that are due: one at a time for each machine
-// that has starts waiting, and an empty one for each that has not shown our
+// that has starts waiting, or stops, for whose room another task waits, and an empty one for each that has not shown our
 // token yet: it takes the token in and answers with a report that does. Nothing
 // is called without a valid grant.
 func (d *Desk) Calls(now time.Time) []Call {
@@ -398,8 +399,11 @@
 			if o.state != queued || len(c.Commands) >= maxOrders || m.held(o) || m.phase != Current {
 				continue
 			}
-			if o.start() {
+			switch {
+			case o.start():
 				due, o.state = true, calling
+			case o.op == peerspb.Op_OP_STOP && !o.told && m.find(o) != nil:
+				due = true
 			}
 			c.Commands = append(c.Commands, o.command())
 		}
@@ -447,6 +451,7 @@
 		d.takeReport(m, r)
 	}
 	for _, o := range m.pending {
+		o.told = o.told || (outcome == Executed && o.op == peerspb.Op_OP_STOP && c.has(o))
 		if o.state != calling {
 			continue
 		}
--- a/internal/workers/desk_test.go
+++ b/internal/workers/desk_test.go
@@ -372,3 +372,38 @@
 		}
 	}
 }
+
+// A stop is called directly, once, for another task may wait for the room; a
+// second stop is called again. One for a task that is not there waits for the
+// next report.
+func TestStopsAreCalled(t *testing.T) {
+	running := model.WireTask{Task: "j/1", Attempt: 9, State: model.TaskRunning}
+	saving := model.WireTask{Task: "j/1", Attempt: 9, State: model.TaskSaving}
+	for _, c := range []struct {
+		name   string
+		tasks  []model.WireTask
+		orders []*peerspb.Order
+		calls  int
+	}{
+		{"it runs", []model.WireTask{running}, []*peerspb.Order{ord(1, peerspb.Op_OP_STOP, 1)}, 1},
+		{"it is to end at once after all", []model.WireTask{running}, []*peerspb.Order{ord(1, peerspb.Op_OP_STOP, 1), ord(2, peerspb.Op_OP_STOP, 1)}, 2},
+		{"it is not there", nil, []*peerspb.Order{ord(1, peerspb.Op_OP_STOP, 1)}, 0},
+	} {
+		d := desk()
+		d.CheckIn(at(1), report(1, 1, 5, c.tasks...))
+		calls, seq := 0, uint64(2)
+		for _, o := range c.orders {
+			d.Round(at(2), grant(5, 10, o))
+			for range 3 {
+				for _, k := range d.Calls(at(2)) {
+					calls++
+					d.Called(at(2.1), k, Executed, report(1, seq, 5, saving))
+					seq++
+				}
+			}
+		}
+		if calls != c.calls {
+			t.Errorf("%s: %d calls, want %d", c.name, calls, c.calls)
+		}
+	}
+}
