--- a/internal/placement/book_test.go
+++ b/internal/placement/book_test.go
@@ -166,6 +166,39 @@
 	}
 }
 
+// A task that may wait only so long goes where it can start in time, a long one
+// to the cheapest of the drawn machines, a short one by the paper's rule.
+func TestChoice(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		job  func(j *model.Job)
+		want string
+	}{
+		{"short: the least in use", func(j *model.Job) { j.Spot, j.Estimate = true, 20*time.Second }, "empty"},
+		{"long: the cheapest", func(j *model.Job) { j.Spot, j.Estimate = true, 3*time.Minute }, "spot"},
+		{"long, but not on spot machines", func(j *model.Job) { j.Estimate = 3 * time.Minute }, "empty"},
+		{"urgent: where the image comes in time", func(j *model.Job) { j.Class, j.Spot, j.Estimate, j.ImageGB = "urgent", true, 3*time.Minute, 4 }, "fast"},
+	} {
+		b := newBench(t)
+		b.opt.Aims = map[string]model.Aim{"urgent": {Wait: 6 * time.Second}}
+		for name, mt := range b.types {
+			mt.Price, mt.SpotPrice, mt.FetchGBPerS = mt.Size.CPUs, mt.Size.CPUs/4, map[string]float64{"small": 0.2, "big": 1}[name]
+			b.types[name] = mt
+		}
+		b.job("load", func(j *model.Job) { j.Tasks, j.Size, j.Image = 3, model.Size{CPUs: 1}, "other" })
+		b.machine("empty", "small", "a")
+		b.machine("spot", "small", "b", task("load", 0, 1, model.TaskRunning, ""))
+		b.machines["spot"].Spot = true
+		b.machine("fast", "big", "b", task("load", 1, 1, model.TaskRunning, ""))
+		b.machines["fast"].load = model.Size{CPUs: 20}
+		b.jobs["load"].retryAt = at(100)
+		b.job("x", c.job)
+		if b.round(1); b.where("x", 0) != c.want {
+			t.Errorf("%s: on %q, want %q", c.name, b.where("x", 0), c.want)
+		}
+	}
+}
+
 func TestPlacementRules(t *testing.T) {
 	for _, c := range []struct {
 		name    string
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -245,24 +245,49 @@
 	return inZone < j.Spec.ZoneCap()
 }
 
-// choose is the paper's rule among the drawn machines: the lowest share in
-// use wins; ties go to the kind with the larger capacity for this task. Those
-// that have the job's image come before those that must fetch it.
+// leastCharged is how long a machine is paid for at least. A task that runs
+// longer decides how long its machine is kept.
+const leastCharged = time.Minute
+
+// choice is what a drawn machine is chosen by.
+type choice struct {
+	late  bool    // the fetch of the image takes longer than the task may wait
+	price float64 // an hour and CPU, for a task that keeps its machine
+	fetch bool    // the image is missing
+	share float64
+	slots int
+}
+
+// compare sorts the better choice first. Share and slots are the paper's rule:
+// the lowest share in use wins; ties go to the kind with the larger capacity for
+// this task. What stands before them are our exceptions.
+func (c choice) compare(o choice) int {
+	return cmp.Or(cmp.Compare(rank(!c.late), rank(!o.late)), cmp.Compare(c.price, o.price), cmp.Compare(rank(!c.fetch), rank(!o.fetch)),
+		cmp.Compare(c.share, o.share), cmp.Compare(o.slots, c.slots))
+}
+
+func (b *Book) choiceOf(j *Job, m *Machine, now time.Time) choice {
+	t := b.types[m.Kind.Type]
+	c := choice{share: m.load.Share(t.Size), slots: j.Spec.Size.Slots(t.Size), fetch: !b.holders[j.Spec.Image][m]}
+	if wait := b.opt.Aims[j.Spec.Class].Wait; wait > 0 && c.fetch && t.FetchGBPerS > 0 {
+		c.late = now.Add(model.Seconds(j.Spec.ImageGB / t.FetchGBPerS)).After(j.Accepted.Add(wait))
+	}
+	if j.Spec.Spot && j.Spec.Estimate > leastCharged {
+		c.price = b.price(m)
+	}
+	return c
+}
+
+// choose picks among the drawn machines the best that has room.
 func (b *Book) choose(j *Job, drawn []*Machine, now time.Time) *Machine {
 	var best *Machine
-	var bestShare float64
-	var bestSlots int
-	var bestHas bool
-	having := b.holders[j.Spec.Image]
+	var bestChoice choice
 	for _, m := range drawn {
 		if !b.fits(j, m, now) {
 			continue
 		}
-		capacity := b.types[m.Kind.Type].Size
-		has, share, slots := having[m], m.load.Share(capacity), j.Spec.Size.Slots(capacity)
-		better := share < bestShare || (share == bestShare && slots > bestSlots)
-		if best == nil || (has && !bestHas) || (has == bestHas && better) {
-			best, bestHas, bestShare, bestSlots = m, has, share, slots
+		if c := b.choiceOf(j, m, now); best == nil || c.compare(bestChoice) < 0 {
+			best, bestChoice = m, c
 		}
 	}
 	return best
--- a/internal/workers/desk.go
+++ b/internal/workers/desk.go
@@ -702,7 +702,8 @@
 }
 
 // sample draws machines with room, w.Draws of each kind that this desk owns,
-// with replacement as in the paper; a scan names every machine with room.
+// with replacement as in the paper; a scan names every machine with room. Spot
+// machines are drawn apart, for they differ from the others of their kind.
 func (d *Desk) sample(w *peerspb.Want) []*peerspb.Sample {
 	size := sizeOf(w.Size)
 	var out []*peerspb.Sample
@@ -711,29 +712,32 @@
 		if d.owners[kind] != d.opt.Member {
 			continue
 		}
-		var room []string
+		room := map[bool][]string{} // by whether it is a spot machine
 		for _, m := range d.machines {
 			if m.kind != kind || m.phase != Current || m.cordon || m.notice >= 0 || (m.spot && !w.Spot) {
 				continue
 			}
 			used, known := d.used(m)
 			if known && size.Fits(d.types[kind.Type].Size.Sub(used)) {
-				room = append(room, m.name)
+				room[m.spot] = append(room[m.spot], m.name)
 			}
 		}
-		if len(room) == 0 {
-			continue
-		}
-		sort.Strings(room)
-		s := &peerspb.Sample{Want: w.Id, Kind: k}
-		if w.Scan {
-			s.Machines = room
-		} else {
-			for range w.Draws {
-				s.Machines = append(s.Machines, room[d.draw.IntN(len(room))])
+		for _, spot := range []bool{false, true} {
+			names := room[spot]
+			if len(names) == 0 {
+				continue
+			}
+			sort.Strings(names)
+			s := &peerspb.Sample{Want: w.Id, Kind: k}
+			if w.Scan {
+				s.Machines = names
+			} else {
+				for range w.Draws {
+					s.Machines = append(s.Machines, names[d.draw.IntN(len(names))])
+				}
 			}
+			out = append(out, s)
 		}
-		out = append(out, s)
 	}
 	return out
 }
--- a/internal/workers/desk_test.go
+++ b/internal/workers/desk_test.go
@@ -332,7 +332,7 @@
 		}
 		return names
 	}
-	if got := ask(); got["m0"] == 0 || got["m3"] == 0 || got["m0"]+got["m3"] != 40 {
+	if got := ask(); got["m0"] != 40 || got["m3"] != 40 {
 		t.Errorf("drawn: %v", got)
 	}
 	want.Spot = false
