--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -818,7 +818,7 @@
 		}
 		now := time.Now()
 		t.n.log.Info("returned", "machines", names, "err", err)
-		t.fleet.Released(names, err == nil)
+		t.fleet.Released(names, err == nil, now)
 		if err != nil {
 			return
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -79,13 +79,14 @@
 	charters map[string]*Charter
 	booting  map[string]*rented
 	market   market
-	leaving  map[string]bool // a release is under way
+	leaving  map[string]bool      // a release is under way
+	gone     map[string]time.Time // when returned: the list may still show it
 }
 
 // New makes a fleet that names its charters after the token.
 func New(opt Options, token uint64) *Fleet {
 	return &Fleet{opt: opt, token: token, charters: map[string]*Charter{}, booting: map[string]*rented{},
-		market: newMarket(opt.RefusedWait), leaving: map[string]bool{}}
+		market: newMarket(opt.RefusedWait), leaving: map[string]bool{}, gone: map[string]time.Time{}}
 }
 
 // Adopt takes over an unresolved charter of an earlier leader.
@@ -162,7 +163,15 @@
 // List takes in a list of the cloud's. Machines that nobody here rented are
 // unexpected: they are watched like the others until they report. Absence
 // proves nothing, for the list lags.
+//
+// Guard: presence proves nothing either. Machines that were just returned are
+// listed for a while; counted as booting, they kept others from being rented.
 func (f *Fleet) List(all []Listed, known map[string]*placement.Machine, now time.Time) (failed []string) {
+	listed := make(map[string]bool, len(all))
+	for _, l := range all {
+		listed[l.Name] = true
+	}
+	f.forget(listed, now)
 	for _, l := range all {
 		if l.Failed {
 			if !f.leaving[l.Name] {
@@ -170,7 +179,7 @@
 			}
 			continue
 		}
-		if known[l.Name] != nil || f.leaving[l.Name] {
+		if known[l.Name] != nil || f.leaving[l.Name] || !f.gone[l.Name].IsZero() {
 			continue
 		}
 		r := f.booting[l.Name]
@@ -196,15 +205,28 @@
 }
 
 // Released takes in the outcome of a release.
-func (f *Fleet) Released(names []string, ok bool) {
+func (f *Fleet) Released(names []string, ok bool, now time.Time) {
 	for _, n := range names {
 		delete(f.leaving, n)
 		if ok {
 			delete(f.booting, n)
+			f.gone[n] = now
 		}
 	}
 }
 
+// forget drops the memory of returned machines that no list can show any more.
+func (f *Fleet) forget(listed map[string]bool, now time.Time) {
+	for name, at := range f.gone {
+		if !listed[name] && now.Sub(at) > goneMemory {
+			delete(f.gone, name)
+		}
+	}
+}
+
+// goneMemory is far longer than a list can lag.
+const goneMemory = 2 * time.Minute
+
 // Booting counts rented machines that have not reported yet.
 func (f *Fleet) Booting() int { return len(f.booting) }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -182,11 +182,18 @@
 			t.Errorf("settled %v: %v, want %v", c.settled, got, c.want)
 		}
 	}
-	f.Released([]string{"idle"}, false)
+	f.Released([]string{"idle"}, false, at(100))
 	if got := f.Tick(at(101), nil, machines, bySize, true); len(got) != 1 || !reflect.DeepEqual(got[0].Release, []string{"idle"}) {
 		t.Errorf("an unanswered release is not repeated: %+v", got)
 	}
 	if failed := f.List([]Listed{{Name: "broken", Failed: true}}, machines, at(102)); !reflect.DeepEqual(failed, []string{"broken"}) {
 		t.Errorf("failed: %v", failed)
 	}
+	// A list that lags still shows what was returned: it does not count.
+	f.Released([]string{"idle", "cordoned"}, true, at(103))
+	booting := f.Booting()
+	f.List([]Listed{{Name: "idle", Kind: small}, {Name: "cordoned", Kind: small}}, nil, at(104))
+	if f.Booting() != booting {
+		t.Errorf("%d machines on their way, want %d", f.Booting(), booting)
+	}
 }
--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -332,8 +332,6 @@
 	b.gone[name] = now
 }
 
-// Lost tells whether a machine is known to be gone.
-func (b *Book) Lost(name string) bool { _, ok := b.gone[name]; return ok }
 
 func (b *Book) releaseAll(m *Machine, now time.Time) {
 	for _, t := range m.tasks {
