--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -332,7 +332,6 @@
 	b.gone[name] = now
 }
 
-
 func (b *Book) releaseAll(m *Machine, now time.Time) {
 	for _, t := range m.tasks {
 		b.release(t, now)
--- a/internal/placement/needs.go
+++ b/internal/placement/needs.go
@@ -66,6 +66,11 @@
 	share float64
 }
 
+// left is how long a task will yet run, as estimated.
+func (t *Task) left(now time.Time) time.Duration {
+	return max(t.job.Spec.Estimate-now.Sub(t.since), t.job.Spec.Estimate/5)
+}
+
 func (b *Book) pool(now time.Time) *pool {
 	p := &pool{b: b, now: now}
 	for _, m := range b.machines {
@@ -81,7 +86,7 @@
 			case t.stopping:
 				s.leaving = s.leaving.Add(spec.Size)
 			case spec.Shape != model.Service:
-				s.ends = append(s.ends, ending{max(spec.Estimate-now.Sub(t.since), spec.Estimate/5), spec.Size.Share(b.types[m.Kind.Type].Size)})
+				s.ends = append(s.ends, ending{t.left(now), spec.Size.Share(b.types[m.Kind.Type].Size)})
 			}
 		}
 		p.slack = append(p.slack, s)
