A gang has room made where its image is if others lose less than the fetch

Cause: pianta-solve started on free robusto machines without its image and fetched for 18 to 40 s while machines that had it ran arrays of low priority.

--- a/internal/placement/book_test.go
+++ b/internal/placement/book_test.go
@@ -582,6 +582,36 @@
 	}
 }
 
+// A gang waits for the room of others where its image is, if they lose less
+// than the fetch would, but only once.
+func TestClearRatherThanFetch(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		ran   float64 // seconds that the other task has run
+		want  string
+		stops int
+	}{
+		{"the other loses little", 2, "", 1},
+		{"the other loses much", 30, "free", 0},
+	} {
+		b := newBench(t)
+		b.types["small"] = model.MachineType{Name: "small", Size: model.Size{CPUs: 4, MemoryGB: 16}, Zones: []string{"a"}, FetchGBPerS: 0.2}
+		b.job("low", func(j *model.Job) { j.Priority, j.Size = model.Low, model.Size{CPUs: 4} })
+		b.machine("has", "small", "a", task("low", 0, 1, model.TaskRunning, ""))
+		b.machine("free", "small", "a")
+		b.jobs["low"].bound[0].since = at(40 - c.ran)
+		b.job("g", func(j *model.Job) {
+			j.Shape, j.Priority, j.Size, j.ImageGB = model.Gang, model.High, model.Size{CPUs: 4}, 4
+		})
+		if b.round(40); b.where("g", 0) != c.want || b.orders(peerspb.Op_OP_STOP) != c.stops {
+			t.Errorf("%s: on %q after %d stops", c.name, b.where("g", 0), b.orders(peerspb.Op_OP_STOP))
+		}
+		if b.round(42); b.where("g", 0) != "free" {
+			t.Errorf("%s: waits on", c.name)
+		}
+	}
+}
+
 // Jobs go by priority, then guarantee, deadline and age; within a team's limit
 // short jobs go first, and a deadline that is lost counts no more.
 func TestQueueOrder(t *testing.T) {
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -59,23 +59,58 @@
 		if j.Spec.Shape != model.Gang {
 			n = min(n, b.opt.TasksPerRound)
 		}
-		c := b.clearingFor(now, j, n)
-		if c == nil {
-			continue
-		}
-		j.cleared = now
-		for _, p := range c.places {
-			if p.machine.reserved == nil {
-				p.machine.reserved = map[string]reservation{}
-			}
-			p.machine.reserved[j.Spec.ID] = reservation{size: j.Spec.Size.Times(p.tasks), rank: j.Spec.Priority.Rank(), until: now.Add(15 * time.Second)}
-		}
-		for _, t := range c.victims {
-			b.stop(t, graceFor(t.job.Spec))
+		if c := b.clearingFor(now, j, n); c != nil {
+			b.clear(now, j, c)
 		}
 	}
 }
 
+// clear carries a plan out.
+func (b *Book) clear(now time.Time, j *Job, c *clearing) {
+	j.cleared = now
+	for _, p := range c.places {
+		if p.machine.reserved == nil {
+			p.machine.reserved = map[string]reservation{}
+		}
+		p.machine.reserved[j.Spec.ID] = reservation{size: j.Spec.Size.Times(p.tasks), rank: j.Spec.Priority.Rank(), until: now.Add(15 * time.Second)}
+	}
+	for _, t := range c.victims {
+		b.stop(t, graceFor(t.job.Spec))
+	}
+}
+
+// betterCleared tells whether a gang that found room does better with other
+// room, some of which must be made: a place where its image is missing stands
+// idle for as long as the fetch takes. The room is made then.
+func (b *Book) betterCleared(now time.Time, j *Job, found []*Task) bool {
+	if j.Spec.Priority.Rank() <= 0 || now.Sub(j.cleared) < clearAgain {
+		return false
+	}
+	var fetches time.Duration
+	for _, t := range found {
+		fetches += b.fetchLoss(j, t.machine)
+	}
+	if fetches == 0 {
+		return false
+	}
+	c := b.clearingFor(now, j, len(found))
+	if c == nil || 2*c.loss > fetches {
+		return false
+	}
+	b.clear(now, j, c)
+	return true
+}
+
+// fetchLoss is what is lost on a machine while it fetches a job's image, in CPU
+// time.
+func (b *Book) fetchLoss(j *Job, m *Machine) time.Duration {
+	speed := b.types[m.Kind.Type].FetchGBPerS
+	if speed <= 0 || b.holders[j.Spec.Image][m] {
+		return 0
+	}
+	return model.Seconds(j.Spec.ImageGB / speed * j.Spec.Size.CPUs)
+}
+
 // clearAgain is how long a job waits for the room that was made for it before
 // more is made.
 const clearAgain = 3 * time.Second
@@ -118,15 +153,19 @@
 // task to fit.
 func (c *candidate) next(size model.Size, now time.Time) (victims int, loss time.Duration, ok bool) {
 	room := c.room
+	var saving time.Duration // during which the room stands idle
 	for !size.Fits(room) {
 		if victims == len(c.victims) {
 			return 0, 0, false
 		}
 		t := c.victims[victims]
 		room, loss = room.Add(t.job.Spec.Size), loss+t.loss(now)
+		if t.state == model.TaskRunning {
+			saving = max(saving, t.job.Spec.SaveTime)
+		}
 		victims++
 	}
-	return victims, loss + c.fetch, true
+	return victims, loss + c.fetch + time.Duration(float64(saving)*size.CPUs), true
 }
 
 func (b *Book) clearingIn(now time.Time, j *Job, n int, zone string) *clearing {
@@ -136,11 +175,7 @@
 			!j.Spec.Allows(b.types[m.Kind.Type], m.Kind.Zone) || !j.zoneAllows(m.Kind.Zone) {
 			continue
 		}
-		c := &candidate{machine: m, room: b.free(m, j, now)}
-		if speed := b.types[m.Kind.Type].FetchGBPerS; speed > 0 && !b.holders[j.Spec.Image][m] {
-			// A place where the image is missing costs the time of its fetch.
-			c.fetch = model.Seconds(j.Spec.ImageGB / speed * j.Spec.Size.CPUs)
-		}
+		c := &candidate{machine: m, room: b.free(m, j, now), fetch: b.fetchLoss(j, m)}
 		for _, t := range m.tasks {
 			if t.stopping {
 				c.room = c.room.Add(t.job.Spec.Size)
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -391,18 +391,21 @@
 			b.bind(t)
 			tentative = append(tentative, t)
 		}
-		whole := len(tentative) == len(p.tasks)
 		for _, t := range tentative {
-			if !whole {
-				t.unbind()
-				continue
-			}
-			b.order(t)
+			t.unbind()
+		}
+		if len(tentative) < len(p.tasks) {
+			continue
 		}
-		if whole {
-			j.attempt = attempt
-			return len(tentative)
+		if b.betterCleared(now, j, tentative) {
+			return 0
+		}
+		for _, t := range tentative {
+			b.bind(t)
+			b.order(t)
 		}
+		j.attempt = attempt
+		return len(tentative)
 	}
 	return 0
 }
