--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -58,9 +58,10 @@
 	guaranteed := func(j *Job) bool {
 		return b.teams[j.Spec.Team].WithinGuarantee(use[j.Spec.Team].Add(j.Spec.Size))
 	}
+	held := b.heldBack()
 	due := make(map[*Job]time.Time, len(out))
 	for _, j := range out {
-		due[j] = b.due(j, now)
+		due[j] = b.due(j, now, held[j.Spec.Team])
 	}
 	sort.Slice(out, func(i, k int) bool {
 		x, y := out[i], out[k]
@@ -84,15 +85,34 @@
 // noDeadline puts jobs without a deadline behind those with one.
 const noDeadline = 24 * time.Hour
 
+// heldBack tells which teams want more than their limits allow.
+func (b *Book) heldBack() map[string]bool {
+	wanted := map[string]model.Size{}
+	for _, j := range b.jobs {
+		if !j.Cancelled {
+			wanted[j.Spec.Team] = wanted[j.Spec.Team].Add(j.Spec.Size.Times(j.Spec.Tasks - j.finished.Len()))
+		}
+	}
+	out := map[string]bool{}
+	for name, size := range wanted {
+		out[name] = !b.teams[name].WithinLimit(size)
+	}
+	return out
+}
+
 // due is when a job should be complete for the queue's order: by its deadline,
-// or by what is asked of its class. One that can no longer be in time goes with
-// those of which nothing is asked: hurrying it would only make others late.
+// or, unless its team's limit holds it back, by what is asked of its class. One
+// that can no longer be in time goes with those of which nothing is asked:
+// hurrying it would only make others late.
 // Those go by age, but a job is counted as younger by what it still needs of
 // its team's limit: while a limit holds a team back, short jobs go first
 // without long ones waiting for ever.
-func (b *Book) due(j *Job, now time.Time) time.Time {
+func (b *Book) due(j *Job, now time.Time, held bool) time.Time {
 	within := j.Spec.Deadline
 	aim := b.opt.Aims[j.Spec.Class]
+	if held {
+		aim = model.Aim{}
+	}
 	for _, d := range []time.Duration{aim.Finished, aim.Wait + j.Spec.Estimate} {
 		if d > j.Spec.Estimate && (within == 0 || d < within) {
 			within = d
