Split the leader's term: rounds, records and renting have files of their own

Pure moves, long lines wrapped, an unused argument gone. A table test counts what a round brings back: it grows with what changed, not with the machines.

--- /dev/null
+++ b/internal/controller/renting.go
@@ -0,0 +1,153 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/marlwood/marlwood/internal/fleet"
+	"github.com/marlwood/marlwood/internal/placement"
+	"github.com/marlwood/marlwood/internal/store"
+)
+
+// suspects keeps tasks off machines on which several tasks of different jobs
+// failed in a row.
+func (t *term) suspects() {
+	for _, m := range t.book.Machines() {
+		if m.Phase == placement.Current && !m.Cordoned && m.Suspect(t.n.op.Fleet.Errors) {
+			t.n.log.Warn("machine fails its tasks", "machine", m.Name, "errors", m.Errors)
+			t.book.Cordon(m)
+		}
+	}
+}
+
+// runFleet turns the fleet's decisions into calls.
+func (t *term) runFleet(now time.Time) {
+	for _, a := range t.fleet.Tick(now, t.book.Needs(now), t.book.Machines(), t.n.knownTypes(), t.book.Complete()) {
+		switch {
+		case a.Store != nil:
+			t.storeCharter(*a.Store)
+		case a.Rent != nil:
+			t.queueCloud(func() { t.rent(*a.Rent) })
+		case len(a.Release) > 0:
+			for _, name := range a.Release {
+				if m := t.book.Machines()[name]; m != nil {
+					t.book.Cordon(m)
+				}
+			}
+			t.queueCloud(func() { t.release(a.Release) })
+		}
+	}
+	if !now.Before(t.nextList) && !t.listing {
+		t.nextList, t.listing = now.Add(t.n.op.Fleet.ListEvery), true
+		t.queueCloud(t.list)
+	}
+	if !now.Before(t.nextTypes) {
+		t.nextTypes = now.Add(time.Minute)
+		t.queueCloud(t.refreshTypes)
+	}
+}
+
+// queueCloud lines calls to the cloud up, one at a time.
+func (t *term) queueCloud(f func()) { t.cloudJobs = append(t.cloudJobs, f) }
+
+func (t *term) runCloud() {
+	if t.cloudBusy || len(t.cloudJobs) == 0 {
+		return
+	}
+	f := t.cloudJobs[0]
+	t.cloudJobs = t.cloudJobs[1:]
+	t.cloudBusy = true
+	go func() {
+		f()
+		t.n.post(func() { t.cloudBusy = false })
+	}()
+}
+
+func (t *term) storeCharter(c fleet.Charter) {
+	txn := store.Txn{Guards: []store.Guard{t.guard()}, Writes: []store.Write{store.Put(fleet.CharterPrefix+c.Name, c)}}
+	go func() {
+		out, err := t.n.store.Do(t.ctx, txn)
+		t.n.post(func() { t.fleet.IntentStored(c.Name, err == nil && out.OK(), time.Now()) })
+	}()
+}
+
+func (t *term) rent(c fleet.Charter) {
+	res, names := t.n.cloud.Rent(t.ctx, c)
+	t.n.post(func() {
+		if t.ctx.Err() != nil {
+			return // the record stays, and the next leader resolves it
+		}
+		t.n.log.Info("rent", "type", c.Kind.Type, "zone", c.Kind.Zone, "spot", c.Spot,
+			"wanted", c.Count, "got", len(names), "result", res.String())
+		if !t.fleet.Rented(c.Name, res, names, time.Now()) {
+			return
+		}
+		txn := store.Txn{Guards: []store.Guard{t.guard()}, Writes: []store.Write{store.Del(fleet.CharterPrefix + c.Name)}}
+		go func() {
+			// A record left behind is resolved again by the next leader.
+			if _, err := t.n.store.Do(t.ctx, txn); err != nil {
+				t.n.log.Debug("charter record", "charter", c.Name, "err", err)
+			}
+		}()
+	})
+}
+
+func (t *term) release(names []string) {
+	err := t.n.cloud.Release(t.ctx, names)
+	t.n.post(func() {
+		if t.ctx.Err() != nil {
+			return
+		}
+		now := time.Now()
+		t.n.log.Info("returned", "machines", names, "err", err)
+		t.fleet.Released(names, err == nil, now)
+		if err != nil {
+			return
+		}
+		for _, name := range names {
+			if m := t.book.Machines()[name]; m != nil && m.Hosted {
+				t.dropHosts = append(t.dropHosts, name)
+			}
+			t.book.Gone(name, now)
+		}
+	})
+}
+
+func (t *term) list() {
+	all, err := t.n.cloud.List(t.ctx)
+	t.n.post(func() {
+		t.listing = false
+		if err != nil || t.ctx.Err() != nil {
+			return
+		}
+		now := time.Now()
+		leave := t.fleet.List(all, t.book.Machines(), now)
+		listed := make(map[string]bool, len(all))
+		for _, l := range all {
+			listed[l.Name] = true
+		}
+		leave = append(leave, t.book.Missing(listed, now.Add(-2*t.n.cfg.ReportEvery-2*time.Second))...)
+		if leave = t.fleet.Claim(leave); len(leave) > 0 {
+			t.n.log.Info("missing or failed machines", "machines", leave)
+			t.queueCloud(func() { t.release(leave) })
+		}
+	})
+}
+
+func (t *term) refreshTypes() {
+	cat, err := t.n.cloud.Types(t.ctx)
+	if err != nil {
+		return
+	}
+	table := cat.Table()
+	t.n.post(func() {
+		t.n.setTypes(table)
+		if t.ctx.Err() != nil || t.typesSet {
+			return
+		}
+		txn := store.Txn{Guards: []store.Guard{t.guard()}, Writes: []store.Write{store.Put(typesKey, cat)}}
+		go func() {
+			out, err := t.n.store.Do(t.ctx, txn)
+			t.n.post(func() { t.typesSet = err == nil && out.OK() })
+		}()
+	})
+}
--- /dev/null
+++ b/internal/controller/rounds.go
@@ -0,0 +1,270 @@
+package controller
+
+import (
+	"slices"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/peers"
+	"github.com/marlwood/marlwood/internal/peers/peerspb"
+	"github.com/marlwood/marlwood/internal/placement"
+)
+
+// link is what the leader keeps about one controller, itself included.
+type link struct {
+	member string
+	zone   string
+	addr   string
+	local  bool
+	peer   *peers.Link
+
+	boot     string
+	clock    int64     // owner's clock in its last answer
+	seen     uint64    // last change taken in
+	acked    bool      // has answered under the present token
+	ackAt    time.Time // when
+	bound    time.Time // when every grant under an earlier token is over for sure
+	grantEnd time.Time // when the last grant given to it is over for sure
+	okAt     time.Time // last answer
+	okSince  time.Time // answers without a gap since
+	busy     bool
+	failures int
+	sizes    map[string]bool
+}
+
+func (l *link) live(now time.Time) bool { return l.local || now.Sub(l.okAt) < 2*time.Second }
+
+// round is one sampling round under way.
+type round struct {
+	began   time.Time
+	waiting map[*link]bool
+	samples []*peerspb.Sample
+}
+
+// beatSoon asks for a round as soon as the least pause allows.
+func (t *term) beatSoon() {
+	if at := t.lastRound.Add(t.n.op.Placement.Round); at.Before(t.nextBeat) {
+		t.nextBeat = at
+	}
+}
+
+// beat begins a round: grants, orders and wishes for samples to everybody.
+func (t *term) beat(now time.Time) {
+	t.lastRound, t.nextBeat = now, now.Add(t.n.op.Placement.Heartbeat)
+	var wants []*peerspb.Want
+	if t.loaded {
+		wants = t.book.Wants(now)
+	}
+	t.round = &round{began: now, waiting: map[*link]bool{}}
+	for _, l := range t.n.links {
+		if !l.busy {
+			t.round.waiting[l] = true
+		}
+	}
+	for _, l := range t.n.links {
+		if !l.busy {
+			t.send(l, now, wants)
+		}
+	}
+	t.roundDone(now)
+}
+
+func (t *term) roundDone(now time.Time) {
+	if t.round != nil && len(t.round.waiting) == 0 {
+		t.endRound(now)
+	}
+}
+
+// endRound places by the samples that came and hands the orders over.
+func (t *term) endRound(now time.Time) {
+	samples := t.round.samples
+	t.round = nil
+	if !t.loaded {
+		return
+	}
+	if !t.book.Complete() && t.book.Settle() {
+		t.n.log.Info("takeover complete", "token", t.token, "after", now.Sub(t.began), "machines", len(t.book.Machines()))
+	}
+	if placed := t.book.Place(now, samples); placed > 0 {
+		t.n.log.Debug("placed", "tasks", placed)
+		t.beatSoon()
+	}
+	t.book.Preempt(now)
+	for _, l := range t.n.links {
+		if !l.busy && len(t.book.Orders(l.member)) > 0 {
+			t.send(l, now, nil)
+		}
+	}
+}
+
+// send sends one message to a controller.
+func (t *term) send(l *link, now time.Time, wants []*peerspb.Want) {
+	n := t.n
+	if !n.lead.MayAct(now) {
+		// Guard: answers still come in after the right to act has ended, and
+		// must not lead to another grant or order.
+		if t.round != nil {
+			delete(t.round.waiting, l)
+		}
+		return
+	}
+	r := &peerspb.RoundRequest{Token: t.token, Leader: n.cfg.Member, Boot: l.boot, Seen: l.seen,
+		StoreOk: now.Sub(n.lead.Checked()) < 2500*time.Millisecond}
+	if !t.loaded {
+		r.Seen = 0
+	}
+	if t.loaded && l.boot != "" {
+		// The grant is given on the owner's own clock, counted from a moment
+		// before its last answer reached us.
+		r.GrantUntilNs = l.clock + int64(n.terms.Grant)
+		for k, member := range t.book.Owners() {
+			r.Owners = append(r.Owners, &peerspb.KindOwner{Kind: &peerspb.Kind{Type: k.Type, Zone: k.Zone}, Member: member})
+		}
+		r.Orders = t.book.Orders(l.member)
+		r.Sizes = t.sizesFor(l, r.Orders)
+		for _, w := range wants {
+			if slices.ContainsFunc(w.Kinds, func(k *peerspb.Kind) bool {
+				return t.book.Owners()[model.Kind{Type: k.Type, Zone: k.Zone}] == l.member
+			}) {
+				r.Wants = append(r.Wants, w)
+			}
+		}
+	}
+	token := t.token
+	if l.local {
+		resp := n.desk.Round(now, r)
+		n.direct(now)
+		t.receive(l, token, now, resp, nil)
+		return
+	}
+	l.busy = true
+	peer := l.peer
+	go func() {
+		resp, err := peer.Round(t.ctx, r)
+		n.post(func() {
+			l.busy = false
+			if t.ctx.Err() == nil {
+				t.receive(l, token, now, resp, err)
+			}
+		})
+	}()
+}
+
+// sizesFor names the sizes of jobs that an owner has not been told yet.
+func (t *term) sizesFor(l *link, orders []*peerspb.Order) []*peerspb.JobSize {
+	var out []*peerspb.JobSize
+	add := func(id string) {
+		j := t.book.Jobs()[id]
+		if j == nil || l.sizes[id] {
+			return
+		}
+		l.sizes[id] = true
+		out = append(out, &peerspb.JobSize{Job: id, Size: placement.SizeMessage(j.Spec.Size)})
+	}
+	for _, o := range orders {
+		add(o.Job)
+	}
+	for id, j := range t.book.Jobs() {
+		if !l.sizes[id] && j.Bound() > 0 {
+			add(id)
+		}
+	}
+	return out
+}
+
+// receive takes in an owner's answer to a message sent at sent.
+func (t *term) receive(l *link, token uint64, sent time.Time, resp *peerspb.RoundResponse, err error) {
+	now := time.Now()
+	if t.round != nil {
+		delete(t.round.waiting, l)
+		defer t.roundDone(now)
+	}
+	if err != nil {
+		l.failures++
+		if l.failures%5 == 0 && !l.local { // a connection that a cut left hanging is given up
+			if fresh, derr := peers.Dial(l.addr, t.n.op.Service.PeerCall); derr == nil {
+				_ = l.peer.Close()
+				l.peer = fresh
+			}
+		}
+		return
+	}
+	if resp.Token > t.token {
+		t.n.lead.Heard(now, resp.Token)
+		return
+	}
+	if !l.live(now) {
+		l.okSince = now
+	}
+	l.okAt = now
+	restarted := l.boot != "" && l.boot != resp.Boot
+	if l.failures > 0 {
+		l.failures = 0
+	}
+	if l.boot != resp.Boot {
+		if restarted {
+			l.okSince = now
+			if l.acked {
+				l.failures = -1 // its orders are lost: a fresh token decides them
+			}
+		}
+		l.boot, l.seen, l.sizes = resp.Boot, 0, map[string]bool{}
+		l.clock = resp.ClockNs
+		t.ack(l, token, now)
+		t.beatSoon()
+		return
+	}
+	l.clock = resp.ClockNs
+	l.grantEnd = now.Add(drift(t.n.terms.Grant))
+	if token != t.token || resp.Token != t.token {
+		return
+	}
+	t.ack(l, token, now)
+	if !t.loaded {
+		return
+	}
+	if t.round != nil {
+		t.round.samples = append(t.round.samples, resp.Samples...)
+	}
+	t.book.Acknowledged(l.member, resp.Applied)
+	trusted := sent.After(t.expiry(now))
+	for _, m := range resp.Machines {
+		t.fleet.Up(m.Name)
+		t.n.log.Debug("machine", "machine", m.Name, "phase", m.Phase, "owner", l.member,
+			"session", m.Session, "seq", m.Seq, "tasks", len(m.Tasks))
+		t.book.Machine(now, l.member, m, resp.Applied, trusted)
+	}
+	if len(resp.Machines) > 0 {
+		t.beatSoon()
+	}
+	l.seen = max(l.seen, resp.Change)
+	if trusted {
+		t.book.UnseenLapsed(l.member, now)
+	}
+}
+
+func (t *term) ack(l *link, token uint64, now time.Time) {
+	if token == t.token && !l.acked {
+		l.acked, l.ackAt = true, now
+		if l.failures < 0 {
+			l.failures = 0
+		}
+	}
+}
+
+// expiry is when a lease that any node extended under an earlier token has
+// surely run out: one lease after every controller has taken our token in, or
+// after the grants of those that did not are over.
+func (t *term) expiry(now time.Time) time.Time {
+	last := t.began
+	for _, l := range t.n.links {
+		at := l.bound
+		if l.acked {
+			at = l.ackAt
+		}
+		if at.After(last) {
+			last = at
+		}
+	}
+	return last.Add(drift(t.n.cfg.Lease) + t.n.terms.Margin/2)
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -231,7 +231,8 @@
 func (f *Fleet) Booting() int { return len(f.booting) }
 
 // Tick decides what to rent and what to return.
-func (f *Fleet) Tick(now time.Time, needs []placement.Need, machines map[string]*placement.Machine, types map[string]model.MachineType, settled bool) []Action {
+func (f *Fleet) Tick(now time.Time, needs []placement.Need, machines map[string]*placement.Machine,
+	types map[string]model.MachineType, settled bool) []Action {
 	var out []Action
 	for _, c := range f.charters {
 		if c.state == Stored && (c.since.IsZero() || now.Sub(c.since) >= time.Second) {
@@ -239,7 +240,7 @@
 			out = append(out, Action{Rent: c})
 		}
 	}
-	if release := f.returns(now, machines, types, settled, len(needs) > 0); len(release) > 0 {
+	if release := f.returns(now, machines, types, settled); len(release) > 0 {
 		out = append(out, Action{Release: release})
 	}
 	if settled {
@@ -250,7 +251,8 @@
 }
 
 // returns names the machines to give back: idle, lost, suspect, or never up.
-func (f *Fleet) returns(now time.Time, machines map[string]*placement.Machine, types map[string]model.MachineType, settled, waiting bool) []string {
+func (f *Fleet) returns(now time.Time, machines map[string]*placement.Machine,
+	types map[string]model.MachineType, settled bool) []string {
 	var names []string
 	give := func(name string) {
 		if !f.leaving[name] && len(names) < 100 {
@@ -293,7 +295,8 @@
 	for name, r := range f.booting {
 		// Guard: machines that were rented in a zone which then fell silent
 		// stand in nobody's way.
-		if !f.leaving[name] && !f.market.silent(r.source.Kind.Zone) && now.Sub(r.since) < 2*types[r.source.Kind.Type].Boot+5*time.Second {
+		if !f.leaving[name] && !f.market.silent(r.source.Kind.Zone) &&
+			now.Sub(r.since) < 2*types[r.source.Kind.Type].Boot+5*time.Second {
 			add(r.source)
 		}
 	}
--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -70,7 +70,8 @@
 // to is the one place where a bound task's state changes.
 func (t *Task) to(s model.TaskState, now time.Time) {
 	if t.state != s {
-		t.machine.log.Debug("task", "task", model.TaskName(t.job.Spec.ID, t.index), "machine", t.machine.Name, "from", t.state, "to", s, "after", now.Sub(t.since))
+		t.machine.log.Debug("task", "task", model.TaskName(t.job.Spec.ID, t.index), "machine", t.machine.Name,
+			"from", t.state, "to", s, "after", now.Sub(t.since))
 		t.state, t.since = s, now
 	}
 }
@@ -225,8 +226,8 @@
 // AddHost takes in a host record: a machine on which tasks may run.
 func (b *Book) AddHost(name, addr string, kind model.Kind, spot bool, now time.Time) {
 	if b.machines[name] == nil {
-		b.machines[name] = &Machine{Name: name, Addr: addr, Kind: kind, Spot: spot, Hosted: true, Notice: -1, Seen: now, Idle: now, Since: now, Listed: true,
-			tasks: map[taskKey]*Task{}, log: b.opt.Log}
+		b.machines[name] = &Machine{Name: name, Addr: addr, Kind: kind, Spot: spot, Hosted: true, Notice: -1,
+			Seen: now, Idle: now, Since: now, Listed: true, tasks: map[taskKey]*Task{}, log: b.opt.Log}
 	}
 }
 
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -49,7 +49,8 @@
 		return
 	}
 	for _, j := range b.queue(now) {
-		if j.Spec.Priority.Rank() <= 0 || j.empty <= b.opt.ScanAfter || now.Sub(j.waiting) < b.opt.PreemptWait || now.Sub(j.cleared) < clearAgain {
+		if j.Spec.Priority.Rank() <= 0 || j.empty <= b.opt.ScanAfter ||
+			now.Sub(j.waiting) < b.opt.PreemptWait || now.Sub(j.cleared) < clearAgain {
 			continue
 		}
 		n := b.headroom(j)
@@ -72,7 +73,8 @@
 		if p.machine.reserved == nil {
 			p.machine.reserved = map[string]reservation{}
 		}
-		p.machine.reserved[j.Spec.ID] = reservation{size: j.Spec.Size.Times(p.tasks), rank: j.Spec.Priority.Rank(), until: now.Add(15 * time.Second)}
+		p.machine.reserved[j.Spec.ID] = reservation{size: j.Spec.Size.Times(p.tasks), rank: j.Spec.Priority.Rank(),
+			until: now.Add(15 * time.Second)}
 	}
 	for _, t := range c.victims {
 		b.stop(t, graceFor(t.job.Spec))
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -175,7 +175,8 @@
 			if m.reserved == nil {
 				m.reserved = map[string]reservation{}
 			}
-			m.reserved[name] = reservation{size: c.last.Spec.Size.Times(n), class: name, rank: c.last.Spec.Priority.Rank(), until: now.Add(3 * time.Second)}
+			m.reserved[name] = reservation{size: c.last.Spec.Size.Times(n), class: name,
+				rank: c.last.Spec.Priority.Rank(), until: now.Add(3 * time.Second)}
 			slots -= n
 		}
 		c.short = slots
--- a/internal/workers/desk_test.go
+++ b/internal/workers/desk_test.go
@@ -407,3 +407,33 @@
 		}
 	}
 }
+
+// What a round brings back grows with what changed, not with the machines
+// there are: a report that says nothing new costs the leader nothing.
+func TestWorkPerRound(t *testing.T) {
+	for _, c := range []struct {
+		machines, same, changed int
+	}{{10, 10, 0}, {10, 7, 3}, {300, 300, 0}, {300, 297, 3}} {
+		d := desk()
+		checkIn := func(i int, seq uint64, tasks ...model.WireTask) {
+			r := report(1, seq, 5, tasks...)
+			r.Machine = fmt.Sprintf("m%d", i)
+			d.CheckIn(at(1), r)
+		}
+		for i := range c.machines {
+			checkIn(i, 1)
+		}
+		seen := d.Round(at(1), grant(5, 10)).Change
+		for i := range c.same {
+			checkIn(i, 2)
+		}
+		for i := range c.changed {
+			checkIn(i, 3, model.WireTask{Task: "j/1", Attempt: 9, State: model.TaskRunning})
+		}
+		next := grant(5, 10)
+		next.Seen = seen
+		if got := len(d.Round(at(2), next).Machines); got != c.changed {
+			t.Errorf("%d machines, %d changed: %d told", c.machines, c.changed, got)
+		}
+	}
+}
