Count every answer that extends a lease; leave ended sessions unanswered

A report that the answer to a direct call overtook was answered 200 without being counted, so the worker's lease ran up to a report interval (4 s) longer than its owner thought; back on the network it was answered again in the session that the leader had been told was over. Excluded: clocks (0.5 s of margin), another owner (one leader, one owner), the leader's own look (it came). Both ends are closed, with table tests for each.

--- a/internal/workers/desk.go
+++ b/internal/workers/desk.go
@@ -71,6 +71,7 @@
 	phase   Phase
 	session uint64
 	seq     uint64
+	ended   uint64        // the session that the leader was told is over, or 0
 	notice  time.Duration // -1: none
 	tasks   []*peerspb.Task
 	pending []*order
@@ -176,6 +177,7 @@
 		// Its lease has run out: nothing runs there, what was not yet handed
 		// over never will be, and the worker's next session refuses late calls.
 		m.pending, m.tasks, m.kept = nil, nil, nil
+		m.ended = m.session
 	}
 	m.phase = p
 	d.touch(m)
@@ -205,9 +207,19 @@
 	if m == nil {
 		m = &machine{name: r.Machine, kind: kind, notice: -1}
 		d.machines[r.Machine] = m
+	} else if m.ended > 0 && r.Session <= m.ended {
+		// Guard: the leader was told that this session is over. An answer must
+		// not bring it back to life.
+		return Verdict{Status: 503}
 	} else if r.Session < m.session || (r.Session == m.session && r.Seq <= m.seq) {
-		// A late or repeated report: its task list is as old as it is, and its
-		// sender no longer waits for the answer.
+		// A late or repeated report: its task list is as old as it is.
+		//
+		// Guard: it may also be one that the answer to a direct call overtook.
+		// Its sender still waits, and this answer extends its lease; counted
+		// from the report before, the lease was told to be over too early.
+		if r.Session == m.session {
+			m.answered = now
+		}
 		return Verdict{Status: 200, Token: d.token}
 	}
 	before := d.change
@@ -446,7 +458,7 @@
 	if c.Token != d.token {
 		return // orders of an earlier token are void; the next report decides its starts
 	}
-	if r != nil && r.Machine == m.name && r.Token <= d.token && CheckReport(r) == nil &&
+	if r != nil && r.Machine == m.name && r.Token <= d.token && CheckReport(r) == nil && r.Session > m.ended &&
 		(r.Session > m.session || (r.Session == m.session && r.Seq > m.seq)) {
 		d.takeReport(m, r)
 	}
@@ -545,7 +557,8 @@
 	d.token, d.grant, d.applied = token, time.Time{}, 0
 	d.owners, d.sizes = map[model.Kind]string{}, map[string]model.Size{}
 	for _, m := range d.machines {
-		m.pending, m.cordon, m.failed = nil, false, false
+		// Another owner may have kept the machine's session alive meanwhile.
+		m.pending, m.cordon, m.failed, m.ended = nil, false, false, 0
 		if m.phase != Expired {
 			d.setPhase(m, Joining)
 		} else {
--- a/internal/workers/desk_test.go
+++ b/internal/workers/desk_test.go
@@ -408,6 +408,55 @@
 	}
 }
 
+// Every answer that extends a lease counts, also that to a report which the
+// answer to a direct call overtook; and no answer brings a session back whose
+// end was told.
+func TestLeaseIsCounted(t *testing.T) {
+	running := model.WireTask{Task: "j/3", Attempt: 9, State: model.TaskRunning}
+	for _, c := range []struct {
+		name    string
+		steps   func(d *Desk) Verdict
+		status  int
+		expired bool // at 12.5, of a lease of 10 s and a margin of 1 s
+	}{
+		{"an overtaken report", func(d *Desk) Verdict {
+			d.Round(at(1), grant(5, 20, ord(4, peerspb.Op_OP_START, 3)))
+			call := d.Calls(at(1))[0]
+			d.Called(at(4.9), call, Executed, report(1, 3, 5, running))
+			return d.CheckIn(at(5), report(1, 2, 5))
+		}, 200, false},
+		{"a report of an earlier session", func(d *Desk) Verdict {
+			d.CheckIn(at(1.2), report(2, 3, 5))
+			return d.CheckIn(at(5), report(1, 2, 5))
+		}, 200, true},
+		{"a report after the end was told", func(d *Desk) Verdict {
+			d.Round(at(12.3), grant(5, 20))
+			return d.CheckIn(at(12.4), report(1, 9, 5, running))
+		}, 503, true},
+		{"the next session", func(d *Desk) Verdict {
+			d.Round(at(12.3), grant(5, 20))
+			return d.CheckIn(at(12.4), report(2, 9, 5))
+		}, 200, false},
+		{"the same session under a fresh token", func(d *Desk) Verdict {
+			d.Round(at(12.3), grant(5, 20))
+			d.Round(at(12.4), grant(6, 20))
+			d.Round(at(12.4), grant(6, 20))
+			return d.CheckIn(at(12.4), report(1, 9, 6, running))
+		}, 200, false},
+	} {
+		d := desk()
+		d.Round(at(0.5), grant(5, 20))
+		d.CheckIn(at(1), report(1, 1, 5))
+		if v := c.steps(d); v.Status != c.status {
+			t.Errorf("%s: status %d, want %d", c.name, v.Status, c.status)
+		}
+		d.expire(at(12.5))
+		if got := d.machines["m1"].phase == Expired; got != c.expired {
+			t.Errorf("%s: expired is %v", c.name, got)
+		}
+	}
+}
+
 // What a round brings back grows with what changed, not with the machines
 // there are: a report that says nothing new costs the leader nothing.
 func TestWorkPerRound(t *testing.T) {
