--- a/internal/workers/desk.go
+++ b/internal/workers/desk.go
@@ -228,7 +228,7 @@
 	// every answer before it. A direct call's body does not: an answer may
 	// still be on its way then.
 	m.settle(func(o *order) bool { return o.state == handed })
-	d.takeReport(m, r)
+	d.takeReport(now, m, r)
 	if r.Token != d.token {
 		return Verdict{Status: 200, Token: d.token, Changed: d.change != before}
 	}
@@ -237,7 +237,7 @@
 }
 
 // takeReport takes in the newest report of a machine, from whichever way.
-func (d *Desk) takeReport(m *machine, r *model.Report) {
+func (d *Desk) takeReport(now time.Time, m *machine, r *model.Report) {
 	moved := m.session != r.Session
 	m.addr, m.spot, m.session, m.seq = r.Addr, r.Spot, r.Session, r.Seq
 	notice := time.Duration(-1)
@@ -250,6 +250,10 @@
 	m.notice = notice
 	open := len(m.undecided())
 	if moved { // late direct calls are refused from here on
+		// Guard: a session's lease runs from its beginning, which is not later
+		// than now; counted from the last report, it was over too early where
+		// only direct calls came through.
+		m.answered = now
 		m.kept = nil
 		m.settle(func(o *order) bool { return o.state == unsure })
 	}
@@ -460,7 +464,7 @@
 	}
 	if r != nil && r.Machine == m.name && r.Token <= d.token && CheckReport(r) == nil && r.Session > m.ended &&
 		(r.Session > m.session || (r.Session == m.session && r.Seq > m.seq)) {
-		d.takeReport(m, r)
+		d.takeReport(now, m, r)
 	}
 	for _, o := range m.pending {
 		o.told = o.told || (outcome == Executed && o.op == peerspb.Op_OP_STOP && c.has(o))
--- a/internal/workers/desk_test.go
+++ b/internal/workers/desk_test.go
@@ -429,6 +429,11 @@
 			d.CheckIn(at(1.2), report(2, 3, 5))
 			return d.CheckIn(at(5), report(1, 2, 5))
 		}, 200, true},
+		{"a session that only a direct call showed", func(d *Desk) Verdict {
+			d.Round(at(1), grant(5, 20, ord(4, peerspb.Op_OP_START, 3)))
+			d.Called(at(9), d.Calls(at(1))[0], Refused, report(2, 1, 5))
+			return Verdict{Status: 200}
+		}, 200, false},
 		{"a report after the end was told", func(d *Desk) Verdict {
 			d.Round(at(12.3), grant(5, 20))
 			return d.CheckIn(at(12.4), report(1, 9, 5, running))
