Bad settings end the program with status 2 again

Cause: the command line's library wraps the error of a command, and the type assertion in main never held; found by trying the README as a new user.

--- a/cmd/marlwood/main.go
+++ b/cmd/marlwood/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -109,9 +110,15 @@
 	ctx := kong.Parse(&c, kong.Name("marlwood"), kong.Description("A cluster scheduler for rented machines."), kong.UsageOnError())
 	if err := ctx.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "marlwood: "+err.Error())
-		if _, bad := err.(badSettings); bad {
-			os.Exit(2)
-		}
-		os.Exit(1)
+		os.Exit(status(err))
+	}
+}
+
+// status is what the program ends with after an error: 2 if settings are bad.
+func status(err error) int {
+	var bad badSettings
+	if errors.As(err, &bad) {
+		return 2
 	}
+	return 1
 }
