--- a/internal/controller/node_test.go
+++ b/internal/controller/node_test.go
@@ -72,7 +72,8 @@
 			StateRPS: 5000, StateWriteRPS: 1000, ValueBytes: 8192, TxnOps: 16, CloudRPS: 100, MemoryMB: 500, MaxConns: 400}
 		for k := range 3 {
 			if k != i {
-				cfg.Siblings = append(cfg.Siblings, settings.Sibling{Member: fmt.Sprintf("n%d", k), Zone: []string{"a", "b", "c"}[k], Addr: s.addrs[3+k]})
+				cfg.Siblings = append(cfg.Siblings, settings.Sibling{Member: fmt.Sprintf("n%d", k),
+					Zone: []string{"a", "b", "c"}[k], Addr: s.addrs[3+k]})
 			}
 		}
 		n, err := New(cfg, op, slog.New(slog.NewTextHandler(io.Discard, nil)))
@@ -139,7 +140,9 @@
 // cancellation, an outage, the loss of the leader, and bad input.
 func TestControllers(t *testing.T) {
 	s := newSite(t)
-	for id, body := range map[string]string{"array": job("array", "batch", 12), "gang": job("gang", "gang", 3), "stays": job("stays", "standing", 2)} {
+	for id, body := range map[string]string{
+		"array": job("array", "batch", 12), "gang": job("gang", "gang", 3), "stays": job("stays", "standing", 2),
+	} {
 		if status, v := s.ask("POST", "/api/jobs", body); status != 201 {
 			t.Fatalf("%s: %d %v", id, status, v)
 		}
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -201,6 +201,7 @@
 		t.nextSummary = now.Add(10 * time.Second)
 		s := t.book.Summary(now)
 		t.n.log.Info("cluster", "machines", s.Machines, "booting", t.fleet.Booting(), "busy", s.Busy,
-			"retiring", s.Retiring, "cpus", s.CPUs, "used", s.Used, "jobs", s.Jobs, "bound", s.Bound, "unplaced", s.Unplaced, "placeable", s.Placeable)
+			"retiring", s.Retiring, "cpus", s.CPUs, "used", s.Used, "jobs", s.Jobs,
+			"bound", s.Bound, "unplaced", s.Unplaced, "placeable", s.Placeable)
 	}
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -27,7 +27,8 @@
 }
 
 func need(tasks int, spot bool, estimate time.Duration) placement.Need {
-	return placement.Need{Job: "x", Size: model.Size{CPUs: 2}, Tasks: tasks, Kinds: []model.Kind{large, small}, Spot: spot, Estimate: estimate, Horizon: 55 * time.Second}
+	return placement.Need{Job: "x", Size: model.Size{CPUs: 2}, Tasks: tasks, Kinds: []model.Kind{large, small},
+		Spot: spot, Estimate: estimate, Horizon: 55 * time.Second}
 }
 
 // rents returns what a tick wants to rent.
@@ -58,16 +59,20 @@
 			map[Source]int{{small, false}: 2}},
 		{"after a while one is tried", func(f *Fleet) { f.market.refused[Source{large, false}] = refusal{at: at(-20)} }, need(24, false, 0),
 			map[Source]int{{large, false}: 1, {small, false}: 8}},
-		{"what we gave back can be had", func(f *Fleet) { f.market.refused[Source{large, false}] = refusal{at: at(0), held: 2} }, need(24, false, 0),
+		{"what we gave back can be had", func(f *Fleet) { f.market.refused[Source{large, false}] = refusal{at: at(0), held: 2} },
+			need(24, false, 0),
 			map[Source]int{{large, false}: 2, {small, false}: 4}},
 		{"a silent zone is left alone", func(f *Fleet) { f.market.dark["a"] = at(0) }, need(8, false, 0), map[Source]int{}},
-		{"until one is tried", func(f *Fleet) { f.market.dark["a"] = at(-20) }, need(64, false, 0), map[Source]int{{large, false}: 1, {small, false}: 1}},
+		{"until one is tried", func(f *Fleet) { f.market.dark["a"] = at(-20) }, need(64, false, 0),
+			map[Source]int{{large, false}: 1, {small, false}: 1}},
 		{"what boots in a silent zone does not count", func(f *Fleet) {
 			f.booting["m"] = &rented{source: Source{model.Kind{Type: "large", Zone: "b"}, false}, since: at(0)}
 			f.market.dark["b"] = at(0)
-		}, placement.Need{Job: "x", Size: model.Size{CPUs: 2}, Tasks: 8, Kinds: []model.Kind{{Type: "large", Zone: "b"}, large}}, map[Source]int{{large, false}: 1}},
-		{"one zone for a job that must stay in one", nil, placement.Need{Job: "x", Size: model.Size{CPUs: 16}, Tasks: 60, Whole: true, OneZone: true,
-			Kinds: []model.Kind{large, {Type: "large", Zone: "b"}}}, map[Source]int{{large, false}: 50}},
+		}, placement.Need{Job: "x", Size: model.Size{CPUs: 2}, Tasks: 8, Kinds: []model.Kind{{Type: "large", Zone: "b"}, large}},
+			map[Source]int{{large, false}: 1}},
+		{"one zone for a job that must stay in one", nil,
+			placement.Need{Job: "x", Size: model.Size{CPUs: 16}, Tasks: 60, Whole: true, OneZone: true,
+				Kinds: []model.Kind{large, {Type: "large", Zone: "b"}}}, map[Source]int{{large, false}: 50}},
 		{"what is booting counts", func(f *Fleet) { f.booting["m"] = &rented{source: Source{large, false}, since: at(0)} }, need(8, false, 0),
 			map[Source]int{}},
 		{"a spot machine on its way is no use to others", func(f *Fleet) { f.booting["m"] = &rented{source: Source{large, true}, since: at(0)} },
@@ -151,7 +156,8 @@
 	if sent(f, 2) != "c-3-9" {
 		t.Error("an earlier leader's charter is left alone")
 	}
-	if !f.Rented("c-3-9", Refused, nil, at(3)) || len(rents(f, 4, need(1, false, 0))) == 0 || rents(f, 4, need(1, false, 0))[Source{small, false}] != 0 {
+	if !f.Rented("c-3-9", Refused, nil, at(3)) || len(rents(f, 4, need(1, false, 0))) == 0 ||
+		rents(f, 4, need(1, false, 0))[Source{small, false}] != 0 {
 		t.Error("a refusal is not remembered")
 	}
 }
@@ -168,7 +174,8 @@
 		"unseen":   {Phase: placement.Unseen, Idle: at(0)},
 	}
 	// Unexpected machines are in the list only; one of them never comes up.
-	f.List([]Listed{{Name: "dead", Kind: small, Booting: true, Age: 30 * time.Second}, {Name: "new", Kind: small, Booting: true, Age: time.Second},
+	f.List([]Listed{{Name: "dead", Kind: small, Booting: true, Age: 30 * time.Second},
+		{Name: "new", Kind: small, Booting: true, Age: time.Second},
 		{Name: "idle", Kind: small}}, machines, at(60))
 	for _, c := range []struct {
 		settled bool
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -110,7 +110,10 @@
 		kept bool
 	}{
 		{"accepted", func(in *Intake, s *fakeStore) httpwire.Answer { return in.Submit(ctx, body()) }, "201 queued", true},
-		{"repeated", func(in *Intake, s *fakeStore) httpwire.Answer { in.Submit(ctx, body()); return in.Submit(ctx, body()) }, "200 queued", true},
+		{"repeated", func(in *Intake, s *fakeStore) httpwire.Answer {
+			in.Submit(ctx, body())
+			return in.Submit(ctx, body())
+		}, "200 queued", true},
 		{"repeated with nonsense", func(in *Intake, s *fakeStore) httpwire.Answer {
 			in.Submit(ctx, body())
 			return in.Submit(ctx, []byte(`{"nameId":"req-1","pieces":"many"}`))
@@ -186,7 +189,11 @@
 		{"queued", func(*Intake, *fakeStore) {}, "200 queued", "200 aborted"},
 		{"done", func(in *Intake, s *fakeStore) { finish(s) }, "200 done", "200 done"},
 		{"outage", func(in *Intake, s *fakeStore) { s.refuse = true }, "503 ", "503 "},
-		{"done, told before, outage", func(in *Intake, s *fakeStore) { finish(s); in.Ask(ctx, "req-1"); s.refuse = true }, "200 done", "200 done"},
+		{"done, told before, outage", func(in *Intake, s *fakeStore) {
+			finish(s)
+			in.Ask(ctx, "req-1")
+			s.refuse = true
+		}, "200 done", "200 done"},
 		{"done while being cancelled", func(in *Intake, s *fakeStore) { s.between = func() { finish(s) } }, "200 queued", "200 done"},
 		{"saved while being cancelled", func(in *Intake, s *fakeStore) {
 			s.between = func() { it := s.keys["job/req-1"]; s.rev++; it.Stamp = s.rev; s.keys["job/req-1"] = it }
--- a/internal/placement/book_test.go
+++ b/internal/placement/book_test.go
@@ -38,7 +38,8 @@
 }
 
 func (b bench) machine(name, typ, zone string, tasks ...*peerspb.Task) {
-	b.Machine(at(0), "n0", &peerspb.Machine{Name: name, Kind: &peerspb.Kind{Type: typ, Zone: zone}, Phase: "current", NoticeMs: -1, Tasks: tasks}, 0, false)
+	b.Machine(at(0), "n0", &peerspb.Machine{Name: name, Kind: &peerspb.Kind{Type: typ, Zone: zone}, Phase: "current",
+		NoticeMs: -1, Tasks: tasks}, 0, false)
 	b.HostStored(name)
 }
 
@@ -51,7 +52,8 @@
 }
 
 func (b bench) job(id string, change func(j *model.Job)) {
-	j := &model.Job{ID: id, Team: "free", Shape: model.Array, Priority: model.Normal, Tasks: 1, Size: model.Size{CPUs: 2, MemoryGB: 2}, Image: "i"}
+	j := &model.Job{ID: id, Team: "free", Shape: model.Array, Priority: model.Normal, Tasks: 1,
+		Size: model.Size{CPUs: 2, MemoryGB: 2}, Image: "i"}
 	if change != nil {
 		change(j)
 	}
@@ -177,7 +179,9 @@
 		{"short: the least in use", func(j *model.Job) { j.Spot, j.Estimate = true, 20*time.Second }, "empty"},
 		{"long: the cheapest", func(j *model.Job) { j.Spot, j.Estimate = true, 3*time.Minute }, "spot"},
 		{"long, but not on spot machines", func(j *model.Job) { j.Estimate = 3 * time.Minute }, "empty"},
-		{"urgent: where the image comes in time", func(j *model.Job) { j.Class, j.Spot, j.Estimate, j.ImageGB = "urgent", true, 3*time.Minute, 4 }, "fast"},
+		{"urgent: where the image comes in time", func(j *model.Job) {
+			j.Class, j.Spot, j.Estimate, j.ImageGB = "urgent", true, 3*time.Minute, 4
+		}, "fast"},
 	} {
 		b := newBench(t)
 		b.opt.Aims = map[string]model.Aim{"urgent": {Wait: 6 * time.Second}}
@@ -297,7 +301,10 @@
 		{"lease run out", func(b bench, id, _ uint64) { b.says(2, "m", "expired", id); b.Expire(at(2.5), at(3)) }, false},
 		// The next leader may have won the machine over: silence alone proves
 		// nothing, nor does a look at the key from before it.
-		{"lease run out, the key not looked at since", func(b bench, id, _ uint64) { b.says(2, "m", "expired", id); b.Expire(at(1.9), at(3)) }, true},
+		{"lease run out, the key not looked at since", func(b bench, id, _ uint64) {
+			b.says(2, "m", "expired", id)
+			b.Expire(at(1.9), at(3))
+		}, true},
 		{"lapsed, then heard of again", func(b bench, id, a uint64) {
 			b.says(2, "m", "expired", id)
 			b.says(3, "m", "current", id, task("x", 0, a, model.TaskRunning, ""))
@@ -513,7 +520,8 @@
 		b.says(9, "m", "current", 9, task("x", 0, b.jobs["x"].bound[0].attempt, model.TaskRunning, ""))
 		b.round(9) // the other one again
 		x1 := b.jobs["x"].bound[1]
-		b.says(10, "m", "current", 99, task("x", 0, b.jobs["x"].bound[0].attempt, model.TaskRunning, ""), task("x", 1, x1.attempt, model.TaskRunning, ""))
+		b.says(10, "m", "current", 99, task("x", 0, b.jobs["x"].bound[0].attempt, model.TaskRunning, ""),
+			task("x", 1, x1.attempt, model.TaskRunning, ""))
 		b.job("y", func(j *model.Job) { j.Priority = c.prio })
 		for i := range 4 {
 			b.round(11 + float64(i))
@@ -527,7 +535,8 @@
 			if !x1.stopping {
 				t.Errorf("%s: the longer-running task was stopped", c.name)
 			}
-			b.says(21, "m", "current", 99, task("x", 0, b.jobs["x"].bound[0].attempt, model.TaskRunning, ""), task("x", 1, x1.attempt, model.TaskExited, model.CauseStopped))
+			b.says(21, "m", "current", 99, task("x", 0, b.jobs["x"].bound[0].attempt, model.TaskRunning, ""),
+				task("x", 1, x1.attempt, model.TaskExited, model.CauseStopped))
 			b.round(22)
 			if b.where("y", 0) != "m" || b.where("x", 1) != "" {
 				t.Errorf("%s: the room went to another job", c.name)
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -117,7 +117,8 @@
 	defer c.mu.Unlock()
 	all := []map[string]any{}
 	for name, wk := range c.workers {
-		all = append(all, map[string]any{"nameId": name, "addr": "", "hull": wk.hull, "yard": wk.yard, "loaners": wk.spot, "stage": "running", "ageS": 1})
+		all = append(all, map[string]any{"nameId": name, "addr": "", "hull": wk.hull, "yard": wk.yard,
+			"loaners": wk.spot, "stage": "running", "ageS": 1})
 	}
 	reply(w, 200, map[string]any{"berths": all, "more": false})
 }
--- a/internal/workers/desk_test.go
+++ b/internal/workers/desk_test.go
@@ -127,7 +127,8 @@
 			{orders: []*peerspb.Order{ord(1, start, 1)}, report: report(1, 2, 5), answer: []string{"start j/1"}, open: []uint64{1}},
 			{report: report(1, 3, 5)}}},
 		{"a repeated order is one order", false, []step{hello,
-			{orders: []*peerspb.Order{ord(1, start, 1), ord(1, start, 1)}, report: report(1, 2, 5), answer: []string{"start j/1"}, open: []uint64{1}}}},
+			{orders: []*peerspb.Order{ord(1, start, 1), ord(1, start, 1)},
+				report: report(1, 2, 5), answer: []string{"start j/1"}, open: []uint64{1}}}},
 		{"stops are repeated until the task has exited", false, []step{
 			{report: report(1, 1, 5, running)},
 			{orders: []*peerspb.Order{ord(1, stop, 1)}, report: report(1, 2, 5, running), answer: []string{"stop j/1"}},
@@ -147,14 +148,16 @@
 			{orders: []*peerspb.Order{ord(1, start, 2)}, report: report(1, 4, 5), open: []uint64{1}},
 			{report: report(1, 6, 5, running), answer: []string{"start j/2"}, open: []uint64{1}}}},
 		{"a stop takes back a start that is still here", false, []step{hello,
-			{orders: []*peerspb.Order{ord(1, start, 1), ord(2, start, 2), ord(3, stop, 2)}, report: report(1, 2, 5), answer: []string{"start j/1"}, open: []uint64{1}},
+			{orders: []*peerspb.Order{ord(1, start, 1), ord(2, start, 2), ord(3, stop, 2)},
+				report: report(1, 2, 5), answer: []string{"start j/1"}, open: []uint64{1}},
 			{report: report(1, 3, 5)}}},
 		{"a stop waits for a start that was handed over", false, []step{hello,
 			{orders: []*peerspb.Order{ord(1, start, 1)}, report: report(1, 2, 5), answer: []string{"start j/1"}, open: []uint64{1}},
 			{orders: []*peerspb.Order{ord(2, stop, 1)}, report: report(1, 3, 5, running), answer: []string{"stop j/1"}}}},
 
 		{"called and executed", true, []step{hello,
-			{orders: []*peerspb.Order{ord(1, start, 1)}, call: []string{"start j/1"}, body: report(1, 2, 5, running), report: report(1, 3, 5, running)}}},
+			{orders: []*peerspb.Order{ord(1, start, 1)}, call: []string{"start j/1"}, body: report(1, 2, 5, running),
+				report: report(1, 3, 5, running)}}},
 		// A report that overtook the call's body must not bring the start back.
 		{"executed, and a newer report is here", true, []step{
 			{report: report(1, 7, 5, running)},
@@ -162,11 +165,13 @@
 			{orders: []*peerspb.Order{ord(2, forget, 1)}, report: report(1, 9, 5, ended), answer: []string{"forget j/1"}},
 			{report: report(1, 10, 5)}}},
 		{"refused, then handed over", true, []step{hello,
-			{orders: []*peerspb.Order{ord(1, start, 1)}, call: []string{"start j/1"}, outcome: Refused, report: report(1, 2, 5), answer: []string{"start j/1"}, open: []uint64{1}},
+			{orders: []*peerspb.Order{ord(1, start, 1)}, call: []string{"start j/1"}, outcome: Refused,
+				report: report(1, 2, 5), answer: []string{"start j/1"}, open: []uint64{1}},
 			{report: report(1, 3, 5)}}},
 		// It may be carried out late, so it stays open until it shows.
 		{"unanswered, pressed until it shows", true, []step{hello,
-			{orders: []*peerspb.Order{ord(1, start, 1)}, call: []string{"start j/1"}, outcome: Unanswered, report: report(1, 2, 5), answer: []string{"start j/1"}, open: []uint64{1}},
+			{orders: []*peerspb.Order{ord(1, start, 1)}, call: []string{"start j/1"}, outcome: Unanswered,
+				report: report(1, 2, 5), answer: []string{"start j/1"}, open: []uint64{1}},
 			{report: report(1, 3, 5), answer: []string{"start j/1"}, open: []uint64{1}},
 			{report: report(1, 4, 5, running)}}},
 		// Forgotten, it could be started again by the late call.
@@ -176,7 +181,8 @@
 			{report: report(2, 1, 5, ended)},
 			{orders: []*peerspb.Order{ord(3, forget, 1)}, report: report(2, 2, 5, ended), answer: []string{"forget j/1"}}}},
 		{"unanswered, then not wanted: open until the session moves on", true, []step{hello,
-			{orders: []*peerspb.Order{ord(1, start, 1)}, call: []string{"start j/1"}, outcome: Unanswered, report: report(1, 2, 5), answer: []string{"start j/1"}, open: []uint64{1}},
+			{orders: []*peerspb.Order{ord(1, start, 1)}, call: []string{"start j/1"}, outcome: Unanswered,
+				report: report(1, 2, 5), answer: []string{"start j/1"}, open: []uint64{1}},
 			{orders: []*peerspb.Order{ord(2, stop, 1)}, report: report(1, 3, 5), answer: []string{"stop j/1"}, open: []uint64{1}, unsure: true},
 			{report: report(2, 1, 5)}}},
 	} {
@@ -386,7 +392,8 @@
 		calls  int
 	}{
 		{"it runs", []model.WireTask{running}, []*peerspb.Order{ord(1, peerspb.Op_OP_STOP, 1)}, 1},
-		{"it is to end at once after all", []model.WireTask{running}, []*peerspb.Order{ord(1, peerspb.Op_OP_STOP, 1), ord(2, peerspb.Op_OP_STOP, 1)}, 2},
+		{"it is to end at once after all", []model.WireTask{running},
+			[]*peerspb.Order{ord(1, peerspb.Op_OP_STOP, 1), ord(2, peerspb.Op_OP_STOP, 1)}, 2},
 		{"it is not there", nil, []*peerspb.Order{ord(1, peerspb.Op_OP_STOP, 1)}, 0},
 	} {
 		d := desk()
