--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -85,6 +85,9 @@
 	Started   bool
 	Cancelled bool
 
+	use      *teamUse     // what its team takes
+	kinds    []model.Kind // on which its tasks may run; see kindsFor
+	kindsGen uint64       // owners and types that kinds were made for
 	finished *model.TaskSet
 	stored   *model.TaskSet // what the state service has
 	bound    map[int]*Task
@@ -101,6 +104,7 @@
 	wroteAt  time.Time
 	dirty    bool
 	attempt  uint64 // gang: the present attempt
+	order    turn   // in the queue that was made last
 }
 
 // Finished counts the finished tasks.
@@ -171,6 +175,37 @@
 	plan     []*planned
 	classes  map[string]*class
 	holders  map[string]map[*Machine]bool // by image: the machines that have it
+	use      map[string]*teamUse
+	kindsGen uint64 // counts changes of owners and types
+}
+
+// teamUse sums what a team's tasks take, everything bound included. It is kept
+// as tasks are bound and released: summed anew for each job of a long queue, it
+// was a large part of a round.
+type teamUse struct {
+	size  model.Size
+	tasks int
+}
+
+func (u *teamUse) add(size model.Size) {
+	u.size, u.tasks = u.size.Add(size), u.tasks+1
+}
+
+func (u *teamUse) remove(size model.Size) {
+	u.size, u.tasks = u.size.Sub(size), u.tasks-1
+	if u.tasks == 0 {
+		u.size = model.Size{} // rounding must not add up
+	}
+}
+
+// useOf returns a team's sum.
+func (b *Book) useOf(team string) *teamUse {
+	u := b.use[team]
+	if u == nil {
+		u = &teamUse{}
+		b.use[team] = u
+	}
+	return u
 }
 
 // NewBook makes an empty book under a token.
@@ -183,11 +218,15 @@
 	}
 	return &Book{opt: opt, token: token, teams: teams, types: types, jobs: map[string]*Job{},
 		machines: map[string]*Machine{}, owners: map[model.Kind]string{}, out: map[string][]*peerspb.Order{},
-		gone: map[string]time.Time{}, classes: map[string]*class{}, holders: map[string]map[*Machine]bool{}}
+		gone: map[string]time.Time{}, classes: map[string]*class{}, holders: map[string]map[*Machine]bool{},
+		use: map[string]*teamUse{}}
 }
 
 // SetTypes replaces what is known of machine types.
-func (b *Book) SetTypes(types map[string]model.MachineType) { b.types = types }
+func (b *Book) SetTypes(types map[string]model.MachineType) {
+	b.types = types
+	b.kindsGen++
+}
 
 // Token is the token that the book's orders carry.
 func (b *Book) Token() uint64 { return b.token }
@@ -218,7 +257,10 @@
 }
 
 // SetOwners says which member owns each kind.
-func (b *Book) SetOwners(owners map[model.Kind]string) { b.owners = owners }
+func (b *Book) SetOwners(owners map[model.Kind]string) {
+	b.owners = owners
+	b.kindsGen++
+}
 
 // Owners returns the owner of each kind.
 func (b *Book) Owners() map[model.Kind]string { return b.owners }
@@ -541,6 +583,7 @@
 	t.job.bound[t.index] = t
 	t.machine.tasks[taskKey{t.job.Spec.ID, t.index}] = t
 	t.machine.load = t.machine.load.Add(t.job.Spec.Size)
+	t.job.use.add(t.job.Spec.Size)
 }
 
 // unbind undoes bind.
@@ -549,6 +592,7 @@
 	delete(t.job.bound, t.index)
 	delete(m.tasks, taskKey{t.job.Spec.ID, t.index})
 	m.load = m.load.Sub(t.job.Spec.Size)
+	t.job.use.remove(t.job.Spec.Size)
 	if len(m.tasks) == 0 {
 		m.load = model.Size{} // rounding must not add up
 	}
@@ -674,17 +718,6 @@
 	return n
 }
 
-// TeamUse sums what a team's tasks take, everything bound included.
-func (b *Book) TeamUse(team string) model.Size {
-	var used model.Size
-	for _, j := range b.jobs {
-		if j.Spec.Team == team {
-			used = used.Add(j.Spec.Size.Times(len(j.bound)))
-		}
-	}
-	return used
-}
-
 // Bound counts the job's bound tasks.
 func (j *Job) Bound() int { return len(j.bound) }
 
--- a/internal/placement/needs.go
+++ b/internal/placement/needs.go
@@ -45,19 +45,27 @@
 
 // pool is the room of the machines that are up, as it is promised to one job
 // after the other.
+//
+// Guard: a long queue asks it for every job, so a job looks only at machines of
+// its kinds, and what depends on the machine alone is worked out once. Done anew
+// for each job, this took most of a leader's processor time when a few hundred
+// jobs waited; it then lost the key, and so did the next.
 type pool struct {
 	b     *Book
 	now   time.Time
-	slack []*slack
+	slack map[model.Kind][]*slack
 }
 
 // slack is what one machine of the pool can still take.
 type slack struct {
 	m        *Machine
-	leaving  model.Size // of tasks that are being stopped
-	promised model.Size
-	ends     []ending
-	turns    float64 // seconds of the whole machine that are promised
+	size     model.Size // of the machine
+	open     model.Size // its room, what is being stopped included, less what is promised
+	ends     []ending   // soonest first
+	turns    float64    // seconds of the whole machine that are promised
+	longest  float64    // such seconds that its tasks free within the longest horizon
+	horizon  time.Duration
+	released float64 // such seconds that they free within horizon
 }
 
 // ending is when a share of a machine comes free, as estimated.
@@ -72,48 +80,82 @@
 }
 
 func (b *Book) pool(now time.Time) *pool {
-	p := &pool{b: b, now: now}
+	p := &pool{b: b, now: now, slack: map[model.Kind][]*slack{}}
 	for _, m := range b.machines {
 		// Guard: a machine that has yet to show a fresh token, or whose record
 		// is being stored, is about to be used; it must not be rented again.
 		if m.Phase == Lapsed || m.Phase == Expired || m.Cordoned || m.Retiring || m.Notice >= 0 {
 			continue
 		}
-		s := &slack{m: m}
+		s := &slack{m: m, size: b.types[m.Kind.Type].Size}
+		s.open = s.size.Sub(m.load)
 		for _, t := range m.tasks {
 			spec := t.job.Spec
 			switch {
 			case t.stopping:
-				s.leaving = s.leaving.Add(spec.Size)
+				s.open = s.open.Add(spec.Size)
 			case spec.Shape != model.Service:
-				s.ends = append(s.ends, ending{t.left(now), spec.Size.Share(b.types[m.Kind.Type].Size)})
+				s.ends = append(s.ends, ending{t.left(now), spec.Size.Share(s.size)})
 			}
 		}
-		p.slack = append(p.slack, s)
+		s.longest = s.releasedWithin(b.opt.Horizon)
+		p.slack[m.Kind] = append(p.slack[m.Kind], s)
+	}
+	for _, kind := range p.slack {
+		slices.SortFunc(kind, func(x, y *slack) int { return cmp.Compare(x.m.Name, y.m.Name) })
 	}
-	slices.SortFunc(p.slack, func(x, y *slack) int { return cmp.Compare(x.m.Name, y.m.Name) })
 	return p
 }
 
+// releasedWithin is how many seconds of the whole machine come free within a
+// horizon.
+func (s *slack) releasedWithin(horizon time.Duration) float64 {
+	if horizon == s.horizon {
+		return s.released
+	}
+	s.horizon, s.released = horizon, 0
+	for _, e := range s.ends {
+		if e.after < horizon {
+			s.released += e.share * (horizon - e.after).Seconds()
+		}
+	}
+	return s.released
+}
+
 // fitting calls do for each machine on which a job's tasks may run, in one
 // zone only if it is named, until it returns false.
 func (p *pool) fitting(j *Job, zone string, do func(s *slack) bool) {
-	for _, s := range p.slack {
-		m := s.m
-		if (m.Spot && !j.Spec.Spot) || (zone != "" && m.Kind.Zone != zone) || !j.Spec.Allows(p.b.types[m.Kind.Type], m.Kind.Zone) {
+	for _, kind := range p.b.kindsFor(j) {
+		if zone != "" && kind.Zone != zone {
 			continue
 		}
-		if !do(s) {
-			return
+		for _, s := range p.slack[kind] {
+			if s.m.Spot && !j.Spec.Spot {
+				continue
+			}
+			if !do(s) {
+				return
+			}
 		}
 	}
 }
 
+// room is how many of a job's tasks a machine can still take.
+func (p *pool) room(j *Job, s *slack) int {
+	if !j.Spec.Size.Fits(s.open) {
+		return 0
+	}
+	if len(s.m.reserved) == 0 {
+		return j.Spec.Size.Slots(s.open)
+	}
+	return j.Spec.Size.Slots(s.open.Sub(p.b.keptFrom(s.m, j, p.now)))
+}
+
 // slots counts how many of n tasks there is room for.
 func (p *pool) slots(j *Job, zone string, n int) int {
 	found := 0
 	p.fitting(j, zone, func(s *slack) bool {
-		found += j.Spec.Size.Slots(p.b.free(s.m, j, p.now).Add(s.leaving).Sub(s.promised))
+		found += p.room(j, s)
 		return found < n
 	})
 	return min(n, found)
@@ -122,9 +164,10 @@
 // take promises room to up to n tasks and returns how many are left.
 func (p *pool) take(j *Job, zone string, n int) int {
 	p.fitting(j, zone, func(s *slack) bool {
-		k := min(n, j.Spec.Size.Slots(p.b.free(s.m, j, p.now).Add(s.leaving).Sub(s.promised)))
-		s.promised = s.promised.Add(j.Spec.Size.Times(k))
-		n -= k
+		if k := min(n, p.room(j, s)); k > 0 {
+			s.open = s.open.Sub(j.Spec.Size.Times(k))
+			n -= k
+		}
 		return n > 0
 	})
 	return n
@@ -135,14 +178,12 @@
 func (p *pool) takeTurns(j *Job, horizon time.Duration, n int) int {
 	estimate := j.Spec.Estimate.Seconds()
 	p.fitting(j, "", func(s *slack) bool {
-		free := -s.turns
-		for _, e := range s.ends {
-			if e.after < horizon {
-				free += e.share * (horizon - e.after).Seconds()
-			}
+		if s.turns >= s.longest {
+			return true
 		}
-		share := j.Spec.Size.Share(p.b.types[s.m.Kind.Type].Size)
+		share := j.Spec.Size.Share(s.size)
 		if share > 0 && estimate > 0 {
+			free := s.releasedWithin(horizon) - s.turns
 			k := max(0, min(n, int(free/(share*estimate))))
 			s.turns += float64(k) * share * estimate
 			n -= k
@@ -185,12 +226,13 @@
 		if n == 0 || (j.Spec.Shape == model.Gang && n < j.Unplaced()) {
 			continue
 		}
-		need := Need{Job: j.Spec.ID, Size: j.Spec.Size, Kinds: b.kindsFor(j.Spec), Spot: j.Spec.Spot,
+		need := Need{Job: j.Spec.ID, Size: j.Spec.Size, Kinds: b.kindsFor(j), Spot: j.Spec.Spot,
 			Whole: j.Spec.Shape != model.Array, OneZone: j.Spec.OneZone, Estimate: j.Spec.Estimate, Horizon: b.horizon(j, now)}
 		zone := ""
 		if need.OneZone {
 			zone = pool.bestZone(j, need.Kinds, n)
 			// What is rented should join what is there.
+			need.Kinds = slices.Clone(need.Kinds)
 			slices.SortStableFunc(need.Kinds, func(x, y model.Kind) int { return cmp.Compare(rank(x.Zone == zone), rank(y.Zone == zone)) })
 		}
 		need.Tasks = pool.take(j, zone, n)
@@ -204,7 +246,7 @@
 	for name, c := range b.classes {
 		if c.short > 0 {
 			j := c.last
-			out = append(out, Need{Job: name, Size: j.Spec.Size, Tasks: c.short, Kinds: b.kindsFor(j.Spec), Spot: j.Spec.Spot, Whole: true,
+			out = append(out, Need{Job: name, Size: j.Spec.Size, Tasks: c.short, Kinds: b.kindsFor(j), Spot: j.Spec.Spot, Whole: true,
 				Estimate: j.Spec.Estimate, Horizon: b.opt.Horizon})
 		}
 	}
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -127,7 +127,7 @@
 	zones := []string{""}
 	if j.Spec.OneZone {
 		zones = nil
-		for _, k := range b.kindsFor(j.Spec) {
+		for _, k := range b.kindsFor(j) {
 			if !slices.Contains(zones, k.Zone) {
 				zones = append(zones, k.Zone)
 			}
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -162,7 +162,7 @@
 		if len(c.arrivals) == 0 || !b.complete {
 			continue
 		}
-		boot := b.boot(c.last.Spec)
+		boot := b.boot(c.last)
 		if b.opt.Aims[name].Wait >= boot {
 			continue
 		}
@@ -196,7 +196,7 @@
 }
 
 // boot is how long a machine for a job boots, of the slowest kind.
-func (b *Book) boot(j *model.Job) time.Duration {
+func (b *Book) boot(j *Job) time.Duration {
 	var boot time.Duration
 	for _, k := range b.kindsFor(j) {
 		boot = max(boot, b.types[k.Type].Boot)
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -21,11 +21,15 @@
 	holders []*Machine // machines with the image, and room when placing began
 }
 
-// kindsFor returns the kinds that a job's tasks may run on.
-func (b *Book) kindsFor(j *model.Job) []model.Kind {
-	var out []model.Kind
+// kindsFor returns the kinds that a job's tasks may run on. It is worked out
+// once for each change of owners or types; the caller must not change it.
+func (b *Book) kindsFor(j *Job) []model.Kind {
+	if j.kindsGen == b.kindsGen && j.kinds != nil {
+		return j.kinds
+	}
+	out := []model.Kind{}
 	for kind := range b.owners {
-		if t, ok := b.types[kind.Type]; ok && j.Allows(t, kind.Zone) {
+		if t, ok := b.types[kind.Type]; ok && j.Spec.Allows(t, kind.Zone) {
 			out = append(out, kind)
 		}
 	}
@@ -35,6 +39,7 @@
 		}
 		return out[i].Zone < out[k].Zone
 	})
+	j.kinds, j.kindsGen = out, b.kindsGen
 	return out
 }
 
@@ -51,37 +56,28 @@
 		}
 		out = append(out, j)
 	}
-	use := map[string]model.Size{}
-	for name := range b.teams {
-		use[name] = b.TeamUse(name)
-	}
-	guaranteed := func(j *Job) bool {
-		return b.teams[j.Spec.Team].WithinGuarantee(use[j.Spec.Team].Add(j.Spec.Size))
-	}
 	held := b.heldBack()
-	due := make(map[*Job]time.Time, len(out))
 	for _, j := range out {
-		due[j] = b.due(j, now, held[j.Spec.Team])
-	}
-	sort.Slice(out, func(i, k int) bool {
-		x, y := out[i], out[k]
-		if a, c := x.Spec.Priority.Rank(), y.Spec.Priority.Rank(); a != c {
-			return a > c
-		}
-		if a, c := guaranteed(x), guaranteed(y); a != c {
-			return a
-		}
-		if a, c := due[x], due[y]; !a.Equal(c) {
-			return a.Before(c)
-		}
-		if !x.Accepted.Equal(y.Accepted) {
-			return x.Accepted.Before(y.Accepted)
+		j.order = turn{
+			rank:       j.Spec.Priority.Rank(),
+			guaranteed: rank(b.teams[j.Spec.Team].WithinGuarantee(j.use.size.Add(j.Spec.Size))),
+			due:        b.due(j, now, held[j.Spec.Team]),
 		}
-		return x.Spec.ID < y.Spec.ID
+	}
+	slices.SortFunc(out, func(x, y *Job) int {
+		return cmp.Or(cmp.Compare(y.order.rank, x.order.rank), cmp.Compare(x.order.guaranteed, y.order.guaranteed),
+			x.order.due.Compare(y.order.due), x.Accepted.Compare(y.Accepted), cmp.Compare(x.Spec.ID, y.Spec.ID))
 	})
 	return out
 }
 
+// turn is what a job's place in the queue goes by, before its age.
+type turn struct {
+	rank       int
+	guaranteed int // 0 comes first
+	due        time.Time
+}
+
 // noDeadline puts jobs without a deadline behind those with one.
 const noDeadline = 24 * time.Hour
 
@@ -133,7 +129,7 @@
 func (b *Book) headroom(j *Job) int {
 	team := b.teams[j.Spec.Team]
 	n := j.Unplaced()
-	used := b.TeamUse(j.Spec.Team)
+	used := j.use.size
 	if team.Limit.CPUs > 0 && j.Spec.Size.CPUs > 0 {
 		n = min(n, model.Size{CPUs: j.Spec.Size.CPUs}.Slots(model.Size{CPUs: team.Limit.CPUs - used.CPUs}))
 	}
@@ -202,7 +198,7 @@
 		if len(p.tasks) == 0 {
 			continue
 		}
-		kinds := b.kindsFor(j.Spec)
+		kinds := b.kindsFor(j)
 		if len(kinds) == 0 {
 			continue
 		}
@@ -226,15 +222,24 @@
 // free is the room that a job may use on a machine.
 func (b *Book) free(m *Machine, j *Job, now time.Time) model.Size {
 	room := b.types[m.Kind.Type].Size.Sub(m.load)
+	if len(m.reserved) > 0 {
+		room = room.Sub(b.keptFrom(m, j, now))
+	}
+	return room
+}
+
+// keptFrom is the room on a machine that is reserved against a job.
+func (b *Book) keptFrom(m *Machine, j *Job, now time.Time) model.Size {
+	var kept model.Size
 	for id, r := range m.reserved {
 		switch {
 		case now.After(r.until) || (r.class == "" && (b.jobs[id] == nil || b.jobs[id].Unplaced() == 0)):
 			delete(m.reserved, id)
 		case id != j.Spec.ID && r.class != j.Spec.Class && r.rank >= j.Spec.Priority.Rank():
-			room = room.Sub(r.size)
+			kept = kept.Add(r.size)
 		}
 	}
-	return room
+	return kept
 }
 
 // usable tells whether tasks may be started on a machine at all.
