--- a/internal/model/tasks.go
+++ b/internal/model/tasks.go
@@ -7,8 +7,10 @@
 	"fmt"
 	"io"
 	"math/bits"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 )
 
 // TaskSet is a set of task numbers, kept as a bitmap.
@@ -38,6 +40,28 @@
 // Len is the number of tasks in the set.
 func (s *TaskSet) Len() int { return s.n }
 
+// Differs tells whether the marks of tasks from up to below to differ; from is a
+// multiple of 64.
+func (s *TaskSet) Differs(o *TaskSet, from, to int) bool {
+	a, b := from/64, (to+63)/64
+	return !slices.Equal(s.words[a:b], o.words[a:b])
+}
+
+// Union adds another set's tasks from up to below to; from is a multiple of 64,
+// and so is to unless it is the size.
+func (s *TaskSet) Union(o *TaskSet, from, to int) {
+	for i := from / 64; i < (to+63)/64; i++ {
+		s.n += bits.OnesCount64(o.words[i] &^ s.words[i])
+		s.words[i] |= o.words[i]
+	}
+}
+
+// packers are kept, for each holds half a megabyte of tables.
+var packers = sync.Pool{New: func() any {
+	w, _ := flate.NewWriter(nil, flate.BestSpeed)
+	return w
+}}
+
 // Encode packs tasks from up to below to. The text is never longer than
 // MaxEncoded says for that many tasks.
 func (s *TaskSet) Encode(from, to int) string {
@@ -52,9 +76,11 @@
 		return ""
 	}
 	var buf bytes.Buffer
-	w, _ := flate.NewWriter(&buf, flate.BestSpeed)
+	w := packers.Get().(*flate.Writer)
+	w.Reset(&buf)
 	_, _ = w.Write(raw)
 	_ = w.Close()
+	packers.Put(w)
 	if buf.Len() < len(raw) {
 		return "z" + base64.RawStdEncoding.EncodeToString(buf.Bytes())
 	}
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -139,11 +139,7 @@
 		s.snap = model.NewTaskSet(j.Spec.Tasks)
 		for part := 0; part*per < j.Spec.Tasks; part++ {
 			from, to := part*per, min((part+1)*per, j.Spec.Tasks)
-			changed := false
-			for i := from; i < to && !changed; i++ {
-				changed = j.finished.Has(i) != j.stored.Has(i)
-			}
-			if part > 0 && !changed {
+			if part > 0 && !j.finished.Differs(j.stored, from, to) {
 				continue
 			}
 			if part > 0 && len(s.Parts) >= maxParts {
@@ -151,11 +147,7 @@
 				break
 			}
 			text := j.finished.Encode(from, to)
-			for i := from; i < to; i++ {
-				if j.finished.Has(i) {
-					s.snap.Add(i)
-				}
-			}
+			s.snap.Union(j.finished, from, to)
 			if part > 0 {
 				s.Parts[part] = text
 			} else {
@@ -186,11 +178,7 @@
 		return
 	}
 	j.Stamp = max(j.Stamp, stamp)
-	for i := range j.Spec.Tasks {
-		if s.snap.Has(i) {
-			j.stored.Add(i)
-		}
-	}
+	j.stored.Union(s.snap, 0, j.Spec.Tasks)
 	b.settleJob(s.ID)
 }
 
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -250,15 +250,16 @@
 // fits tells whether a job's task may start on a machine now, its other
 // bound tasks given.
 func (b *Book) fits(j *Job, m *Machine, now time.Time) bool {
-	if !m.usable() || (m.Spot && !j.Spec.Spot) || !j.Spec.Allows(b.types[m.Kind.Type], m.Kind.Zone) {
-		return false
-	}
-	return j.zoneAllows(m.Kind.Zone) && j.Spec.Size.Fits(b.free(m, j, now))
+	return m.usable() && (!m.Spot || j.Spec.Spot) && j.Spec.Size.Fits(b.free(m, j, now)) &&
+		slices.Contains(b.kindsFor(j), m.Kind) && j.zoneAllows(m.Kind.Zone)
 }
 
 // zoneAllows checks the job's own rules about zones. Everything bound counts,
 // old attempts and tasks out of reach included.
 func (j *Job) zoneAllows(zone string) bool {
+	if !j.Spec.OneZone && !j.Spec.Spread {
+		return true
+	}
 	inZone := 0
 	for _, t := range j.bound {
 		if t.machine.Kind.Zone == zone {
