Questions share looks at the changes and are answered from memory

Cause: each question read its job from the state service, within the node's share of its requests; 700 tiny jobs asked 140 times a second, and submissions waited behind them. A look at the changes without waiting (GET /changes with blockMs 0), sent after the question came, is as good as a read of every job: all questions that came meanwhile share one, at most ten a second.

--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -31,6 +31,12 @@
 // typesKey keeps the machine types for nodes that cannot reach the cloud.
 const typesKey = "types"
 
+// Most user requests that are served at once.
+const (
+	maxChanges   = 64
+	maxQuestions = 192
+)
+
 // tick is the loop's own rhythm.
 const tick = 50 * time.Millisecond
 
@@ -55,9 +61,11 @@
 	term   *term
 
 	types     atomic.Pointer[map[string]model.MachineType]
-	storeSeen atomic.Int64 // last answer of the state service, in time since start
-	users     chan struct{}
-	dials     map[string]*httpwire.Client // to workers, by address
+	storeSeen atomic.Int64                              // last answer of the state service, in time since start
+	views     atomic.Pointer[map[string]placement.View] // counts of open jobs, while leading
+	changes   chan struct{}                             // submissions and cancellations under way
+	questions chan struct{}                             // questions under way
+	dials     map[string]*httpwire.Client               // to workers, by address
 	lastState leadership.State
 }
 
@@ -72,7 +80,7 @@
 		return nil, fmt.Errorf("boot id: %w", err)
 	}
 	n := &Node{cfg: cfg, op: op, log: log, boot: hex.EncodeToString(id[:]), terms: terms, start: time.Now(),
-		events: make(chan func(), 1024), users: make(chan struct{}, 64), dials: map[string]*httpwire.Client{}}
+		events: make(chan func(), 1024), changes: make(chan struct{}, maxChanges), questions: make(chan struct{}, maxQuestions), dials: map[string]*httpwire.Client{}}
 	n.store = store.New(cfg.StateAddr, op.Service.Call)
 	n.cloud = fleet.NewCloud(cfg.CloudAddr, cfg.CloudRPS*0.85, op.Service.CloudCall)
 	n.desk = workers.NewDesk(workers.Options{Member: cfg.Member, Report: cfg.ReportEvery, Lease: cfg.Lease, Margin: time.Second / 2},
@@ -80,6 +88,7 @@
 	n.lead = leadership.New(leadership.Options{Member: cfg.Member, Boot: n.boot, Poll: terms.Poll,
 		Hold: terms.Hold, Act: terms.Act})
 	n.intake, err = intake.New(intake.Options{Teams: cfg.Teams, ValueBytes: cfg.ValueBytes - 1024, FinalCache: op.Service.FinalCache,
+		Glance: op.Service.Glance, AskWait: op.Service.AskWait,
 		Types: n.knownTypes, View: n.view, Now: time.Now}, n.store)
 	if err != nil {
 		return nil, err
@@ -194,26 +203,14 @@
 	}
 }
 
-// view is called by user requests, outside the loop.
+// view is called by user requests, outside the loop, which they must not hold
+// up: it reads the counts that the leader last laid out.
 func (n *Node) view(id string) (placement.View, bool) {
-	type result struct {
-		v  placement.View
-		ok bool
-	}
-	ch := make(chan result, 1)
-	n.post(func() {
-		var r result
-		if n.term != nil && n.lead.State() == leadership.Leading {
-			r.v, r.ok = n.term.book.View(id)
-		}
-		ch <- r
-	})
-	select {
-	case r := <-ch:
-		return r.v, r.ok
-	case <-time.After(500 * time.Millisecond):
-		return placement.View{}, false
+	if views := n.views.Load(); views != nil {
+		v, ok := (*views)[id]
+		return v, ok
 	}
+	return placement.View{}, false
 }
 
 // handle serves one HTTP request; it runs on the listener's loop.
@@ -238,20 +235,26 @@
 	switch {
 	case !ok:
 		reply(intake.Fail(404, "no such path"))
-	case call == nil:
+	case call.Do == nil:
 		reply(intake.Fail(405, "method not allowed"))
 	default:
+		// Questions have places of their own: however many there are, they
+		// take none from submissions.
+		places := n.changes
+		if call.Ask {
+			places = n.questions
+		}
 		select {
-		case n.users <- struct{}{}:
+		case places <- struct{}{}:
 		default:
 			reply(intake.Fail(429, "too many requests under way"))
 			return
 		}
 		go func() {
-			defer func() { <-n.users }()
+			defer func() { <-places }()
 			ctx, cancel := context.WithTimeout(n.ctx, 4*time.Second)
 			defer cancel()
-			reply(call(ctx))
+			reply(call.Do(ctx))
 		}()
 	}
 }
@@ -405,6 +408,7 @@
 	case state != leadership.Leading && n.term != nil:
 		n.term.end()
 		n.term = nil
+		n.views.Store(nil)
 	case state == leadership.Leading && n.term == nil && n.knownTypes() != nil:
 		n.term = newTerm(n, n.lead.Token(), now)
 	case state == leadership.Leading && n.term != nil && n.term.token != n.lead.Token():
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -35,6 +35,7 @@
 	nextList    time.Time
 	nextTypes   time.Time
 	nextSummary time.Time
+	nextViews   time.Time
 	batch       int // writes in one transaction of host records
 	hosting     bool
 	listing     bool
@@ -197,6 +198,11 @@
 		t.runFleet(now)
 	}
 	t.runCloud()
+	if !now.Before(t.nextViews) {
+		t.nextViews = now.Add(time.Second)
+		views := t.book.Views()
+		t.n.views.Store(&views)
+	}
 	if !now.Before(t.nextSummary) {
 		t.nextSummary = now.Add(10 * time.Second)
 		s := t.book.Summary(now)
--- /dev/null
+++ b/internal/intake/board.go
@@ -0,0 +1,207 @@
+package intake
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/placement"
+	"github.com/marlwood/marlwood/internal/store"
+)
+
+// board answers questions from memory without ever telling old news: the
+// questions that came in meanwhile share one look at the changes since the
+// last look, and are answered by what memory holds after it. So the state
+// service is asked as often for a thousand users as for ten.
+//
+// Guard: asked one by one, users who asked more often than usual took the
+// node's whole share of the state service, and submissions waited behind them.
+type board struct {
+	store Store
+	pause time.Duration // between two looks
+	wait  time.Duration // how long a question waits for its look
+
+	mu      sync.Mutex
+	state   boardState
+	next    *glance // will be sent next; questions may still join it
+	failing bool    // the last look brought nothing
+	jobs    *lru.Cache[string, posted]
+	looks   uint64 // that were taken in
+	rev     uint64 // up to which changes were taken in; 0: unknown
+}
+
+// boardState is whether somebody takes looks.
+type boardState int
+
+const (
+	boardResting boardState = iota // nobody asks
+	boardLooking                   // a goroutine takes looks until nobody asks
+)
+
+func (b *board) to(s boardState) { b.state = s }
+
+// glance is one look at the changes, shared by the questions that wait for it.
+type glance struct {
+	done chan struct{}
+	err  error
+}
+
+// posted is what is kept of a job.
+type posted struct {
+	stamp   uint64
+	over    bool // its open record is gone; the final one tells the rest
+	Started bool `json:"started"`
+	Count   int  `json:"count"`
+	Running int  `json:"running"`
+}
+
+func newBoard(s Store, size int, pause, wait time.Duration) (*board, error) {
+	jobs, err := lru.New[string, posted](size)
+	if err != nil {
+		return nil, fmt.Errorf("intake: %w", err)
+	}
+	return &board{store: s, jobs: jobs, pause: pause, wait: wait}, nil
+}
+
+// refresh returns after a look that was sent after the call. While looks fail,
+// nobody waits for long: unsure is answered at once.
+func (b *board) refresh(ctx context.Context) error {
+	b.mu.Lock()
+	if b.next == nil {
+		b.next = &glance{done: make(chan struct{})}
+	}
+	g, wait := b.next, b.wait
+	if b.failing {
+		wait /= 10
+	}
+	if b.state == boardResting {
+		b.to(boardLooking)
+		go b.look()
+	}
+	b.mu.Unlock()
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-g.done:
+		return g.err
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return errUnsure
+}
+
+// look takes looks until nobody waits for one.
+func (b *board) look() {
+	for {
+		b.mu.Lock()
+		g, rev := b.next, b.rev
+		b.next = nil // later questions need a later look
+		if g == nil {
+			b.to(boardResting)
+			b.mu.Unlock()
+			return
+		}
+		b.mu.Unlock()
+		g.err = b.take(rev)
+		b.mu.Lock()
+		b.failing = g.err != nil
+		b.mu.Unlock()
+		close(g.done)
+		time.Sleep(b.pause)
+	}
+}
+
+// take takes the changes since a revision in. If they cannot be had any more,
+// memory starts anew.
+func (b *board) take(rev uint64) error {
+	ctx, cancel := context.WithTimeout(context.Background(), b.wait)
+	defer cancel()
+	var events []store.Event
+	err := store.ErrCompacted
+	now := rev
+	if rev > 0 {
+		events, now, err = b.store.Watch(ctx, placement.JobPrefix, rev, 0)
+	}
+	fresh := errors.Is(err, store.ErrCompacted)
+	if fresh {
+		now, err = b.store.Revision(ctx)
+	}
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUnsure, err)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if fresh {
+		b.jobs.Purge()
+	}
+	for _, e := range events {
+		if e.Delete != "" {
+			b.jobs.Add(strings.TrimPrefix(e.Delete, placement.JobPrefix), posted{stamp: e.Stamp, over: true})
+			continue
+		}
+		id := strings.TrimPrefix(e.Set, placement.JobPrefix)
+		p := posted{stamp: e.Stamp}
+		if json.Unmarshal(e.Value, &p) != nil {
+			b.jobs.Remove(id) // reading it will tell
+			continue
+		}
+		b.jobs.Add(id, p)
+	}
+	b.rev, b.looks = now, b.looks+1
+	return nil
+}
+
+// find tells what is known of a job after a look. looks names that look, for
+// keep.
+func (b *board) find(id string) (p posted, ok bool, looks uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p, ok = b.jobs.Get(id)
+	return p, ok, b.looks
+}
+
+// keep remembers what was read of a job after look number looks.
+//
+// Guard: a later look may have taken in a change that is younger than what was
+// read. It must not be undone, for no further change would put it right.
+func (b *board) keep(id string, p posted, looks uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.looks == looks {
+		b.jobs.Add(id, p)
+	}
+}
+
+// see answers what stage a job is in, as of after the call.
+func (in *Intake) see(ctx context.Context, id string) (look, error) {
+	if f, ok := in.finals.Get(id); ok {
+		return look{known: true, stage: f.Stage, final: f}, nil
+	}
+	if err := in.board.refresh(ctx); err != nil {
+		return look{}, err
+	}
+	p, ok, looks := in.board.find(id)
+	switch {
+	case !ok:
+		l, err := in.find(ctx, id)
+		if err == nil && l.known && !l.stage.Final() {
+			in.board.keep(id, posted{stamp: l.stamp, Started: l.record.Started, Count: l.record.Count, Running: l.record.Running}, looks)
+		}
+		return l, err
+	case p.over:
+		return in.findFinal(ctx, id)
+	}
+	l := look{known: true, stamp: p.stamp, stage: model.Queued}
+	l.record.Count, l.record.Running = p.Count, p.Running
+	if p.Started {
+		l.stage = model.Running
+	}
+	return l, nil
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -23,6 +23,8 @@
 type Store interface {
 	Get(ctx context.Context, key string) (store.Item, error)
 	Do(ctx context.Context, t store.Txn) (store.Outcome, error)
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Event, uint64, error)
+	Revision(ctx context.Context) (uint64, error)
 }
 
 // Options are what intake knows of the deployment.
@@ -30,6 +32,8 @@
 	Teams      map[string]model.Team
 	ValueBytes int
 	FinalCache int
+	Glance     time.Duration // least time between two looks at the changes, for questions
+	AskWait    time.Duration // how long a question waits
 	// Types returns the machine types, nil while unknown.
 	Types func() map[string]model.MachineType
 	// View returns a job's live counts if this node has them.
@@ -42,6 +46,7 @@
 type Intake struct {
 	opt    Options
 	store  Store
+	board  *board
 	finals *lru.Cache[string, placement.Final]
 }
 
@@ -51,7 +56,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("intake: %w", err)
 	}
-	return &Intake{opt: opt, store: s, finals: finals}, nil
+	board, err := newBoard(s, opt.FinalCache, opt.Glance, opt.AskWait)
+	if err != nil {
+		return nil, err
+	}
+	return &Intake{opt: opt, store: s, board: board, finals: finals}, nil
 }
 
 type stateAnswer struct {
@@ -112,7 +121,12 @@
 	if !errors.Is(err, store.ErrNotFound) {
 		return look{}, fmt.Errorf("%w: %w", errUnsure, err)
 	}
-	it, err = in.store.Get(ctx, placement.DonePrefix+id)
+	return in.findFinal(ctx, id)
+}
+
+// findFinal reads a job that has no open record.
+func (in *Intake) findFinal(ctx context.Context, id string) (look, error) {
+	it, err := in.store.Get(ctx, placement.DonePrefix+id)
 	if errors.Is(err, store.ErrNotFound) {
 		return look{}, nil
 	}
@@ -224,7 +238,7 @@
 
 // Ask answers GET of a job.
 func (in *Intake) Ask(ctx context.Context, id string) httpwire.Answer {
-	l, err := in.find(ctx, id)
+	l, err := in.see(ctx, id)
 	switch {
 	case err != nil:
 		return Fail(503, errUnsure.Error())
@@ -264,30 +278,36 @@
 	return Fail(503, errUnsure.Error())
 }
 
-// Route finds what a request under /api/jobs asks for. ok is false for other
-// paths; a nil call with ok means that the method is wrong.
-func (in *Intake) Route(req *httpwire.Request) (call func(context.Context) httpwire.Answer, ok bool) {
+// Call is what a request under /api/jobs asks for.
+type Call struct {
+	Do  func(context.Context) httpwire.Answer
+	Ask bool // it only asks
+}
+
+// Route finds what a request asks for. ok is false for paths that are not under
+// /api/jobs; a call that does nothing with ok means that the method is wrong.
+func (in *Intake) Route(req *httpwire.Request) (call Call, ok bool) {
 	rest, found := strings.CutPrefix(req.Path, "/api/jobs")
 	if !found || (rest != "" && rest[0] != '/') {
-		return nil, false
+		return Call{}, false
 	}
 	id, isCancel := strings.CutSuffix(strings.TrimPrefix(rest, "/"), "/cancel")
 	switch {
 	case rest == "":
 		if req.Method == "POST" {
-			return func(ctx context.Context) httpwire.Answer { return in.Submit(ctx, req.Body) }, true
+			return Call{Do: func(ctx context.Context) httpwire.Answer { return in.Submit(ctx, req.Body) }}, true
 		}
-		return nil, true
+		return Call{}, true
 	case id == "" || strings.Contains(id, "/"):
-		return nil, false
+		return Call{}, false
 	case isCancel && req.Method == "POST", !isCancel && req.Method == "GET":
 		if !model.ValidID(id) {
-			return func(context.Context) httpwire.Answer { return Fail(404, "no such job") }, true
+			return Call{Do: func(context.Context) httpwire.Answer { return Fail(404, "no such job") }}, true
 		}
 		if isCancel {
-			return func(ctx context.Context) httpwire.Answer { return in.Cancel(ctx, id) }, true
+			return Call{Do: func(ctx context.Context) httpwire.Answer { return in.Cancel(ctx, id) }}, true
 		}
-		return func(ctx context.Context) httpwire.Answer { return in.Ask(ctx, id) }, true
+		return Call{Do: func(ctx context.Context) httpwire.Answer { return in.Ask(ctx, id) }, Ask: true}, true
 	}
-	return nil, true
+	return Call{}, true
 }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -19,14 +20,68 @@
 type fakeStore struct {
 	keys    map[string]store.Item
 	rev     uint64
-	refuse  bool // 503: nothing is executed
-	lost    int  // this many transactions are executed but not answered
-	missed  int  // this many are neither executed nor answered
-	reads   int
+	refuse  bool   // 503: nothing is executed
+	lost    int    // this many transactions are executed but not answered
+	missed  int    // this many are neither executed nor answered
 	between func() // runs once before the next transaction
+
+	mu        sync.Mutex
+	log       []store.Event
+	reads     int
+	looks     int
+	compacted bool // the next look is told that its revision is too old
+}
+
+// change sets or deletes a key, as everybody sees it.
+func (f *fakeStore) change(w store.Write) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rev++
+	f.apply(w)
+}
+
+func (f *fakeStore) apply(w store.Write) {
+	f.log = append(f.log, store.Event{Set: w.Set, Delete: w.Delete, Value: w.Value, Stamp: f.rev})
+	if w.Delete != "" {
+		delete(f.keys, w.Delete)
+	} else {
+		f.keys[w.Set] = store.Item{Key: w.Set, Value: w.Value, Stamp: f.rev}
+	}
+}
+
+func (f *fakeStore) Revision(context.Context) (uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.looks++
+	if f.refuse {
+		return 0, store.ErrRefused
+	}
+	return f.rev, nil
+}
+
+func (f *fakeStore) Watch(_ context.Context, prefix string, after uint64, _ time.Duration) ([]store.Event, uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.looks++
+	if f.refuse {
+		return nil, 0, store.ErrRefused
+	}
+	if f.compacted {
+		f.compacted = false
+		return nil, 0, store.ErrCompacted
+	}
+	var out []store.Event
+	for _, e := range f.log {
+		if e.Stamp > after && strings.HasPrefix(e.Set+e.Delete, prefix) {
+			out = append(out, e)
+		}
+	}
+	return out, f.rev, nil
 }
 
 func (f *fakeStore) Get(_ context.Context, key string) (store.Item, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.reads++
 	if f.refuse {
 		return store.Item{}, store.ErrRefused
@@ -43,6 +98,8 @@
 		f.between = nil
 		b()
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if f.refuse {
 		return store.Outcome{}, store.ErrRefused
 	}
@@ -57,11 +114,7 @@
 	}
 	f.rev++
 	for _, w := range t.Writes {
-		if w.Delete != "" {
-			delete(f.keys, w.Delete)
-		} else {
-			f.keys[w.Set] = store.Item{Key: w.Set, Value: w.Value, Stamp: f.rev}
-		}
+		f.apply(w)
 	}
 	if f.lost > 0 {
 		f.lost--
@@ -76,7 +129,7 @@
 	s := &fakeStore{keys: map[string]store.Item{}}
 	in, err := New(Options{
 		Teams:      map[string]model.Team{"t": {Name: "t", Limit: model.Size{CPUs: 8}}, "free": {Name: "free"}},
-		ValueBytes: 4096, FinalCache: 4,
+		ValueBytes: 4096, FinalCache: 4, AskWait: time.Second,
 		Types: func() map[string]model.MachineType { return types },
 		View:  func(string) (placement.View, bool) { return placement.View{}, false },
 		Now:   func() time.Time { return time.Unix(1000, 0) },
@@ -171,15 +224,7 @@
 
 func TestAskAndCancel(t *testing.T) {
 	ctx := context.Background()
-	put := func(s *fakeStore, key string, v any) {
-		b, _ := json.Marshal(v)
-		s.rev++
-		s.keys[key] = store.Item{Key: key, Value: b, Stamp: s.rev}
-	}
-	finish := func(s *fakeStore) {
-		delete(s.keys, "job/req-1")
-		put(s, "done/req-1", placement.Final{Stage: model.Done, Tasks: 3, Count: 3})
-	}
+	put := func(s *fakeStore, key string, v any) { s.change(store.Put(key, v)) }
 	for _, c := range []struct {
 		name        string
 		prepare     func(in *Intake, s *fakeStore)
@@ -196,7 +241,7 @@
 		}, "200 done", "200 done"},
 		{"done while being cancelled", func(in *Intake, s *fakeStore) { s.between = func() { finish(s) } }, "200 queued", "200 done"},
 		{"saved while being cancelled", func(in *Intake, s *fakeStore) {
-			s.between = func() { it := s.keys["job/req-1"]; s.rev++; it.Stamp = s.rev; s.keys["job/req-1"] = it }
+			s.between = func() { s.change(store.Write{Set: "job/req-1", Value: s.keys["job/req-1"].Value}) }
 		}, "200 queued", "200 aborted"},
 		{"cancellation's answer lost", func(in *Intake, s *fakeStore) { s.lost = 1 }, "200 queued", "200 aborted"},
 		{"cancellation lost", func(in *Intake, s *fakeStore) { s.missed = 9 }, "200 queued", "503 "},
@@ -218,6 +263,63 @@
 	}
 }
 
+// finish ends the job as the leader does.
+func finish(s *fakeStore) {
+	s.change(store.Del("job/req-1"))
+	s.change(store.Put("done/req-1", placement.Final{Stage: model.Done, Tasks: 3, Count: 3}))
+}
+
+// However many ask, they share looks at the state service, and nobody is told
+// older news than that of the moment of asking.
+func TestManyQuestions(t *testing.T) {
+	ctx := context.Background()
+	in, s := setup(t)
+	in.board.pause = 20 * time.Millisecond
+	in.Submit(ctx, body())
+	in.Ask(ctx, "req-1")
+	s.looks, s.reads = 0, 0
+	var wg sync.WaitGroup
+	for range 200 {
+		wg.Go(func() {
+			if a := in.Ask(ctx, "req-1"); a.Status != 200 {
+				t.Errorf("status %d", a.Status)
+			}
+		})
+	}
+	wg.Wait()
+	if s.looks > 10 || s.reads > 0 {
+		t.Errorf("200 questions cost %d looks and %d reads", s.looks, s.reads)
+	}
+	for _, c := range []struct {
+		name   string
+		change func()
+		want   string
+	}{
+		{"started elsewhere", func() {
+			s.change(store.Put("job/req-1", map[string]any{"started": true, "count": 1, "running": 2}))
+		}, "200 running"},
+		{"what was read before a change that came between is not kept", func() {
+			_, _, looks := in.board.find("req-1")
+			s.change(store.Put("job/req-1", map[string]any{"started": true}))
+			in.Ask(ctx, "req-1")
+			in.board.keep("req-1", posted{}, looks)
+		}, "200 running"},
+		{"the changes are too old to be had", func() { s.compacted = true; finish(s) }, "200 done"},
+	} {
+		c.change()
+		if got := stage(t, in.Ask(ctx, "req-1")); got != c.want {
+			t.Errorf("%s: %s", c.name, got)
+		}
+	}
+	// While looks fail, a question is answered at once.
+	s.refuse = true
+	in.Ask(ctx, "other")
+	begun := time.Now()
+	if a := in.Ask(ctx, "other"); a.Status != 503 || time.Since(begun) > time.Second {
+		t.Errorf("in an outage: %d after %v", a.Status, time.Since(begun))
+	}
+}
+
 func TestRoute(t *testing.T) {
 	in, _ := setup(t)
 	for _, c := range []struct {
@@ -230,8 +332,8 @@
 		{"GET", "/api/jobs/", false, false}, {"GET", "/other", false, false},
 	} {
 		call, ok := in.Route(&httpwire.Request{Method: c.method, Path: c.path})
-		if ok != c.ok || (call != nil) != c.call {
-			t.Errorf("%s %s: %v %v", c.method, c.path, call != nil, ok)
+		if ok != c.ok || (call.Do != nil) != c.call {
+			t.Errorf("%s %s: %v %v", c.method, c.path, call.Do != nil, ok)
 		}
 	}
 }
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -85,13 +85,13 @@
 	Running int
 }
 
-// View returns the counts of an open job.
-func (b *Book) View(id string) (View, bool) {
-	j := b.jobs[id]
-	if j == nil {
-		return View{}, false
+// Views returns the counts of the open jobs.
+func (b *Book) Views() map[string]View {
+	out := make(map[string]View, len(b.jobs))
+	for id, j := range b.jobs {
+		out[id] = View{Done: j.finished.Len(), Running: j.running()}
 	}
-	return View{Done: j.finished.Len(), Running: j.running()}, true
+	return out
 }
 
 func (j *Job) running() int {
--- a/internal/settings/defaults.sexp
+++ b/internal/settings/defaults.sexp
@@ -36,4 +36,6 @@
     (cloud-call "5s")     ; deadline of calls to the cloud
     (peer-call "1s")      ; deadline of calls between controllers
     (direct-call "1500ms"); deadline of direct calls to workers
-    (final-cache 2000)))  ; finished jobs whose answer is kept in memory
+    (glance "100ms")      ; least time between two looks at the changes of jobs, for users' questions
+    (ask-wait "1500ms")   ; how long a question waits for such a look
+    (final-cache 2000)))  ; jobs whose state is kept in memory: so many open ones and so many finished ones
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -55,6 +55,8 @@
 		CloudCall      time.Duration `sexp:"cloud-call"`
 		PeerCall       time.Duration `sexp:"peer-call"`
 		DirectCall     time.Duration `sexp:"direct-call"`
+		Glance         time.Duration `sexp:"glance"`
+		AskWait        time.Duration `sexp:"ask-wait"`
 		FinalCache     int           `sexp:"final-cache"`
 	} `sexp:"service"`
 }
