--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -105,12 +105,16 @@
 	return n, nil
 }
 
+// setBudgets divides what the state service takes. Users' writes have a budget of
+// their own, so that they never wait behind what the leader records.
 func (n *Node) setBudgets(leading bool) {
-	share := 0.4 / float64(max(1, len(n.links)))
+	nodes := float64(max(1, len(n.links)))
+	b := store.Budgets{Calls: n.cfg.StateRPS * 0.5 / nodes, Writes: n.cfg.StateWriteRPS * 0.9 / nodes, Burst: n.cfg.TxnOps}
 	if leading {
-		share += 0.5
+		b.Calls += n.cfg.StateRPS * 0.45
+		b.Leads = n.cfg.StateWriteRPS * 0.5
 	}
-	n.store.SetBudgets(n.cfg.StateRPS*share, n.cfg.StateWriteRPS*share, n.cfg.TxnOps)
+	n.store.SetBudgets(b)
 }
 
 // Run serves until ctx ends or a listener fails.
@@ -460,7 +464,8 @@
 	case leadership.Write:
 		w := store.Put(leadership.Key, a.Claim)
 		w.Hold = a.Hold
-		out, err := n.store.Do(n.ctx, store.Txn{Guards: []store.Guard{{Key: leadership.Key, Stamp: a.Guard}}, Writes: []store.Write{w}})
+		out, err := n.store.Do(n.ctx, store.Txn{Guards: []store.Guard{{Key: leadership.Key, Stamp: a.Guard}},
+			Writes: []store.Write{w}})
 		n.post(func() {
 			now := time.Now()
 			n.lead.Written(now, sent, err == nil, out.OK(), out.Revision)
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -164,14 +164,18 @@
 	t.beatSoon()
 }
 
-// guard is the condition that every write of the leader carries.
-func (t *term) guard() store.Guard { return store.Guard{Key: leadership.Key, Stamp: t.token} }
+// txn makes a transaction with the condition that every write of the leader
+// carries.
+func (t *term) txn(writes ...store.Write) store.Txn {
+	return store.Txn{Guards: []store.Guard{{Key: leadership.Key, Stamp: t.token}}, Writes: writes, Leader: true}
+}
 
 // save stores what became of jobs.
 func (t *term) save(now time.Time) {
 	maxParts := min(t.n.cfg.TxnOps-1, 48<<10/t.n.cfg.ValueBytes-1)
 	for _, s := range t.book.Saves(now, time.Second, max(1, maxParts)) {
-		txn := store.Txn{Guards: []store.Guard{t.guard(), {Key: placement.JobPrefix + s.ID, Stamp: s.Stamp}}}
+		txn := t.txn()
+		txn.Guards = append(txn.Guards, store.Guard{Key: placement.JobPrefix + s.ID, Stamp: s.Stamp})
 		if s.Over != nil {
 			txn.Writes = append(txn.Writes, store.Del(placement.JobPrefix+s.ID), store.Put(placement.DonePrefix+s.ID, s.Over))
 		} else {
@@ -233,7 +237,7 @@
 		return
 	}
 	var names []string
-	txn := store.Txn{Guards: []store.Guard{t.guard()}}
+	txn := t.txn()
 	for name, m := range t.book.Machines() {
 		if m.Phase == placement.Current && !m.Hosted && len(txn.Writes) < t.batch {
 			names = append(names, name)
--- a/internal/controller/renting.go
+++ b/internal/controller/renting.go
@@ -63,7 +63,7 @@
 }
 
 func (t *term) storeCharter(c fleet.Charter) {
-	txn := store.Txn{Guards: []store.Guard{t.guard()}, Writes: []store.Write{store.Put(fleet.CharterPrefix+c.Name, c)}}
+	txn := t.txn(store.Put(fleet.CharterPrefix+c.Name, c))
 	go func() {
 		out, err := t.n.store.Do(t.ctx, txn)
 		t.n.post(func() { t.fleet.IntentStored(c.Name, err == nil && out.OK(), time.Now()) })
@@ -81,7 +81,7 @@
 		if !t.fleet.Rented(c.Name, res, names, time.Now()) {
 			return
 		}
-		txn := store.Txn{Guards: []store.Guard{t.guard()}, Writes: []store.Write{store.Del(fleet.CharterPrefix + c.Name)}}
+		txn := t.txn(store.Del(fleet.CharterPrefix + c.Name))
 		go func() {
 			// A record left behind is resolved again by the next leader.
 			if _, err := t.n.store.Do(t.ctx, txn); err != nil {
@@ -144,7 +144,7 @@
 		if t.ctx.Err() != nil || t.typesSet {
 			return
 		}
-		txn := store.Txn{Guards: []store.Guard{t.guard()}, Writes: []store.Write{store.Put(typesKey, cat)}}
+		txn := t.txn(store.Put(typesKey, cat))
 		go func() {
 			out, err := t.n.store.Do(t.ctx, txn)
 			t.n.post(func() { t.typesSet = err == nil && out.OK() })
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/url"
 	"strconv"
 	"time"
@@ -26,6 +27,12 @@
 	ErrNoHold    = errors.New("store: no such hold")
 )
 
+// errTooMany is why a request above the service's limits was refused.
+var errTooMany = errors.New("status 429")
+
+// tooManyPause is how long a transaction above the limits waits.
+const tooManyPause = 100 * time.Millisecond
+
 // Item is one key with its value.
 type Item struct {
 	Key   string          `json:"k"`
@@ -64,6 +71,7 @@
 type Txn struct {
 	Guards []Guard `json:"guards"`
 	Writes []Write `json:"writes"`
+	Leader bool    `json:"-"` // on the leader's budget, not on the users'
 }
 
 // Outcome is an executed transaction's result.
@@ -88,7 +96,8 @@
 	http    *httpwire.Client
 	watches *httpwire.Client
 	calls   *rate.Limiter
-	writes  *rate.Limiter
+	writes  *rate.Limiter // for users
+	leads   *rate.Limiter // for what the leader records
 	timeout time.Duration
 }
 
@@ -97,17 +106,26 @@
 	lim := httpwire.Limits{Head: 8 << 10, Body: 8 << 20}
 	return &Client{
 		http: httpwire.NewClient(addr, 12, lim), watches: httpwire.NewClient(addr, 2, lim),
-		calls: rate.NewLimiter(10, 10), writes: rate.NewLimiter(5, 16), timeout: timeout,
+		calls: rate.NewLimiter(10, 10), writes: rate.NewLimiter(5, 16), leads: rate.NewLimiter(5, 16), timeout: timeout,
 	}
 }
 
-// SetBudgets sets how many requests and writes a second this node allows
-// itself.
-func (c *Client) SetBudgets(calls, writes float64, txnOps int) {
-	c.calls.SetLimit(rate.Limit(calls))
-	c.calls.SetBurst(max(4, int(calls/2)))
-	c.writes.SetLimit(rate.Limit(writes))
-	c.writes.SetBurst(max(txnOps, int(writes)))
+// Budgets are how many requests and writes a second this node allows itself.
+type Budgets struct {
+	Calls  float64
+	Writes float64 // for users
+	Leads  float64 // for what the leader records
+	Burst  int     // writes at once
+}
+
+// SetBudgets changes the budgets.
+func (c *Client) SetBudgets(b Budgets) {
+	c.calls.SetLimit(rate.Limit(b.Calls))
+	c.calls.SetBurst(max(4, int(b.Calls/2)))
+	for limiter, writes := range map[*rate.Limiter]float64{c.writes: b.Writes, c.leads: b.Leads} {
+		limiter.SetLimit(rate.Limit(writes))
+		limiter.SetBurst(max(b.Burst, int(writes)))
+	}
 }
 
 func (c *Client) call(ctx context.Context, method, target string, body any) (*httpwire.Response, error) {
@@ -133,8 +151,10 @@
 		return nil, fmt.Errorf("%w: %w", ErrRefused, err)
 	case err != nil:
 		return nil, fmt.Errorf("%w: %w", ErrUnknown, err)
-	case resp.Status == 429 || resp.Status == 503:
-		return nil, fmt.Errorf("%w: status %d", ErrRefused, resp.Status)
+	case resp.Status == 429:
+		return nil, fmt.Errorf("%w: %w", ErrRefused, errTooMany)
+	case resp.Status == 503:
+		return nil, fmt.Errorf("%w: status 503", ErrRefused)
 	}
 	return resp, nil
 }
@@ -218,15 +238,36 @@
 
 // Do runs a transaction. Without an error it was executed, and the outcome
 // tells whether its guards held.
+//
+// The budgets of all nodes add up to more than the service takes, for they
+// seldom peak together; what it refuses as too much is sent again.
 func (c *Client) Do(ctx context.Context, t Txn) (Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	budget := c.writes
+	if t.Leader {
+		budget = c.leads
+	}
 	if n := len(t.Writes); n > 0 {
-		wctx, cancel := context.WithTimeout(ctx, c.timeout)
-		err := c.writes.WaitN(wctx, n)
-		cancel()
-		if err != nil {
+		if err := budget.WaitN(ctx, n); err != nil {
 			return Outcome{}, fmt.Errorf("%w: %w", ErrRefused, err)
 		}
 	}
+	for {
+		out, err := c.transact(ctx, t)
+		if !errors.Is(err, errTooMany) {
+			return out, err
+		}
+		select {
+		case <-time.After(tooManyPause + rand.N(tooManyPause)):
+		case <-ctx.Done():
+			return out, err
+		}
+	}
+}
+
+// transact sends a transaction once.
+func (c *Client) transact(ctx context.Context, t Txn) (Outcome, error) {
 	if t.Guards == nil {
 		t.Guards = []Guard{}
 	}
--- a/internal/store/client_test.go
+++ b/internal/store/client_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -54,7 +55,7 @@
 				_, _ = w.Write([]byte(c.body))
 			}))
 			defer s.Close()
-			if err := c.call(New(strings.TrimPrefix(s.URL, "http://"), 5*time.Second)); !errors.Is(err, c.want) || (err == nil) != (c.want == nil) {
+			if err := c.call(New(strings.TrimPrefix(s.URL, "http://"), 500*time.Millisecond)); !errors.Is(err, c.want) || (err == nil) != (c.want == nil) {
 				t.Errorf("got %v, want %v", err, c.want)
 			}
 		})
@@ -64,13 +65,40 @@
 	}
 }
 
+// What was refused as too much is sent again, and users' writes do not wait
+// behind the leader's.
+func TestBudgets(t *testing.T) {
+	var asked atomic.Int32
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if asked.Add(1) == 1 {
+			w.WriteHeader(429)
+			return
+		}
+		_, _ = w.Write([]byte(`{"ledgerRev":2}`))
+	}))
+	defer s.Close()
+	ctx := context.Background()
+	c := New(strings.TrimPrefix(s.URL, "http://"), time.Second)
+	c.SetBudgets(Budgets{Calls: 1000, Writes: 1, Leads: 1, Burst: 2})
+	two := []Write{Put("a", 1), Put("b", 1)}
+	if _, err := c.Do(ctx, Txn{Writes: two, Leader: true}); err != nil || asked.Load() != 2 {
+		t.Errorf("refused once: %v after %d", err, asked.Load())
+	}
+	if _, err := c.Do(ctx, Txn{Writes: two, Leader: true}); !errors.Is(err, ErrRefused) {
+		t.Errorf("the leader's budget is spent: %v", err)
+	}
+	if _, err := c.Do(ctx, Txn{Writes: two}); err != nil {
+		t.Errorf("users' writes wait behind the leader's: %v", err)
+	}
+}
+
 // Against the stand-in: guards, pages, holds and watches.
 func TestAgainstStandIn(t *testing.T) {
 	ctx := context.Background()
 	s := standin.NewState()
 	defer s.Close()
 	c := New(s.Listener.Addr().String(), 5*time.Second)
-	c.SetBudgets(1e6, 1e6, 16)
+	c.SetBudgets(Budgets{Calls: 1e6, Writes: 1e6, Leads: 1e6, Burst: 16})
 	for i := range 600 { // more than a page
 		if out, err := c.Do(ctx, Txn{Writes: []Write{Put("p/"+string(rune('a'+i%26))+strings.Repeat("x", i/26), i)}}); err != nil || !out.OK() {
 			t.Fatal(out, err)
