Jobs with a mistake are tried one task at a time and get nothing made or rented

A job that failed on two machines and never succeeded is suspect: one task at a time (a gang as a whole), pauses of 1 to 60 s, no preemption, no renting, no blame. Failures of proven jobs all count against a machine, of others only those of tasks started after the failure before.

--- a/internal/controller/renting.go
+++ b/internal/controller/renting.go
@@ -4,18 +4,14 @@
 	"time"
 
 	"github.com/marlwood/marlwood/internal/fleet"
-	"github.com/marlwood/marlwood/internal/placement"
 	"github.com/marlwood/marlwood/internal/store"
 )
 
-// suspects keeps tasks off machines on which several tasks of different jobs
-// failed in a row.
+// suspects keeps tasks off machines that fail them.
 func (t *term) suspects() {
-	for _, m := range t.book.Machines() {
-		if m.Phase == placement.Current && !m.Cordoned && m.Suspect(t.n.op.Fleet.Errors) {
-			t.n.log.Warn("machine fails its tasks", "machine", m.Name, "errors", m.Errors)
-			t.book.Cordon(m)
-		}
+	for _, m := range t.book.Suspects(t.n.op.Fleet.Errors) {
+		t.n.log.Warn("machine fails its tasks", "machine", m.Name)
+		t.book.Cordon(m)
 	}
 }
 
--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -62,6 +62,7 @@
 	token    uint64 // under which it was ordered
 	order    uint64
 	since    time.Time // when it entered its state
+	bornAt   time.Time // when it was bound
 	stopping bool
 	grace    time.Duration
 	told     uint64 // token under which the stop was ordered last
@@ -94,8 +95,8 @@
 	next     int   // tasks from here on were never tried
 	again    []int // tasks to be tried again
 	retryAt  time.Time
-	errors   int
-	failedOn map[string]bool // machines on which its tasks failed since one was done
+	fails    int             // how often its tasks failed since one was done; at once counts once
+	failedOn map[string]bool // machines on which they failed
 	empty    int             // rounds without room in a row
 	tried    uint64
 	waiting  time.Time // since when it has had work without room
@@ -137,7 +138,6 @@
 	Quiet    bool      // its owner has not heard of it for longer than reports are apart
 	Listed   bool      // the cloud has listed it
 	Unsure   bool      // a start that is no longer wanted may be carried out late
-	Errors   int       // failed tasks in a row
 
 	session, seq uint64
 	current      uint64 // token under which it was last current
@@ -145,7 +145,8 @@
 	load         model.Size // what the bound tasks take
 	images       []held     // in its cache, the last used one last
 	reported     []*peerspb.Task
-	strays       int // running tasks of jobs the book does not know
+	blame        map[string]blame // by job: its tasks that failed here since one was done here
+	strays       int              // running tasks of jobs the book does not know
 	reserved     map[string]reservation
 	log          *slog.Logger
 }
@@ -580,6 +581,7 @@
 }
 
 func (b *Book) bind(t *Task) {
+	t.bornAt = t.since
 	t.job.bound[t.index] = t
 	t.machine.tasks[taskKey{t.job.Spec.ID, t.index}] = t
 	t.machine.load = t.machine.load.Add(t.job.Spec.Size)
@@ -670,18 +672,9 @@
 	switch model.Cause(r.Cause) {
 	case model.CauseDone:
 		b.finish(j, t.index)
-		m.Errors, j.errors, j.failedOn = 0, 0, nil
+		m.blame, j.fails, j.failedOn = nil, 0, nil
 	case model.CauseError:
-		// A job that fails on every machine is to blame itself.
-		if j.failedOn == nil {
-			j.failedOn = map[string]bool{}
-		}
-		j.failedOn[m.Name] = true
-		if len(j.failedOn) <= faultyMachines {
-			m.Errors++
-		}
-		j.errors++
-		j.retryAt = now.Add(min(time.Minute, time.Second<<min(j.errors/4, 6)))
+		b.failed(now, t)
 	case model.CauseNoRoom, model.CauseBusy, model.CauseUnknown, model.CauseAlone:
 		j.retryAt = now.Add(time.Second)
 	}
@@ -721,13 +714,6 @@
 // Bound counts the job's bound tasks.
 func (j *Job) Bound() int { return len(j.bound) }
 
-// faultyMachines is how many machines may fail one job's tasks before the job
-// itself is blamed.
-const faultyMachines = 2
-
-// Suspect tells whether a machine rather than a job is at fault.
-func (m *Machine) Suspect(errors int) bool { return m.Errors >= errors }
-
 // Summary is the state of the cluster in a few figures, for the log.
 type Summary struct {
 	Machines, Busy, Retiring, Jobs, Bound, Unplaced int
--- a/internal/placement/book_test.go
+++ b/internal/placement/book_test.go
@@ -809,35 +809,3 @@
 		}
 	}
 }
-
-// A machine that fails tasks of jobs which run elsewhere is suspect; a job that
-// fails everywhere casts no suspicion on the machines.
-func TestWhoIsToBlame(t *testing.T) {
-	for _, c := range []struct {
-		name    string
-		fails   []string // machines that fail the job's task, one after the other
-		suspect []string
-	}{
-		{"a sick machine", []string{"m0", "m0", "m0"}, []string{"m0"}},
-		{"a bad job", []string{"m0", "m1", "m2", "m3", "m0", "m1", "m2", "m3", "m0", "m1", "m2", "m3"}, nil},
-	} {
-		b := newBench(t)
-		for i := range 4 {
-			b.machine(fmt.Sprintf("m%d", i), "small", "a")
-		}
-		b.job("x", nil)
-		for i, name := range c.fails {
-			b.says(float64(i), name, "current", 99, task("x", 0, uint64(100+i), model.TaskRunning, ""))
-			b.says(float64(i), name, "current", 99, task("x", 0, uint64(100+i), model.TaskExited, model.CauseError))
-		}
-		var got []string
-		for i := range 4 {
-			if name := fmt.Sprintf("m%d", i); b.machines[name].Suspect(3) {
-				got = append(got, name)
-			}
-		}
-		if fmt.Sprint(got) != fmt.Sprint(c.suspect) {
-			t.Errorf("%s: suspects %v, want %v", c.name, got, c.suspect)
-		}
-	}
-}
--- /dev/null
+++ b/internal/placement/faults.go
@@ -0,0 +1,91 @@
+package placement
+
+import (
+	"sort"
+	"time"
+)
+
+// blame is what one job's failures on a machine say against it.
+type blame struct {
+	fails int
+	waves int // of tasks that were started after the failure before
+	last  time.Time
+}
+
+// faultyMachines is on how many machines a job fails before it is blamed
+// itself, as long as none of its tasks was ever done.
+const faultyMachines = 2
+
+// proven tells that a job can succeed.
+func (j *Job) proven() bool { return j.finished.Len() > 0 }
+
+// Suspect tells that a job was probably submitted with a mistake: it failed on
+// several machines and was never seen to succeed. It is tried with one task at a
+// time, after growing pauses, and nothing is stopped, kept or rented for it.
+//
+// Guard: such jobs stay until their users cancel them. One with high priority
+// had others stopped for it every few seconds, and an array of some hundred
+// tasks failed as a whole each time.
+func (j *Job) Suspect() bool { return !j.proven() && len(j.failedOn) >= faultyMachines }
+
+// failed takes in that a task failed on its machine.
+func (b *Book) failed(now time.Time, t *Task) {
+	j, m := t.job, t.machine
+	if j.failedOn == nil {
+		j.failedOn = map[string]bool{}
+	}
+	j.failedOn[m.Name] = true
+	if m.blame == nil {
+		m.blame = map[string]blame{}
+	}
+	x := m.blame[j.Spec.ID]
+	x.fails++
+	if t.bornAt.After(x.last) {
+		x.waves, x.last = x.waves+1, now
+	}
+	m.blame[j.Spec.ID] = x
+	// Tasks that were started together fail together: that is one failure.
+	if now.Before(j.retryAt) {
+		return
+	}
+	pause := time.Second
+	if !j.proven() {
+		pause = min(time.Minute, time.Second<<min(j.fails, 6))
+	}
+	j.fails++
+	j.retryAt = now.Add(pause)
+}
+
+// acquit drops what a job that was cancelled before any of its tasks was done
+// says against machines.
+func (b *Book) acquit(j *Job) {
+	if j.proven() {
+		return
+	}
+	for name := range j.failedOn {
+		if m := b.machines[name]; m != nil {
+			delete(m.blame, j.Spec.ID)
+		}
+	}
+}
+
+// Suspects lists the machines that fail tasks of jobs which are not to blame
+// themselves: every failure of a proven job counts, of others the waves.
+func (b *Book) Suspects(errors int) (out []*Machine) {
+	for _, m := range b.machines {
+		n := 0
+		for id, x := range m.blame {
+			switch j := b.jobs[id]; {
+			case j == nil || j.proven():
+				n += x.fails
+			case !j.Suspect():
+				n += x.waves
+			}
+		}
+		if n >= errors && m.Phase == Current && !m.Cordoned {
+			out = append(out, m)
+		}
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i].Name < out[k].Name })
+	return out
+}
--- /dev/null
+++ b/internal/placement/faults_test.go
@@ -0,0 +1,108 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/peers/peerspb"
+)
+
+// A machine that fails tasks is told from a job that fails everywhere: the one
+// is given up, the other is tried one task at a time and gets nothing else.
+func TestWhoIsToBlame(t *testing.T) {
+	type end struct {
+		machine, job string
+		index        int
+		cause        model.Cause
+	}
+	fail := func(machine, job string, index int) end { return end{machine, job, index, model.CauseError} }
+	for _, c := range []struct {
+		name     string
+		ends     []end // one after the other
+		machines []string
+		job      bool // x is suspect
+	}{
+		{"a sick machine", []end{fail("m0", "x", 0), fail("m0", "x", 1), fail("m0", "x", 2)}, []string{"m0"}, false},
+		{"a sick machine, and a job that is known to be good",
+			[]end{{"m1", "x", 9, model.CauseDone}, fail("m0", "x", 0), fail("m0", "x", 1), fail("m0", "x", 2)}, []string{"m0"}, false},
+		{"a bad job", []end{fail("m0", "x", 0), fail("m1", "x", 1), fail("m2", "x", 2), fail("m0", "x", 3), fail("m0", "x", 4),
+			fail("m0", "x", 5)}, nil, true},
+		{"a good job that met two sick machines", []end{fail("m0", "x", 0), fail("m1", "x", 1), {"m2", "x", 2, model.CauseDone}}, nil, false},
+		{"a bad job fails on a sick machine", []end{fail("m0", "x", 0), fail("m1", "x", 1), fail("m0", "y", 0), fail("m0", "y", 1),
+			fail("m0", "z", 0)}, []string{"m0"}, true},
+		{"success acquits a machine", []end{fail("m0", "x", 0), fail("m0", "y", 0), {"m0", "z", 0, model.CauseDone}, fail("m0", "z", 1)}, nil, false},
+	} {
+		b := newBench(t)
+		for i := range 4 {
+			b.machine(fmt.Sprintf("m%d", i), "small", "a")
+		}
+		for _, id := range []string{"x", "y", "z"} {
+			b.job(id, func(j *model.Job) { j.Tasks = 20 })
+		}
+		for i, e := range c.ends {
+			b.says(float64(i+1), e.machine, "current", 99, task(e.job, e.index, uint64(100+i), model.TaskRunning, ""))
+			b.says(float64(i+1)+0.5, e.machine, "current", 99, task(e.job, e.index, uint64(100+i), model.TaskExited, e.cause))
+		}
+		var got []string
+		for _, m := range b.Suspects(3) {
+			got = append(got, m.Name)
+		}
+		if fmt.Sprint(got) != fmt.Sprint(c.machines) || b.jobs["x"].Suspect() != c.job {
+			t.Errorf("%s: suspects %v and %v, want %v and %v", c.name, got, b.jobs["x"].Suspect(), c.machines, c.job)
+		}
+	}
+}
+
+// Tasks that were started together fail together. That is one failure, and the
+// machines on which it happened are not given up for it.
+func TestManyFailAtOnce(t *testing.T) {
+	b := newBench(t)
+	b.machine("m0", "big", "a")
+	b.machine("m1", "big", "a")
+	b.job("x", func(j *model.Job) { j.Tasks = 32 })
+	if n := b.round(1); n != 32 {
+		t.Fatalf("%d started", n)
+	}
+	for _, name := range []string{"m0", "m1"} {
+		for _, state := range []model.TaskState{model.TaskRunning, model.TaskExited} {
+			cause := model.Cause("")
+			if state == model.TaskExited {
+				cause = model.CauseError
+			}
+			var said []*peerspb.Task
+			for key, u := range b.machines[name].tasks {
+				said = append(said, task("x", key.index, u.attempt, state, cause))
+			}
+			b.says(2, name, "current", 999, said...)
+		}
+	}
+	j := b.jobs["x"]
+	if !j.Suspect() || len(b.Suspects(3)) > 0 || j.fails != 1 {
+		t.Errorf("job suspect: %v, machines %d, failures %d", j.Suspect(), len(b.Suspects(3)), j.fails)
+	}
+	// From here on one task at a time, nothing is rented, and pauses grow.
+	pauses := 0.0
+	now := 2.0
+	for range 4 {
+		from := now
+		for now += 0.25; b.round(now) == 0; now += 0.25 {
+			if now > 100 {
+				t.Fatal("never tried again")
+			}
+		}
+		if len(j.bound) != 1 || len(b.Needs(at(now))) > 0 {
+			t.Errorf("%d tasks under way, %d needs", len(j.bound), len(b.Needs(at(now))))
+		}
+		if now-from < pauses {
+			t.Errorf("a pause of %v after one of %v", now-from, pauses)
+		}
+		pauses = now - from
+		for _, u := range j.bound {
+			b.says(now, u.machine.Name, "current", 999, task("x", u.index, u.attempt, model.TaskExited, model.CauseError))
+		}
+	}
+	if pauses < 8 {
+		t.Errorf("the fourth pause is %v s", pauses)
+	}
+}
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -193,6 +193,7 @@
 // forgotten, for nothing depends on their reports any more.
 func (b *Book) close(j *Job) {
 	j.Cancelled = true
+	b.acquit(j)
 	for _, t := range j.bound {
 		b.stopOne(t, 0)
 	}
--- a/internal/placement/needs.go
+++ b/internal/placement/needs.go
@@ -215,6 +215,9 @@
 	asked := map[string]model.Size{} // by team: demand of the jobs before
 	pool := b.pool(now)
 	for _, j := range b.queue(now) {
+		if j.Suspect() {
+			continue
+		}
 		n := b.headroom(j)
 		if size := j.Spec.Size; size.CPUs > 0 {
 			n -= int(asked[j.Spec.Team].CPUs/size.CPUs + 0.999)
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -49,7 +49,7 @@
 		return
 	}
 	for _, j := range b.queue(now) {
-		if j.Spec.Priority.Rank() <= 0 || j.empty <= b.opt.ScanAfter ||
+		if j.Spec.Priority.Rank() <= 0 || j.Suspect() || j.empty <= b.opt.ScanAfter ||
 			now.Sub(j.waiting) < b.opt.PreemptWait || now.Sub(j.cleared) < clearAgain {
 			continue
 		}
@@ -85,7 +85,7 @@
 // room, some of which must be made: a place where its image is missing stands
 // idle for as long as the fetch takes. The room is made then.
 func (b *Book) betterCleared(now time.Time, j *Job, found []*Task) bool {
-	if j.Spec.Priority.Rank() <= 0 || now.Sub(j.cleared) < clearAgain {
+	if j.Spec.Priority.Rank() <= 0 || j.Suspect() || now.Sub(j.cleared) < clearAgain {
 		return false
 	}
 	var fetches time.Duration
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -51,8 +51,8 @@
 		if j.Unplaced() <= 0 || now.Before(j.retryAt) {
 			continue
 		}
-		if j.Spec.Shape == model.Gang && len(j.bound) > 0 {
-			continue // the old attempt's tasks keep their places until they exit
+		if (j.Spec.Shape == model.Gang || j.Suspect()) && len(j.bound) > 0 {
+			continue // a gang's old tasks keep their places until they exit
 		}
 		out = append(out, j)
 	}
@@ -85,7 +85,7 @@
 func (b *Book) heldBack() map[string]bool {
 	wanted := map[string]model.Size{}
 	for _, j := range b.jobs {
-		if !j.Cancelled {
+		if !j.Cancelled && !j.Suspect() {
 			wanted[j.Spec.Team] = wanted[j.Spec.Team].Add(j.Spec.Size.Times(j.Spec.Tasks - j.finished.Len()))
 		}
 	}
@@ -193,6 +193,9 @@
 		}
 		if j.Spec.Shape != model.Gang {
 			n = min(n, left)
+			if j.Suspect() {
+				n = 1
+			}
 		}
 		p := &planned{job: j, tasks: j.pick(n), scan: j.empty >= b.opt.ScanAfter, want: uint32(len(b.plan) + 1)}
 		if len(p.tasks) == 0 {
@@ -277,24 +280,25 @@
 
 // choice is what a drawn machine is chosen by.
 type choice struct {
-	late  bool    // the fetch of the image takes longer than the task may wait
-	price float64 // an hour and CPU, for a task that keeps its machine
-	fetch bool    // the image is missing
-	share float64
-	slots int
+	failed bool    // the job failed there
+	late   bool    // the fetch of the image takes longer than the task may wait
+	price  float64 // an hour and CPU, for a task that keeps its machine
+	fetch  bool    // the image is missing
+	share  float64
+	slots  int
 }
 
 // compare sorts the better choice first. Share and slots are the paper's rule:
 // the lowest share in use wins; ties go to the kind with the larger capacity for
 // this task. What stands before them are our exceptions.
 func (c choice) compare(o choice) int {
-	return cmp.Or(cmp.Compare(rank(!c.late), rank(!o.late)), cmp.Compare(c.price, o.price), cmp.Compare(rank(!c.fetch), rank(!o.fetch)),
+	return cmp.Or(cmp.Compare(rank(!c.failed), rank(!o.failed)), cmp.Compare(rank(!c.late), rank(!o.late)), cmp.Compare(c.price, o.price), cmp.Compare(rank(!c.fetch), rank(!o.fetch)),
 		cmp.Compare(c.share, o.share), cmp.Compare(o.slots, c.slots))
 }
 
 func (b *Book) choiceOf(j *Job, m *Machine, now time.Time) choice {
 	t := b.types[m.Kind.Type]
-	c := choice{share: m.load.Share(t.Size), slots: j.Spec.Size.Slots(t.Size), fetch: !b.holders[j.Spec.Image][m]}
+	c := choice{failed: j.failedOn[m.Name], share: m.load.Share(t.Size), slots: j.Spec.Size.Slots(t.Size), fetch: !b.holders[j.Spec.Image][m]}
 	if wait := b.opt.Aims[j.Spec.Class].Wait; wait > 0 && c.fetch && t.FetchGBPerS > 0 {
 		c.late = now.Add(model.Seconds(j.Spec.ImageGB / t.FetchGBPerS)).After(j.Accepted.Add(wait))
 	}
