--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -118,7 +118,11 @@
 		// before its last answer reached us.
 		r.GrantUntilNs = l.clock + int64(n.terms.Grant)
 		for k, member := range t.book.Owners() {
-			r.Owners = append(r.Owners, &peerspb.KindOwner{Kind: &peerspb.Kind{Type: k.Type, Zone: k.Zone}, Member: member})
+			o := &peerspb.KindOwner{Kind: &peerspb.Kind{Type: k.Type, Zone: k.Zone}, Member: member}
+			if t.silent[k] {
+				o.Elsewhere = t.others(member, now)
+			}
+			r.Owners = append(r.Owners, o)
 		}
 		r.Orders = t.book.Orders(l.member)
 		r.Sizes = t.sizesFor(l, r.Orders)
@@ -150,6 +154,16 @@
 	}()
 }
 
+// others names the controllers that answer, besides one.
+func (t *term) others(member string, now time.Time) (out []string) {
+	for _, l := range t.n.links {
+		if l.member != member && l.live(now) {
+			out = append(out, l.member)
+		}
+	}
+	return out
+}
+
 // sizesFor names the sizes of jobs that an owner has not been told yet.
 func (t *term) sizesFor(l *link, orders []*peerspb.Order) []*peerspb.JobSize {
 	var out []*peerspb.JobSize
@@ -237,6 +251,9 @@
 	if len(resp.Machines) > 0 {
 		t.beatSoon()
 	}
+	for _, name := range resp.Knocks {
+		t.book.Knocked(name, l.member, now)
+	}
 	l.seen = max(l.seen, resp.Change)
 	if trusted {
 		t.book.UnseenLapsed(l.member, now)
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -25,8 +25,10 @@
 
 	loaded   bool // jobs and host records are in the book
 	revision uint64
-	assigned time.Time // owners were last decided
-	renewing time.Time // a fresh token was asked for
+	assigned time.Time              // owners were last decided
+	silent   map[model.Kind]bool    // kinds most of whose machines their owners do not hear
+	deaf     map[deafness]time.Time // owners that hear nothing from a kind's machines, until when they are spared
+	renewing time.Time              // a fresh token was asked for
 
 	nextBeat    time.Time
 	lastRound   time.Time
@@ -45,9 +47,16 @@
 	typesSet    bool
 }
 
+// deafness is an owner that does not hear a kind's machines.
+type deafness struct {
+	member string
+	kind   model.Kind
+}
+
 func newTerm(n *Node, token uint64, now time.Time) *term {
 	ctx, cancel := context.WithCancel(n.ctx)
-	t := &term{n: n, ctx: ctx, end: cancel, token: token, began: now, nextTypes: now.Add(20 * time.Second), batch: n.cfg.TxnOps}
+	t := &term{n: n, ctx: ctx, end: cancel, token: token, began: now, nextTypes: now.Add(20 * time.Second), batch: n.cfg.TxnOps,
+		deaf: map[deafness]time.Time{}}
 	t.book = placement.NewBook(placement.Options{
 		Draws: n.op.Placement.Draws, ScanAfter: n.op.Placement.ScanAfter, TasksPerRound: n.op.Placement.TasksPerRound,
 		PreemptWait: n.op.Placement.PreemptWait, Aims: n.cfg.Aims, Horizon: n.op.Fleet.Horizon,
@@ -116,12 +125,16 @@
 	owners := map[model.Kind]string{}
 	spare := 0
 	for _, k := range kinds {
-		i := slices.IndexFunc(live, func(l *link) bool { return l.zone == k.Zone })
+		able := slices.DeleteFunc(slices.Clone(live), func(l *link) bool { return now.Before(t.deaf[deafness{l.member, k}]) })
+		if len(able) == 0 {
+			able = live
+		}
+		i := slices.IndexFunc(able, func(l *link) bool { return l.zone == k.Zone })
 		if i < 0 {
-			i = spare % len(live)
+			i = spare % len(able)
 			spare++
 		}
-		owners[k] = live[i].member
+		owners[k] = able[i].member
 	}
 	t.book.SetOwners(owners)
 	t.book.Greet()
@@ -129,6 +142,16 @@
 	t.n.log.Info("owners", "kinds", len(kinds), "live", len(live))
 }
 
+// isDeaf tells whether an owner did not hear some kind's machines lately.
+func (t *term) isDeaf(member string, now time.Time) bool {
+	for d, until := range t.deaf {
+		if d.member == member && now.Before(until) {
+			return true
+		}
+	}
+	return false
+}
+
 // watchOwners asks for a fresh token when an owner is lost or one is back:
 // orders under the old token are then void wherever they travel.
 func (t *term) watchOwners(now time.Time) {
@@ -150,13 +173,25 @@
 			why = "owner lost"
 		case owned[l.member] && l.failures < 0:
 			why = "owner restarted"
-		case !owned[l.member] && l.live(now) && t.book.Complete() && now.Sub(l.okSince) > back && now.Sub(t.assigned) > back:
+		case !owned[l.member] && l.live(now) && !t.isDeaf(l.member, now) && t.book.Complete() && now.Sub(l.okSince) > back && now.Sub(t.assigned) > back:
 			why = "owner back"
 		default:
 			continue
 		}
 		why += ": " + l.member
 	}
+	late := 2*t.n.cfg.ReportEvery + time.Second
+	t.silent = t.book.Silent(now, late)
+	if now.Sub(t.assigned) > 2*time.Second {
+		// Guard: an owner that only the workers cannot reach still answers the
+		// leader. Its machines' tasks ended with their leases although another
+		// controller could have kept them alive.
+		for _, k := range t.book.Deaf(now, late) {
+			owner := t.book.Owners()[k]
+			t.deaf[deafness{owner, k}] = now.Add(back)
+			why = "owner hears nothing from " + k.Type + " in " + k.Zone + ": " + owner
+		}
+	}
 	for _, m := range t.book.Machines() {
 		if why == "" && m.Unsure && now.Sub(t.assigned) > 2*time.Second {
 			why = "unwanted start may come late: " + m.Name
--- a/internal/placement/faults_test.go
+++ b/internal/placement/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/marlwood/marlwood/internal/model"
 	"github.com/marlwood/marlwood/internal/peers/peerspb"
@@ -106,3 +107,51 @@
 		t.Errorf("the fourth pause is %v s", pauses)
 	}
 }
+
+// An owner that does not hear most of a kind's machines, while they report
+// elsewhere, is deaf to it; machines that are down or moved are not its fault.
+func TestDeafOwner(t *testing.T) {
+	late := 3 * time.Second
+	for _, c := range []struct {
+		name  string
+		quiet int // of four machines that the owner does not hear
+		knock []string
+		from  string
+		now   float64
+		deaf  bool
+	}{
+		{"all are heard, one knocked when it came up", 0, []string{"m0"}, "n1", 11, false},
+		{"all are silent", 4, nil, "n1", 11, false},
+		{"all are silent here and knock elsewhere", 4, []string{"m0", "m1", "m2", "m3"}, "n1", 11, true},
+		{"half of them", 2, []string{"m0", "m1"}, "n1", 11, true},
+		{"one of them", 1, []string{"m0"}, "n1", 11, false},
+		{"they knocked long ago", 4, []string{"m0", "m1", "m2", "m3"}, "n1", 15, false},
+		{"they report to their owner", 4, []string{"m0", "m1", "m2", "m3"}, "n0", 11, false},
+	} {
+		b := newBench(t)
+		for i := range 4 {
+			b.machine(fmt.Sprintf("m%d", i), "small", "a")
+		}
+		for i := range c.quiet {
+			b.machines[fmt.Sprintf("m%d", i)].Quiet = true
+		}
+		for _, name := range c.knock {
+			b.Knocked(name, c.from, at(10))
+		}
+		if got := b.Deaf(at(c.now), late); (len(got) > 0) != c.deaf {
+			t.Errorf("%s: deaf to %v", c.name, got)
+		}
+		b.Renewed(9, at(c.now))
+		if got := b.Deaf(at(c.now), late); len(got) > 0 {
+			t.Errorf("%s: the next owner is deaf to %v at once", c.name, got)
+		}
+	}
+	// A kind that went to an owner which its machines cannot reach either.
+	b := newBench(t)
+	b.machine("m0", "small", "a")
+	b.Renewed(9, at(10))
+	b.Knocked("m0", "n1", at(14))
+	if got := b.Deaf(at(15), late); len(got) != 1 {
+		t.Errorf("never heard by the new owner: deaf to %v", got)
+	}
+}
--- a/internal/workers/desk.go
+++ b/internal/workers/desk.go
@@ -106,12 +106,14 @@
 	leader   string
 	grant    time.Time
 	owners   map[model.Kind]string
+	silent   map[model.Kind][]string // kinds that their owner hears nothing from, and where to send them instead
 	machines map[string]*machine
 	sizes    map[string]model.Size
 	change   uint64
 	applied  uint64
 	calls    uint64
 	storeOK  time.Time
+	knocks   map[string]time.Time // machines of other owners' kinds that reported here
 	start    time.Time
 	draw     *rand.Rand
 }
@@ -120,7 +122,52 @@
 // zero of the clock that grants are given in.
 func NewDesk(opt Options, boot string, start time.Time, draw *rand.Rand) *Desk {
 	return &Desk{opt: opt, boot: boot, start: start, owners: map[model.Kind]string{},
-		machines: map[string]*machine{}, sizes: map[string]model.Size{}, draw: draw}
+		machines: map[string]*machine{}, sizes: map[string]model.Size{}, knocks: map[string]time.Time{}, draw: draw}
+}
+
+// Knocks that are older, or more of them, say nothing.
+const (
+	knockMemory = 5 * time.Second
+	maxKnocks   = 1000
+)
+
+// knock keeps for the leader that a machine of another owner's kind reported
+// here: its owner may be out of its reach.
+func (d *Desk) knock(now time.Time, name string) {
+	if len(d.knocks) < maxKnocks {
+		d.knocks[name] = now
+	}
+}
+
+// pointTo sends a machine to its kind's owner.
+//
+// Guard: an owner that hears nothing from the kind is probably out of the
+// machines' reach, and a worker waits there for four seconds; its lease would be
+// over before the kind has another owner. Until then machines go to and fro
+// between the controllers that they reach.
+func (d *Desk) pointTo(owner string, kind model.Kind) Verdict {
+	elsewhere, silent := d.silent[kind]
+	if !silent {
+		return Verdict{Status: 421, Foreman: owner}
+	}
+	for _, member := range elsewhere {
+		if member != d.opt.Member {
+			return Verdict{Status: 421, Foreman: member}
+		}
+	}
+	return Verdict{Status: 503}
+}
+
+// takeKnocks hands over what was kept.
+func (d *Desk) takeKnocks(now time.Time) (out []string) {
+	for name, at := range d.knocks {
+		if now.Sub(at) < knockMemory {
+			out = append(out, name)
+		}
+	}
+	clear(d.knocks)
+	sort.Strings(out)
+	return out
 }
 
 // SetTypes tells the desk what machines hold.
@@ -201,7 +248,8 @@
 	case "":
 		return Verdict{Status: 503}
 	default:
-		return Verdict{Status: 421, Foreman: owner}
+		d.knock(now, r.Machine)
+		return d.pointTo(owner, kind)
 	}
 	m := d.machines[r.Machine]
 	if m == nil {
@@ -545,6 +593,7 @@
 	if r.Boot != d.boot {
 		return out
 	}
+	out.Knocks = d.takeKnocks(now)
 	for _, m := range d.machines {
 		if m.change > r.Seen {
 			out.Machines = append(out.Machines, m.message())
@@ -574,8 +623,13 @@
 func (d *Desk) take(now time.Time, r *peerspb.RoundRequest) {
 	if len(r.Owners) > 0 {
 		d.owners = make(map[model.Kind]string, len(r.Owners))
+		d.silent = map[model.Kind][]string{}
 		for _, o := range r.Owners {
-			d.owners[model.Kind{Type: o.Kind.Type, Zone: o.Kind.Zone}] = o.Member
+			kind := model.Kind{Type: o.Kind.Type, Zone: o.Kind.Zone}
+			d.owners[kind] = o.Member
+			if len(o.Elsewhere) > 0 {
+				d.silent[kind] = o.Elsewhere
+			}
 		}
 		for name, m := range d.machines { // those that went to another owner
 			if d.owners[m.kind] != d.opt.Member && m.kind != (model.Kind{}) {
--- a/internal/workers/desk_test.go
+++ b/internal/workers/desk_test.go
@@ -498,3 +498,36 @@
 		}
 	}
 }
+
+// A machine of another owner's kind is sent there, and the leader hears that it
+// knocked here; while the owner hears nothing from the kind, it is sent elsewhere
+// rather than back to where it came from.
+func TestKnocks(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		elsewhere []string
+		status    int
+		foreman   string
+	}{
+		{"the owner hears its machines", nil, 421, "n2"},
+		{"it hears nothing", []string{"n0", "n1"}, 421, "n1"},
+		{"nobody else is left", []string{"n0"}, 503, ""},
+	} {
+		d := desk()
+		g := grant(5, 10)
+		g.Owners[1].Elsewhere = c.elsewhere
+		d.Round(at(1), g)
+		r := report(1, 1, 5)
+		r.Zone = "b"
+		if v := d.CheckIn(at(2), r); v.Status != c.status || v.Foreman != c.foreman {
+			t.Errorf("%s: %+v", c.name, v)
+		}
+		if got := d.Round(at(3), g).Knocks; len(got) != 1 || got[0] != "m1" {
+			t.Errorf("%s: knocks %v", c.name, got)
+		}
+		d.CheckIn(at(3), r)
+		if got := d.Round(at(9), g).Knocks; len(got) != 0 {
+			t.Errorf("%s: old knocks %v", c.name, got)
+		}
+	}
+}
