--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -61,6 +61,7 @@
 	term   *term
 
 	types     atomic.Pointer[map[string]model.MachineType]
+	actsUntil atomic.Int64                              // end of the right to act as leader, in time since start; 0: none
 	storeSeen atomic.Int64                              // last answer of the state service, in time since start
 	views     atomic.Pointer[map[string]placement.View] // counts of open jobs, while leading
 	changes   chan struct{}                             // submissions and cancellations under way
@@ -217,6 +218,22 @@
 	return placement.View{}, false
 }
 
+// mayAct tells outside the loop whether the node may act as leader now.
+//
+// Guard: a process may stand still between a decision and what follows from it,
+// longer than its right to act lasts. So the right is looked at again right
+// before a message goes out, wherever it waited until then.
+func (n *Node) mayAct() bool { return int64(time.Since(n.start)) < n.actsUntil.Load() }
+
+// noteRight lays out for mayAct how long the right to act lasts.
+func (n *Node) noteRight() {
+	until := int64(0)
+	if at := n.lead.ActsUntil(); !at.IsZero() {
+		until = int64(at.Sub(n.start))
+	}
+	n.actsUntil.Store(until)
+}
+
 // handle serves one HTTP request; it runs on the listener's loop.
 func (n *Node) handle(req *httpwire.Request, reply httpwire.Reply) {
 	switch req.Path {
@@ -323,7 +340,8 @@
 		now := time.Now()
 		n.lead.Heard(now, r.Token)
 		ch <- n.desk.Round(now, r)
-		n.direct(now)
+		n.follow(now)
+		n.direct(time.Now())
 	})
 	select {
 	case out := <-ch:
@@ -336,17 +354,7 @@
 // direct makes the direct calls that are due.
 func (n *Node) direct(now time.Time) {
 	for _, c := range n.desk.Calls(now) {
-		h := n.dials[c.Addr]
-		if h == nil {
-			if len(n.dials) >= n.cfg.MaxConns/4 {
-				for addr, old := range n.dials { // machines come and go
-					old.CloseIdle()
-					delete(n.dials, addr)
-				}
-			}
-			h = httpwire.NewClient(c.Addr, 1, httpwire.Limits{Head: 8 << 10, Body: 4 << 20})
-			n.dials[c.Addr] = h
-		}
+		h := n.client(c.Addr)
 		go func() {
 			outcome, r := n.call(h, c)
 			n.post(func() {
@@ -362,10 +370,29 @@
 	}
 }
 
+// client returns the client for a worker's address.
+func (n *Node) client(addr string) *httpwire.Client {
+	h := n.dials[addr]
+	if h == nil {
+		if len(n.dials) >= n.cfg.MaxConns/4 {
+			for other, old := range n.dials { // machines come and go
+				old.CloseIdle()
+				delete(n.dials, other)
+			}
+		}
+		h = httpwire.NewClient(addr, 1, httpwire.Limits{Head: 8 << 10, Body: 4 << 20})
+		n.dials[addr] = h
+	}
+	return h
+}
+
 // call sends one direct call and judges its outcome.
 func (n *Node) call(h *httpwire.Client, c workers.Call) (workers.CallOutcome, *model.Report) {
 	ctx, cancel := context.WithTimeout(n.ctx, n.op.Service.DirectCall)
 	defer cancel()
+	if !time.Now().Before(c.Until) { // the node stood still meanwhile
+		return workers.Refused, nil
+	}
 	body, err := json.Marshal(model.DirectOrders{Token: c.Token, Session: c.Session, Commands: c.Commands})
 	if err != nil {
 		return workers.Refused, nil
@@ -402,6 +429,7 @@
 
 // follow begins and ends terms as leadership comes and goes.
 func (n *Node) follow(now time.Time) {
+	n.noteRight()
 	state := n.lead.State()
 	if state != n.lastState {
 		n.log.Info("leadership", "from", n.lastState.String(), "to", state.String(), "token", n.lead.Token())
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"strconv"
 	"strings"
 	"time"
@@ -170,6 +171,14 @@
 	return store.Txn{Guards: []store.Guard{{Key: leadership.Key, Stamp: t.token}}, Writes: writes, Leader: true}
 }
 
+// do runs a transaction of the leader, if it still may act when its turn comes.
+func (t *term) do(txn store.Txn) (store.Outcome, error) {
+	if !t.n.mayAct() {
+		return store.Outcome{}, fmt.Errorf("%w: %w", store.ErrRefused, errNoRight)
+	}
+	return t.n.store.Do(t.ctx, txn)
+}
+
 // save stores what became of jobs.
 func (t *term) save(now time.Time) {
 	maxParts := min(t.n.cfg.TxnOps-1, 48<<10/t.n.cfg.ValueBytes-1)
@@ -185,7 +194,7 @@
 			}
 		}
 		go func() {
-			out, err := t.n.store.Do(t.ctx, txn)
+			out, err := t.do(txn)
 			ok := err == nil && out.OK()
 			over := false
 			var fresh *store.Item
@@ -254,7 +263,7 @@
 	t.hosting = true
 	dropped := len(drop)
 	go func() {
-		out, err := t.n.store.Do(t.ctx, txn)
+		out, err := t.do(txn)
 		ok := err == nil && out.OK()
 		if !ok {
 			sleep(t.ctx, 300*time.Millisecond)
--- a/internal/controller/renting.go
+++ b/internal/controller/renting.go
@@ -61,13 +61,16 @@
 func (t *term) storeCharter(c fleet.Charter) {
 	txn := t.txn(store.Put(fleet.CharterPrefix+c.Name, c))
 	go func() {
-		out, err := t.n.store.Do(t.ctx, txn)
+		out, err := t.do(txn)
 		t.n.post(func() { t.fleet.IntentStored(c.Name, err == nil && out.OK(), time.Now()) })
 	}()
 }
 
 func (t *term) rent(c fleet.Charter) {
-	res, names := t.n.cloud.Rent(t.ctx, c)
+	res, names := fleet.Unknown, []string(nil)
+	if t.n.mayAct() {
+		res, names = t.n.cloud.Rent(t.ctx, c)
+	}
 	t.n.post(func() {
 		if t.ctx.Err() != nil {
 			return // the record stays, and the next leader resolves it
@@ -80,7 +83,7 @@
 		txn := t.txn(store.Del(fleet.CharterPrefix + c.Name))
 		go func() {
 			// A record left behind is resolved again by the next leader.
-			if _, err := t.n.store.Do(t.ctx, txn); err != nil {
+			if _, err := t.do(txn); err != nil {
 				t.n.log.Debug("charter record", "charter", c.Name, "err", err)
 			}
 		}()
@@ -88,7 +91,10 @@
 }
 
 func (t *term) release(names []string) {
-	err := t.n.cloud.Release(t.ctx, names)
+	err := errNoRight
+	if t.n.mayAct() {
+		err = t.n.cloud.Release(t.ctx, names)
+	}
 	t.n.post(func() {
 		if t.ctx.Err() != nil {
 			return
@@ -142,7 +148,7 @@
 		}
 		txn := t.txn(store.Put(typesKey, cat))
 		go func() {
-			out, err := t.n.store.Do(t.ctx, txn)
+			out, err := t.do(txn)
 			t.n.post(func() { t.typesSet = err == nil && out.OK() })
 		}()
 	})
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"errors"
 	"slices"
 	"time"
 
@@ -137,14 +138,17 @@
 	token := t.token
 	if l.local {
 		resp := n.desk.Round(now, r)
-		n.direct(now)
+		n.direct(time.Now())
 		t.receive(l, token, now, resp, nil)
 		return
 	}
 	l.busy = true
 	peer := l.peer
 	go func() {
-		resp, err := peer.Round(t.ctx, r)
+		resp, err := (*peerspb.RoundResponse)(nil), errNoRight
+		if n.mayAct() {
+			resp, err = peer.Round(t.ctx, r)
+		}
 		n.post(func() {
 			l.busy = false
 			if t.ctx.Err() == nil {
@@ -186,6 +190,9 @@
 	return out
 }
 
+// errNoRight tells that the right to act ended before a message went out.
+var errNoRight = errors.New("controller: no right to act any more")
+
 // receive takes in an owner's answer to a message sent at sent.
 func (t *term) receive(l *link, token uint64, sent time.Time, resp *peerspb.RoundResponse, err error) {
 	now := time.Now()
--- /dev/null
+++ b/internal/controller/standstill_test.go
@@ -0,0 +1,78 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/fleet"
+	"github.com/marlwood/marlwood/internal/leadership"
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/settings"
+	"github.com/marlwood/marlwood/internal/store"
+	"github.com/marlwood/marlwood/internal/workers"
+)
+
+// A node that stood still for longer than its right to act lasts sends nothing
+// of what it had decided before, whatever stage that had reached.
+func TestStandingStill(t *testing.T) {
+	var sent atomic.Int32
+	outside := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		sent.Add(1)
+		_, _ = io.WriteString(w, `{"ledgerRev":1,"berths":[],"pairs":[]}`)
+	}))
+	defer outside.Close()
+	addr := outside.Listener.Addr().String()
+	op, err := settings.LoadOperator("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg := &settings.Platform{Member: "n0", Zone: "a", StateAddr: addr, CloudAddr: addr, Teams: map[string]model.Team{},
+		ReportEvery: time.Second, Lease: 10 * time.Second, CancelWait: 35 * time.Second,
+		StateRPS: 1000, StateWriteRPS: 1000, ValueBytes: 8192, TxnOps: 16, CloudRPS: 1000, MemoryMB: 100, MaxConns: 100}
+	n, err := New(cfg, op, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	n.ctx = ctx
+	term := &term{n: n, ctx: ctx, end: cancel, token: 7}
+	check := func(sentAt time.Time) { // as if a look at the key, sent then, had shown it as ours
+		n.lead = leadership.New(leadership.Options{Member: "n0", Boot: n.boot, Poll: time.Second, Hold: 5 * time.Second, Act: n.terms.Act})
+		n.lead.KeyRead(sentAt, sentAt, true, leadership.Value{Member: "n0", Boot: n.boot, Claim: 1}, 7)
+		n.noteRight()
+	}
+	call := workers.Call{Machine: "m1", Addr: addr, Token: 7, Session: 1}
+	for _, c := range []struct {
+		name string
+		do   func() bool // tells whether it was done
+	}{
+		{"store write", func() bool { _, err := term.do(store.Txn{}); return !errors.Is(err, store.ErrRefused) }},
+		{"rent", func() bool { term.rent(fleet.Charter{Name: "c", Count: 1}); return true }},
+		{"return", func() bool { term.release([]string{"m1"}); return true }},
+		{"direct call", func() bool {
+			outcome, _ := n.call(n.client(addr), call)
+			return outcome != workers.Refused
+		}},
+	} {
+		check(time.Now())
+		call.Until = time.Now().Add(time.Second)
+		sent.Store(0)
+		if c.do(); sent.Load() != 1 {
+			t.Errorf("%s: %d sent with the right to act", c.name, sent.Load())
+		}
+		check(time.Now().Add(-n.terms.Act))
+		call.Until = time.Now().Add(-time.Millisecond)
+		sent.Store(0)
+		if done := c.do(); sent.Load() != 0 || (done && (c.name == "store write" || c.name == "direct call")) {
+			t.Errorf("%s: sent after the right to act had ended", c.name)
+		}
+	}
+}
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -93,7 +93,16 @@
 // MayAct tells whether the node may act as leader now: its last successful
 // check was sent no longer than H ago.
 func (m *Machine) MayAct(now time.Time) bool {
-	return m.state == Leading && now.Sub(m.checked) < m.opt.Act
+	return now.Before(m.ActsUntil())
+}
+
+// ActsUntil is when the right to act ends unless another check succeeds; zero
+// while another node may lead.
+func (m *Machine) ActsUntil() time.Time {
+	if m.state != Leading {
+		return time.Time{}
+	}
+	return m.checked.Add(m.opt.Act)
 }
 
 // Checked is when the last successful check was sent.
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -31,6 +31,24 @@
 	return m
 }
 
+// The right to act ends with the clock, whatever the node did or did not do
+// meanwhile, and counts from when the check was sent.
+func TestRightToAct(t *testing.T) {
+	m := lead(t)
+	m.KeyRead(at(9), at(5), true, Value{"n0", "b0", 1}, 7)
+	for _, c := range []struct {
+		at   float64
+		want bool
+	}{{6, true}, {24.9, true}, {25, false}, {70, false}} {
+		if m.MayAct(at(c.at)) != c.want || at(c.at).Before(m.ActsUntil()) != c.want {
+			t.Errorf("at %v s: %v", c.at, m.MayAct(at(c.at)))
+		}
+	}
+	if m.Heard(at(6), 9); !m.ActsUntil().IsZero() || m.MayAct(at(6)) {
+		t.Error("acts although a higher token was heard of")
+	}
+}
+
 func TestTransitions(t *testing.T) {
 	mine := Value{"n0", "b0", 1}
 	for _, c := range []struct {
--- a/internal/workers/desk.go
+++ b/internal/workers/desk.go
@@ -441,6 +441,7 @@
 	Token    uint64
 	Session  uint64
 	Commands []model.Command
+	Until    time.Time // not to be sent from then on: the grant is over
 	id       uint64
 }
 
@@ -457,7 +458,7 @@
 		if m.call != 0 || m.failed || m.phase == Expired || m.addr == "" || m.notice >= 0 || d.owners[m.kind] != d.opt.Member {
 			continue
 		}
-		c := Call{Machine: m.name, Addr: m.addr, Token: d.token, Session: m.session, Commands: []model.Command{}}
+		c := Call{Machine: m.name, Addr: m.addr, Token: d.token, Session: m.session, Commands: []model.Command{}, Until: d.grant}
 		due := m.phase == Joining
 		for _, o := range m.pending {
 			if o.state != queued || len(c.Commands) >= maxOrders || m.held(o) || m.phase != Current {
--- a/internal/workers/desk_test.go
+++ b/internal/workers/desk_test.go
@@ -73,6 +73,16 @@
 // for another process, or under a lower token, has no effect at all.
 func TestLateGrants(t *testing.T) {
 	d := desk()
+	// The node stands still from 1 s on: whatever it had under way, the grant of
+	// 10 s is over when it wakes.
+	d.CheckIn(at(1), report(1, 1, 0))
+	if c := d.Calls(at(1)); len(c) != 1 || c[0].Until.After(at(10)) {
+		t.Errorf("calls %+v", c)
+	}
+	if v := d.CheckIn(at(12), report(1, 2, 5)); v.Status != 503 || len(d.Calls(at(12))) > 0 {
+		t.Errorf("answers %d after it woke", v.Status)
+	}
+	d = desk()
 	d.Round(at(20), grant(5, 9))
 	if d.Granted(at(20)) {
 		t.Error("a late grant counts")
