--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -68,6 +68,7 @@
 	questions chan struct{}                             // questions under way
 	dials     map[string]*httpwire.Client               // to workers, by address
 	lastState leadership.State
+	waiting   []waitingReport
 }
 
 // New makes a node from checked settings.
@@ -300,24 +301,74 @@
 		return
 	}
 	n.enqueue(reply, func() {
-		v := n.desk.CheckIn(time.Now(), &r)
-		a := httpwire.Answer{Status: v.Status}
-		switch v.Status {
-		case 200:
-			if v.Commands == nil {
-				v.Commands = []model.Command{}
-			}
-			a.Body, _ = json.Marshal(model.CheckInAnswer{Token: v.Token, Commands: v.Commands})
-		case 421:
-			a.Body, _ = json.Marshal(map[string]string{"foreman": v.Foreman})
-		default:
-			a = intake.Fail(v.Status, "not entitled to act")
+		now := time.Now()
+		n.decide(now, waitingReport{&r, reply, now.Add(n.op.Placement.ReportWait)})
+	})
+}
+
+// waitingReport is a worker's report that is kept until there is a grant.
+type waitingReport struct {
+	report *model.Report
+	reply  httpwire.Reply
+	until  time.Time
+}
+
+// maxWaiting bounds the reports that are kept.
+const maxWaiting = 1000
+
+// decide answers a report, or keeps it while only a grant is missing.
+//
+// Guard: for some seconds after the leader was lost nobody has a grant. Workers
+// that were turned away then went from node to node, to the lost one as well,
+// where each try takes four seconds; their leases ran out before the next
+// leader's first grant.
+func (n *Node) decide(now time.Time, w waitingReport) {
+	v := n.desk.CheckIn(now, w.report)
+	if v.Wait && now.Before(w.until) && len(n.waiting) < maxWaiting {
+		n.waiting = append(n.waiting, w)
+		return
+	}
+	if v.Wait {
+		if leader, _ := n.desk.Leader(); leader != "" && leader != n.cfg.Member {
+			v.Status, v.Foreman = 421, n.siblingBesides(leader)
 		}
-		reply(a)
-		if v.Changed && n.term != nil {
-			n.term.beatSoon()
+	}
+	a := httpwire.Answer{Status: v.Status}
+	switch v.Status {
+	case 200:
+		if v.Commands == nil {
+			v.Commands = []model.Command{}
 		}
-	})
+		a.Body, _ = json.Marshal(model.CheckInAnswer{Token: v.Token, Commands: v.Commands})
+	case 421:
+		a.Body, _ = json.Marshal(map[string]string{"foreman": v.Foreman})
+	default:
+		a = intake.Fail(v.Status, "not entitled to act")
+	}
+	w.reply(a)
+	if v.Changed && n.term != nil {
+		n.term.beatSoon()
+	}
+}
+
+// siblingBesides names another controller than the one that is probably lost,
+// or "".
+func (n *Node) siblingBesides(lost string) string {
+	for _, l := range n.links {
+		if !l.local && l.member != lost {
+			return l.member
+		}
+	}
+	return ""
+}
+
+// decideWaiting looks again at the reports that wait for a grant.
+func (n *Node) decideWaiting(now time.Time) {
+	waiting := n.waiting
+	n.waiting = nil
+	for _, w := range waiting {
+		n.decide(now, w)
+	}
 }
 
 // up answers health checks. A node that the state service alone refuses is
@@ -341,6 +392,7 @@
 		n.lead.Heard(now, r.Token)
 		ch <- n.desk.Round(now, r)
 		n.follow(now)
+		n.decideWaiting(time.Now())
 		n.direct(time.Now())
 	})
 	select {
@@ -422,6 +474,7 @@
 func (n *Node) onTick(now time.Time) {
 	n.perform(n.lead.Tick(now))
 	n.follow(now)
+	n.decideWaiting(now)
 	if n.term != nil && n.lead.MayAct(now) {
 		n.term.onTick(now)
 	}
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -138,6 +138,7 @@
 	token := t.token
 	if l.local {
 		resp := n.desk.Round(now, r)
+		n.decideWaiting(time.Now())
 		n.direct(time.Now())
 		t.receive(l, token, now, resp, nil)
 		return
--- a/internal/controller/standstill_test.go
+++ b/internal/controller/standstill_test.go
@@ -7,13 +7,16 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/marlwood/marlwood/internal/fleet"
+	"github.com/marlwood/marlwood/internal/httpwire"
 	"github.com/marlwood/marlwood/internal/leadership"
 	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/peers/peerspb"
 	"github.com/marlwood/marlwood/internal/settings"
 	"github.com/marlwood/marlwood/internal/store"
 	"github.com/marlwood/marlwood/internal/workers"
@@ -76,3 +79,59 @@
 		}
 	}
 }
+
+// A report waits while only a grant is missing, is answered as soon as there is
+// one, and is sent on to a controller that is not the lost leader before its
+// worker gives up.
+func TestReportsWaitForAGrant(t *testing.T) {
+	op, err := settings.LoadOperator("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg := &settings.Platform{Member: "n0", Zone: "a", StateAddr: "127.0.0.1:1", CloudAddr: "127.0.0.1:1", Teams: map[string]model.Team{},
+		Siblings:    []settings.Sibling{{Member: "n1", Addr: "127.0.0.1:1"}, {Member: "n2", Addr: "127.0.0.1:1"}},
+		ReportEvery: time.Second, Lease: 10 * time.Second, CancelWait: 35 * time.Second,
+		StateRPS: 1000, StateWriteRPS: 1000, ValueBytes: 8192, TxnOps: 16, CloudRPS: 1000, MemoryMB: 100, MaxConns: 100}
+	for _, c := range []struct {
+		name    string
+		granted time.Duration // when a grant of 3 s comes; 0: never
+		token   uint64        // the worker has seen
+		at      []time.Duration
+		status  int
+		foreman string
+	}{
+		{"there is a grant", 0, 5, []time.Duration{time.Second}, 200, ""},
+		{"one comes in time", 6 * time.Second, 5, []time.Duration{5 * time.Second, 6 * time.Second}, 200, ""},
+		{"none comes", 0, 5, []time.Duration{5 * time.Second, 6900 * time.Millisecond, 7 * time.Second}, 421, "n2"},
+		{"the worker has seen a later token", 0, 6, []time.Duration{5 * time.Second}, 503, ""},
+	} {
+		n, err := New(cfg, op, slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		grant := func(after time.Duration) {
+			n.desk.Round(n.start.Add(after), &peerspb.RoundRequest{Token: 5, Leader: "n1", Boot: n.boot, GrantUntilNs: int64(after + 3*time.Second),
+				Owners: []*peerspb.KindOwner{{Kind: &peerspb.Kind{Type: "big", Zone: "a"}, Member: "n0"}}})
+		}
+		grant(0)
+		var answers []httpwire.Answer
+		r := &model.Report{Machine: "m1", Addr: "x:1", Type: "big", Zone: "a", Session: 1, Seq: 1, Token: c.token}
+		for i, at := range c.at {
+			if c.granted > 0 && at >= c.granted {
+				grant(c.granted)
+			}
+			if len(answers) > 0 {
+				t.Errorf("%s: answered too early", c.name)
+			}
+			now := n.start.Add(at)
+			if i == 0 {
+				n.decide(now, waitingReport{r, func(a httpwire.Answer) { answers = append(answers, a) }, now.Add(op.Placement.ReportWait)})
+			} else {
+				n.decideWaiting(now)
+			}
+		}
+		if len(answers) != 1 || answers[0].Status != c.status || !strings.Contains(string(answers[0].Body), c.foreman) {
+			t.Errorf("%s: %+v", c.name, answers)
+		}
+	}
+}
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -33,6 +33,7 @@
 		PreemptWait   time.Duration `sexp:"preempt-wait"`
 		ShortFirst    float64       `sexp:"short-first"`
 		Spare         float64       `sexp:"spare"`
+		ReportWait    time.Duration `sexp:"report-wait"`
 		OwnerBack     time.Duration `sexp:"owner-back"`
 		Standing      float64       `sexp:"standing"`
 	} `sexp:"placement"`
--- a/internal/workers/desk.go
+++ b/internal/workers/desk.go
@@ -189,6 +189,7 @@
 	Token    uint64
 	Commands []model.Command
 	Changed  bool // the leader should hear of this soon
+	Wait     bool // only a grant is missing
 }
 
 // CheckReport tells what is wrong with a report.
@@ -240,7 +241,7 @@
 	// Guard: without a valid grant this node is not entitled to act, however
 	// lately it was.
 	if !d.Granted(now) || r.Token > d.token {
-		return Verdict{Status: 503}
+		return Verdict{Status: 503, Wait: r.Token <= d.token}
 	}
 	kind := model.Kind{Type: r.Type, Zone: r.Zone}
 	switch owner := d.owners[kind]; owner {
