--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -66,6 +66,9 @@
 	j.dirty = j.finished.Len() == j.Spec.Tasks
 	b.jobs[id] = j
 	b.arrived(j)
+	b.opt.Log.Debug("job", "job", id, "class", r.Job.Class, "team", r.Job.Team, "shape", r.Job.Shape, "priority", r.Job.Priority,
+		"tasks", r.Job.Tasks, "cpus", r.Job.Size.CPUs, "estimate", r.Job.Estimate, "checkpoint", r.Job.CheckpointEvery,
+		"deadline", r.Job.Deadline, "spot", r.Job.Spot, "gb", r.Job.ImageGB, "aim", b.opt.Aims[r.Job.Class])
 	b.room++
 	return nil
 }
