--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -60,7 +60,7 @@
 	t.book = placement.NewBook(placement.Options{
 		Draws: n.op.Placement.Draws, ScanAfter: n.op.Placement.ScanAfter, TasksPerRound: n.op.Placement.TasksPerRound,
 		PreemptWait: n.op.Placement.PreemptWait, Aims: n.cfg.Aims, Horizon: n.op.Fleet.Horizon,
-		ShortFirst: n.op.Placement.ShortFirst, Standing: n.op.Placement.Standing, Spare: n.op.Placement.Spare,
+		ShortFirst: n.op.Placement.ShortFirst, Unhurried: n.op.Placement.Unhurried, Standing: n.op.Placement.Standing, Spare: n.op.Placement.Spare,
 		PartTasks: model.PartTasks(max(256, n.cfg.ValueBytes-2048)),
 		Rand:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: n.log,
 	}, token, n.cfg.Teams, n.knownTypes())
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -320,7 +320,7 @@
 			allowed[k] = true
 		}
 		for _, b := range bins {
-			if !allowed[b.source.Kind] || (b.source.Spot && !need.Spot) {
+			if !allowed[b.source.Kind] || (b.source.Spot && !need.Spot) || (!b.source.Spot && need.SpotOnly) {
 				continue
 			}
 			n := min(tasks, need.Size.Slots(b.room))
@@ -374,7 +374,7 @@
 			if spot {
 				price = t.SpotPrice
 			}
-			if spot && (!need.Spot || price <= 0) || !has(src) {
+			if spot && (!need.Spot || price <= 0) || !spot && need.SpotOnly || !has(src) {
 				continue
 			}
 			if cost := price / float64(min(slots, need.Tasks)); cost < bestCost {
--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -24,6 +24,7 @@
 	Aims          map[string]model.Aim // by class
 	Horizon       time.Duration        // within which an array of no class is to end its turns
 	ShortFirst    float64              // how strongly short jobs go first within a team's limit
+	Unhurried     time.Duration        // how long only spot machines are rented for long tasks of which nothing is asked
 	Standing      float64              // how much of it, as a multiple of the arrivals during a boot
 	Spare         float64              // share of the machines in use that is kept free
 	PartTasks     int                  // tasks whose marks one stored value holds
--- a/internal/placement/needs.go
+++ b/internal/placement/needs.go
@@ -15,6 +15,7 @@
 	Tasks    int
 	Kinds    []model.Kind
 	Spot     bool
+	SpotOnly bool
 	Whole    bool // all at once: gangs and services
 	OneZone  bool
 	Estimate time.Duration
@@ -130,7 +131,7 @@
 			continue
 		}
 		for _, s := range p.slack[kind] {
-			if s.m.Spot && !j.Spec.Spot {
+			if !j.takes(s.m.Spot) {
 				continue
 			}
 			if !do(s) {
@@ -229,7 +230,7 @@
 		if n == 0 || (j.Spec.Shape == model.Gang && n < j.Unplaced()) {
 			continue
 		}
-		need := Need{Job: j.Spec.ID, Size: j.Spec.Size, Kinds: b.kindsFor(j), Spot: j.Spec.Spot,
+		need := Need{Job: j.Spec.ID, Size: j.Spec.Size, Kinds: b.kindsFor(j), Spot: j.Spec.Spot, SpotOnly: j.order.patient,
 			Whole: j.Spec.Shape != model.Array, OneZone: j.Spec.OneZone, Estimate: j.Spec.Estimate, Horizon: b.horizon(j, now)}
 		zone := ""
 		if need.OneZone {
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -173,7 +173,7 @@
 func (b *Book) clearingIn(now time.Time, j *Job, n int, zone string) *clearing {
 	var all []*candidate
 	for _, m := range b.machines {
-		if !m.usable() || (m.Spot && !j.Spec.Spot) || (zone != "" && m.Kind.Zone != zone) ||
+		if !m.usable() || !j.takes(m.Spot) || (zone != "" && m.Kind.Zone != zone) ||
 			!j.Spec.Allows(b.types[m.Kind.Type], m.Kind.Zone) || !j.zoneAllows(m.Kind.Zone) {
 			continue
 		}
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -28,13 +28,24 @@
 	wanted, used := b.reuse(now)
 	var capacity float64
 	var candidates []*Machine
+	patient := map[*Job]bool{}
+	for _, j := range b.jobs {
+		patient[j] = j.Spec.CheckpointEvery > 0 && b.patient(j, now)
+	}
 	for _, m := range b.machines {
 		if m.Phase != Current {
 			continue
 		}
 		// Tasks on retiring machines count: others will follow them.
 		size := b.types[m.Kind.Type].Size
-		used += m.load.Share(size) * size.CPUs
+		load := m.load
+		for _, t := range m.tasks {
+			if !m.Spot && patient[t.job] {
+				load = load.Sub(t.job.Spec.Size)
+				b.moveOff(t)
+			}
+		}
+		used += load.Share(size) * size.CPUs
 		if !m.usable() {
 			continue
 		}
@@ -57,6 +68,18 @@
 	}
 }
 
+// moveOff stops a patient job's task on a retiring machine, so that it saves and
+// goes on elsewhere.
+//
+// Guard: a long task decides how long its machine is kept. Runs of six minutes, of
+// which nothing was asked, once held every machine of a cluster, a task here and a
+// task there, for minutes after the work that the machines were rented for.
+func (b *Book) moveOff(t *Task) {
+	if t.machine.Retiring && !t.stopping && t.state == model.TaskRunning {
+		b.stop(t, graceFor(t.job.Spec))
+	}
+}
+
 // reuse takes retiring machines back for work that finds no room, the cheapest
 // first. It returns the sources that work waits for, of which no machine is
 // let go, and how many CPUs it will take.
@@ -64,7 +87,9 @@
 	retiring := b.retiring()
 	wanted = map[source]bool{}
 	for _, n := range b.Needs(now) {
-		cpus += n.Size.CPUs * float64(n.Tasks)
+		if !n.SpotOnly {
+			cpus += n.Size.CPUs * float64(n.Tasks)
+		}
 		j := b.jobs[n.Job]
 		if j == nil { // standing room
 			j = b.classes[n.Job].last
@@ -74,7 +99,10 @@
 			if left <= 0 {
 				break
 			}
-			if !m.Retiring || (m.Spot && !j.Spec.Spot) || !j.Spec.Allows(b.types[m.Kind.Type], m.Kind.Zone) {
+			if n.SpotOnly && !m.Spot {
+				continue
+			}
+			if !m.Retiring || !j.takes(m.Spot) || !j.Spec.Allows(b.types[m.Kind.Type], m.Kind.Zone) {
 				continue
 			}
 			if slots := j.Spec.Size.Slots(b.free(m, j, now)); slots > 0 {
@@ -83,7 +111,9 @@
 			}
 		}
 		for _, k := range n.Kinds {
-			wanted[source{k, false}] = true
+			if !n.SpotOnly {
+				wanted[source{k, false}] = true
+			}
 			if n.Spot {
 				wanted[source{k, true}] = true
 			}
@@ -211,7 +241,7 @@
 	var out []*Machine
 	zones := map[string]int{}
 	for _, m := range b.machines {
-		if !m.usable() || (m.Spot && !j.Spec.Spot) || !j.Spec.Allows(b.types[m.Kind.Type], m.Kind.Zone) {
+		if !m.usable() || !j.takes(m.Spot) || !j.Spec.Allows(b.types[m.Kind.Type], m.Kind.Zone) {
 			continue
 		}
 		if n := j.Spec.Size.Slots(b.free(m, j, now)); n > 0 {
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -62,6 +62,7 @@
 			rank:       j.Spec.Priority.Rank(),
 			guaranteed: rank(b.teams[j.Spec.Team].WithinGuarantee(j.use.size.Add(j.Spec.Size))),
 			due:        b.due(j, now, held[j.Spec.Team]),
+			patient:    b.patient(j, now),
 		}
 	}
 	slices.SortFunc(out, func(x, y *Job) int {
@@ -76,8 +77,30 @@
 	rank       int
 	guaranteed int // 0 comes first
 	due        time.Time
+	patient    bool // only spot machines are rented for it
 }
 
+// patient tells that only spot machines are rented for an array of long tasks: for
+// one of which nothing is asked for as long as the operators say, for others half
+// of the time that they can spare. It may run wherever there is room meanwhile.
+func (b *Book) patient(j *Job, now time.Time) bool {
+	s, aim := j.Spec, b.opt.Aims[j.Spec.Class]
+	if !s.Spot || s.Shape != model.Array || s.Estimate <= leastCharged || aim.Wait > 0 ||
+		!slices.ContainsFunc(b.kindsFor(j), func(k model.Kind) bool { return b.types[k.Type].SpotPrice > 0 }) {
+		return false
+	}
+	spare := b.opt.Unhurried
+	for _, within := range []time.Duration{s.Deadline, aim.Finished} {
+		if within > 0 {
+			spare = min(spare, within/2-s.Estimate)
+		}
+	}
+	return now.Before(j.Accepted.Add(spare))
+}
+
+// takes tells whether a job's tasks may run on spot or on ordinary machines.
+func (j *Job) takes(spot bool) bool { return !spot || j.Spec.Spot }
+
 // noDeadline puts jobs without a deadline behind those with one.
 const noDeadline = 24 * time.Hour
 
@@ -253,7 +276,7 @@
 // fits tells whether a job's task may start on a machine now, its other
 // bound tasks given.
 func (b *Book) fits(j *Job, m *Machine, now time.Time) bool {
-	return m.usable() && (!m.Spot || j.Spec.Spot) && j.Spec.Size.Fits(b.free(m, j, now)) &&
+	return m.usable() && j.takes(m.Spot) && j.Spec.Size.Fits(b.free(m, j, now)) &&
 		slices.Contains(b.kindsFor(j), m.Kind) && j.zoneAllows(m.Kind.Zone)
 }
 
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -32,6 +32,7 @@
 		TasksPerRound int           `sexp:"tasks-per-round"`
 		PreemptWait   time.Duration `sexp:"preempt-wait"`
 		ShortFirst    float64       `sexp:"short-first"`
+		Unhurried     time.Duration `sexp:"unhurried"`
 		Spare         float64       `sexp:"spare"`
 		ReportWait    time.Duration `sexp:"report-wait"`
 		OwnerBack     time.Duration `sexp:"owner-back"`
