Work that saves and is run beyond a guarantee is stopped for another team's guarantee

Cause: guests' runs of six minutes stand on machines that teams with a guarantee need; their priority is equal, so they waited.

--- /dev/null
+++ b/internal/placement/patient_test.go
@@ -0,0 +1,129 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/peers/peerspb"
+)
+
+// idleHours makes a job of long tasks of which nothing is asked.
+func idleHours(j *model.Job) {
+	j.Class, j.Priority, j.Spot = "idle", model.Low, true
+	j.Estimate, j.CheckpointEvery, j.SaveTime = 5*time.Minute, 30*time.Second, 4*time.Second
+}
+
+// spotBench is a bench where small machines can be had as spot machines.
+func spotBench(t *testing.T) bench {
+	b := newBench(t)
+	b.types["small"] = model.MachineType{Name: "small", Size: model.Size{CPUs: 4, MemoryGB: 16}, Zones: []string{"a", "b"},
+		Price: 1, SpotPrice: 0.3}
+	b.opt.Unhurried = 15 * time.Minute
+	b.opt.Aims = map[string]model.Aim{"soon": {Finished: 400 * time.Second}, "now": {Wait: 6 * time.Second}}
+	return b
+}
+
+// Only spot machines are rented for long tasks that can wait.
+func TestPatience(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(j *model.Job)
+		now    float64
+		want   bool
+	}{
+		{"nothing is asked", nil, 600, true},
+		{"for too long", nil, 901, false},
+		{"short tasks", func(j *model.Job) { j.Estimate = 30 * time.Second }, 1, false},
+		{"no spot machines", func(j *model.Job) { j.Spot = false }, 1, false},
+		{"no spot machines of its type", func(j *model.Job) { j.Types = []string{"big"} }, 1, false},
+		{"a gang", func(j *model.Job) { j.Shape = model.Gang }, 1, false},
+		{"time to spare", func(j *model.Job) { j.Class, j.Estimate = "soon", 100*time.Second }, 99, true},
+		{"no more time to spare", func(j *model.Job) { j.Class, j.Estimate = "soon", 100*time.Second }, 101, false},
+		{"a deadline", func(j *model.Job) { j.Deadline = 5 * time.Minute }, 1, false},
+		{"to start soon", func(j *model.Job) { j.Class = "now" }, 1, false},
+	} {
+		b := spotBench(t)
+		b.job("x", func(j *model.Job) {
+			idleHours(j)
+			if c.change != nil {
+				c.change(j)
+			}
+		})
+		b.Settle()
+		needs := b.Needs(at(c.now))
+		if len(needs) != 1 || needs[0].SpotOnly != c.want {
+			t.Errorf("%s: %+v", c.name, needs)
+		}
+	}
+}
+
+// A long task of which nothing is asked keeps no ordinary machine: it is stopped
+// there so that it saves, and goes on elsewhere.
+func TestMovedOffRetiringMachines(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		spot    bool
+		change  func(j *model.Job)
+		retired bool
+		stops   int
+	}{
+		{"on an ordinary machine", false, nil, true, 1},
+		{"on a spot machine", true, nil, false, 0},
+		{"a task that does not save", false, func(j *model.Job) { j.CheckpointEvery = 0 }, false, 0},
+		{"a task of which something is asked", false, func(j *model.Job) { j.Class = "now" }, false, 0},
+	} {
+		b := spotBench(t)
+		b.job("x", func(j *model.Job) {
+			idleHours(j)
+			if c.change != nil {
+				c.change(j)
+			}
+		})
+		b.machine("m", "small", "a", task("x", 0, 1, model.TaskRunning, ""))
+		b.machines["m"].Spot = c.spot
+		b.Settle()
+		b.Consolidate(at(1))
+		b.Consolidate(at(2))
+		if b.machines["m"].Retiring != c.retired || b.orders(peerspb.Op_OP_STOP) != c.stops {
+			t.Errorf("%s: retiring %v, %d stops", c.name, b.machines["m"].Retiring, b.orders(peerspb.Op_OP_STOP))
+		}
+	}
+}
+
+// Work of equal priority is stopped only to give another team its guarantee, and
+// only where little is lost.
+func TestPreemptForGuarantee(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		team   string // of the waiting job
+		victim func(j *model.Job)
+		stops  int
+	}{
+		{"within the guarantee", "sure", nil, 1},
+		{"the victim's team has its own guarantee", "sure", func(j *model.Job) { j.Team = "owner" }, 0},
+		{"a victim that does not save", "sure", func(j *model.Job) { j.CheckpointEvery = 0 }, 0},
+		{"no guarantee", "free", nil, 0},
+		{"the guarantee is used up", "small", nil, 0},
+	} {
+		b := spotBench(t)
+		b.teams["sure"] = model.Team{Name: "sure", Guarantee: model.Size{CPUs: 8}}
+		b.teams["owner"] = model.Team{Name: "owner", Guarantee: model.Size{CPUs: 4}}
+		b.teams["small"] = model.Team{Name: "small", Guarantee: model.Size{CPUs: 1}}
+		b.job("x", func(j *model.Job) {
+			idleHours(j)
+			j.Size.CPUs = 4
+			if c.victim != nil {
+				c.victim(j)
+			}
+		})
+		b.machine("m", "small", "a", task("x", 0, 1, model.TaskRunning, ""))
+		b.job("y", func(j *model.Job) { j.Team, j.Priority = c.team, model.Low })
+		b.Settle()
+		b.jobs["y"].empty, b.jobs["y"].waiting = 3, at(5)
+		b.Preempt(at(10))
+		if got := b.orders(peerspb.Op_OP_STOP); got != c.stops {
+			t.Errorf("%s: %d stops", c.name, got)
+		}
+	}
+}
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -49,7 +49,7 @@
 		return
 	}
 	for _, j := range b.queue(now) {
-		if j.Spec.Priority.Rank() <= 0 || j.Suspect() || j.empty <= b.opt.ScanAfter ||
+		if (j.Spec.Priority.Rank() <= 0 && j.order.guaranteed != 0) || j.Suspect() || j.empty <= b.opt.ScanAfter ||
 			now.Sub(j.waiting) < b.opt.PreemptWait || now.Sub(j.cleared) < clearAgain {
 			continue
 		}
@@ -59,6 +59,9 @@
 		}
 		if j.Spec.Shape != model.Gang {
 			n = min(n, b.opt.TasksPerRound)
+			if j.Spec.Priority.Rank() <= 0 {
+				n = min(n, b.guaranteedRoom(j))
+			}
 		}
 		if c := b.clearingFor(now, j, n); c != nil {
 			b.clear(now, j, c)
@@ -66,6 +69,20 @@
 	}
 }
 
+// borrowed tells that a task may be stopped to give a job's team its guarantee:
+// another team runs it beyond its own. Only tasks that save are, for others end
+// soon or would lose their work.
+func (b *Book) borrowed(j *Job, t *Task) bool {
+	return j.order.guaranteed == 0 && t.job.Spec.Team != j.Spec.Team && t.job.Spec.Shape == model.Array &&
+		t.job.Spec.CheckpointEvery > 0 && !b.teams[t.job.Spec.Team].WithinGuarantee(t.job.use.size)
+}
+
+// guaranteedRoom is how many more tasks of a job fit into its team's guarantee.
+func (b *Book) guaranteedRoom(j *Job) int {
+	size := model.Size{CPUs: j.Spec.Size.CPUs, GPUs: j.Spec.Size.GPUs} // memory is not guaranteed
+	return size.Slots(b.teams[j.Spec.Team].Guarantee.Sub(j.use.size))
+}
+
 // clear carries a plan out.
 func (b *Book) clear(now time.Time, j *Job, c *clearing) {
 	j.cleared = now
@@ -181,7 +198,7 @@
 		for _, t := range m.tasks {
 			if t.stopping {
 				c.room = c.room.Add(t.job.Spec.Size)
-			} else if t.job.Spec.Priority.Rank() < j.Spec.Priority.Rank() && t.state != model.TaskOrdered {
+			} else if t.state != model.TaskOrdered && (t.job.Spec.Priority.Rank() < j.Spec.Priority.Rank() || b.borrowed(j, t)) {
 				c.victims = append(c.victims, t)
 			}
 		}
