--- a/internal/placement/needs.go
+++ b/internal/placement/needs.go
@@ -23,7 +23,8 @@
 }
 
 // horizon is how long an array's tasks may take turns without missing what is
-// asked of its class.
+// asked of its class: no longer than the operators say, unless there is more than
+// twice that time and no limit that the team must not fall behind of.
 func (b *Book) horizon(j *Job, now time.Time) time.Duration {
 	h := time.Duration(0)
 	by := func(limit time.Duration) {
@@ -38,10 +39,10 @@
 	if aim.Wait > 0 {
 		by(aim.Wait*8/10 + j.Spec.Estimate)
 	}
-	if h == 0 || h > b.opt.Horizon {
-		h = b.opt.Horizon
+	if h == 0 || j.order.held {
+		return b.opt.Horizon
 	}
-	return h
+	return min(h, max(h/2, b.opt.Horizon))
 }
 
 // pool is the room of the machines that are up, as it is promised to one job
@@ -80,7 +81,11 @@
 	return max(t.job.Spec.Estimate-now.Sub(t.since), t.job.Spec.Estimate/5)
 }
 
-func (b *Book) pool(now time.Time) *pool {
+func (b *Book) pool(now time.Time, queue []*Job) *pool {
+	longest := b.opt.Horizon
+	for _, j := range queue {
+		longest = max(longest, b.horizon(j, now))
+	}
 	p := &pool{b: b, now: now, slack: map[model.Kind][]*slack{}}
 	for _, m := range b.machines {
 		// Guard: a machine that has yet to show a fresh token, or whose record
@@ -99,7 +104,7 @@
 				s.ends = append(s.ends, ending{t.left(now), spec.Size.Share(s.size)})
 			}
 		}
-		s.longest = s.releasedWithin(b.opt.Horizon)
+		s.longest = s.releasedWithin(longest)
 		p.slack[m.Kind] = append(p.slack[m.Kind], s)
 	}
 	for _, kind := range p.slack {
@@ -214,8 +219,9 @@
 func (b *Book) Needs(now time.Time) []Need {
 	var out []Need
 	asked := map[string]model.Size{} // by team: demand of the jobs before
-	pool := b.pool(now)
-	for _, j := range b.queue(now) {
+	queue := b.queue(now)
+	pool := b.pool(now, queue)
+	for _, j := range queue {
 		if j.Suspect() {
 			continue
 		}
--- a/internal/placement/patient_test.go
+++ b/internal/placement/patient_test.go
@@ -127,3 +127,35 @@
 		}
 	}
 }
+
+// An array with more than twice the usual time takes turns for half of what it
+// has, unless its team's limit holds it back.
+func TestHorizon(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(j *model.Job)
+		now    float64
+		want   time.Duration
+	}{
+		{"nothing is asked", nil, 1, 45 * time.Second},
+		{"a little more time", func(j *model.Job) { j.Deadline = 80 * time.Second }, 0, 45 * time.Second},
+		{"much more", func(j *model.Job) { j.Class = "soon" }, 0, 160 * time.Second},
+		{"half of what is left", func(j *model.Job) { j.Class = "soon" }, 100, 110 * time.Second},
+		{"less", func(j *model.Job) { j.Deadline = 40 * time.Second }, 0, 36 * time.Second},
+		{"too late", func(j *model.Job) { j.Deadline = 40 * time.Second }, 50, 45 * time.Second},
+		{"held back by a limit", func(j *model.Job) { j.Class, j.Team = "soon", "tight" }, 0, 45 * time.Second},
+	} {
+		b := spotBench(t)
+		b.opt.Horizon = 45 * time.Second
+		b.job("x", func(j *model.Job) {
+			j.Tasks, j.Estimate = 1000, 4*time.Second
+			if c.change != nil {
+				c.change(j)
+			}
+		})
+		b.Settle()
+		if needs := b.Needs(at(c.now)); len(needs) != 1 || needs[0].Horizon != c.want {
+			t.Errorf("%s: %+v", c.name, needs)
+		}
+	}
+}
--- a/internal/settings/defaults.sexp
+++ b/internal/settings/defaults.sexp
@@ -24,7 +24,7 @@
     (tick "1s")
     (idle "10s")          ; a machine without tasks is returned after this
     (keep "30s")          ; but not sooner after its first report: a minute is charged anyway
-    (horizon "45s")       ; machines are rented so that waiting arrays end their turn within this
+    (horizon "45s")       ; machines are rented so that waiting arrays end their turns within this, or half of the time they have if that is longer
     (refused-wait "60s")  ; pause before more of a kind is asked for than it is known to have
     (list-every "4s")
     (boot-factor 4)       ; a machine is given up after this many times its usual boot time
