The desk and the book split by duty; long lines wrapped

No change of behaviour: declarations moved to files of their own (orders, calls, knocks, samples, rounds; machines, tasks, teams, faults, summary).

--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -82,15 +82,19 @@
 		return nil, fmt.Errorf("boot id: %w", err)
 	}
 	n := &Node{cfg: cfg, op: op, log: log, boot: hex.EncodeToString(id[:]), terms: terms, start: time.Now(),
-		events: make(chan func(), 1024), changes: make(chan struct{}, maxChanges), questions: make(chan struct{}, maxQuestions), dials: map[string]*httpwire.Client{}}
+		events:  make(chan func(), 1024),
+		changes: make(chan struct{}, maxChanges), questions: make(chan struct{}, maxQuestions),
+		dials: map[string]*httpwire.Client{}}
 	n.store = store.New(cfg.StateAddr, op.Service.Call)
 	n.cloud = fleet.NewCloud(cfg.CloudAddr, cfg.CloudRPS*0.85, op.Service.CloudCall)
-	n.desk = workers.NewDesk(workers.Options{Member: cfg.Member, Report: cfg.ReportEvery, Lease: cfg.Lease, Margin: time.Second / 2},
+	n.desk = workers.NewDesk(workers.Options{Member: cfg.Member, Report: cfg.ReportEvery, Lease: cfg.Lease,
+		Margin: time.Second / 2},
 		n.boot, n.start, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	n.lead = leadership.New(leadership.Options{Member: cfg.Member, Boot: n.boot, Poll: terms.Poll,
 		Hold: terms.Hold, Act: terms.Act})
-	n.intake, err = intake.New(intake.Options{Teams: cfg.Teams, ValueBytes: cfg.ValueBytes - 1024, FinalCache: op.Service.FinalCache,
-		Glance: op.Service.Glance, AskWait: op.Service.AskWait,
+	n.intake, err = intake.New(intake.Options{Teams: cfg.Teams, ValueBytes: cfg.ValueBytes - 1024,
+		FinalCache: op.Service.FinalCache,
+		Glance:     op.Service.Glance, AskWait: op.Service.AskWait,
 		Types: n.knownTypes, View: n.view, Now: time.Now}, n.store)
 	if err != nil {
 		return nil, err
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -60,7 +60,8 @@
 	t.book = placement.NewBook(placement.Options{
 		Draws: n.op.Placement.Draws, ScanAfter: n.op.Placement.ScanAfter, TasksPerRound: n.op.Placement.TasksPerRound,
 		PreemptWait: n.op.Placement.PreemptWait, Aims: n.cfg.Aims, Horizon: n.op.Fleet.Horizon,
-		ShortFirst: n.op.Placement.ShortFirst, Unhurried: n.op.Placement.Unhurried, Standing: n.op.Placement.Standing, Spare: n.op.Placement.Spare,
+		ShortFirst: n.op.Placement.ShortFirst,
+		Unhurried:  n.op.Placement.Unhurried, Standing: n.op.Placement.Standing, Spare: n.op.Placement.Spare,
 		PartTasks: model.PartTasks(max(256, n.cfg.ValueBytes-2048)),
 		Rand:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: n.log,
 	}, token, n.cfg.Teams, n.knownTypes())
@@ -125,7 +126,9 @@
 	owners := map[model.Kind]string{}
 	spare := 0
 	for _, k := range kinds {
-		able := slices.DeleteFunc(slices.Clone(live), func(l *link) bool { return now.Before(t.deaf[deafness{l.member, k}]) })
+		able := slices.DeleteFunc(slices.Clone(live), func(l *link) bool {
+			return now.Before(t.deaf[deafness{l.member, k}])
+		})
 		if len(able) == 0 {
 			able = live
 		}
@@ -173,7 +176,8 @@
 			why = "owner lost"
 		case owned[l.member] && l.failures < 0:
 			why = "owner restarted"
-		case !owned[l.member] && l.live(now) && !t.isDeaf(l.member, now) && t.book.Complete() && now.Sub(l.okSince) > back && now.Sub(t.assigned) > back:
+		case !owned[l.member] && l.live(now) && !t.isDeaf(l.member, now) && t.book.Complete() &&
+			now.Sub(l.okSince) > back && now.Sub(t.assigned) > back:
 			why = "owner back"
 		default:
 			continue
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -360,7 +360,8 @@
 // cheapest picks the source with the lowest price per task that it holds, in
 // one zone only if it is named. Small remainders count: a machine is only worth
 // what the need can use.
-func (f *Fleet) cheapest(need placement.Need, types map[string]model.MachineType, zone string, has func(Source) bool) (Source, bool) {
+func (f *Fleet) cheapest(need placement.Need, types map[string]model.MachineType, zone string,
+	has func(Source) bool) (Source, bool) {
 	var best Source
 	bestCost, found := math.Inf(1), false
 	for _, k := range need.Kinds {
--- a/internal/intake/board.go
+++ b/internal/intake/board.go
@@ -192,7 +192,8 @@
 	case !ok:
 		l, err := in.find(ctx, id)
 		if err == nil && l.known && !l.stage.Final() {
-			in.board.keep(id, posted{stamp: l.stamp, Started: l.record.Started, Count: l.record.Count, Running: l.record.Running}, looks)
+			in.board.keep(id, posted{stamp: l.stamp, Started: l.record.Started, Count: l.record.Count,
+				Running: l.record.Running}, looks)
 		}
 		return l, err
 	case p.over:
--- a/internal/placement/faults.go
+++ b/internal/placement/faults.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"time"
+
+	"github.com/marlwood/marlwood/internal/model"
 )
 
 // blame is what one job's failures on a machine say against it.
@@ -89,3 +91,58 @@
 	sort.Slice(out, func(i, k int) bool { return out[i].Name < out[k].Name })
 	return out
 }
+
+// Knocked takes in that a machine reported to a controller that does not own its
+// kind.
+func (b *Book) Knocked(name, member string, now time.Time) {
+	if m := b.machines[name]; m != nil && b.owners[m.Kind] != member {
+		m.knocked = now
+	}
+}
+
+// knockedLately is how long a knock counts.
+const knockedLately = 4 * time.Second
+
+// silent tells that a machine's owner has not heard of it for longer than late.
+func (m *Machine) silent(now time.Time, late time.Duration) bool {
+	return m.Quiet || m.Phase == Lapsed || m.Phase == Expired ||
+		(m.Phase == Unseen || m.Phase == Joining) && now.Sub(m.Since) > late
+}
+
+// Silent tells of which kinds the owners have heard nothing from most machines
+// for longer than late.
+func (b *Book) Silent(now time.Time, late time.Duration) map[model.Kind]bool {
+	all, silent := map[model.Kind]int{}, map[model.Kind]int{}
+	for _, m := range b.machines {
+		all[m.Kind]++
+		if m.silent(now, late) {
+			silent[m.Kind]++
+		}
+	}
+	out := map[model.Kind]bool{}
+	for k, n := range silent {
+		out[k] = 2*n >= all[k]
+	}
+	return out
+}
+
+// Deaf lists the kinds a third of whose machines their owner has not heard of for
+// longer than late, while they report elsewhere: they work, and cannot reach it.
+func (b *Book) Deaf(now time.Time, late time.Duration) (out []model.Kind) {
+	all, knocking := map[model.Kind]int{}, map[model.Kind]int{}
+	for _, m := range b.machines {
+		all[m.Kind]++
+		if m.silent(now, late) && now.Sub(m.knocked) < knockedLately {
+			knocking[m.Kind]++
+		}
+	}
+	for k, n := range knocking {
+		if 3*n >= all[k] {
+			out = append(out, k)
+		}
+	}
+	sort.Slice(out, func(i, k int) bool {
+		return out[i].Zone < out[k].Zone || (out[i].Zone == out[k].Zone && out[i].Type < out[k].Type)
+	})
+	return out
+}
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -51,7 +51,8 @@
 	if r.Job == nil || r.Job.ID != id {
 		return fmt.Errorf("record of job %s: wrong job", id)
 	}
-	j := &Job{Spec: r.Job, Accepted: time.UnixMilli(r.AcceptedMS), Stamp: stamp, seen: now, Started: r.Started, use: b.useOf(r.Job.Team),
+	j := &Job{Spec: r.Job, Accepted: time.UnixMilli(r.AcceptedMS), Stamp: stamp, seen: now, Started: r.Started,
+		use:      b.useOf(r.Job.Team),
 		finished: model.NewTaskSet(r.Job.Tasks), stored: model.NewTaskSet(r.Job.Tasks), bound: map[int]*Task{}}
 	for _, set := range []*model.TaskSet{j.finished, j.stored} {
 		if err := set.Merge(0, r.Finished); err != nil {
--- /dev/null
+++ b/internal/placement/machines.go
@@ -0,0 +1,296 @@
+package placement
+
+import (
+	"log/slog"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/peers/peerspb"
+)
+
+// MachinePhase is where a machine stands for the leader.
+type MachinePhase int
+
+// The phases.
+const (
+	Unseen  MachinePhase = iota // has a host record; not heard of under our token
+	Joining                     // heard of, its report may still be incomplete
+	Current                     // all of its tasks are known
+	Lapsed                      // its owner says that its lease has run out; not yet believed
+	Expired                     // its lease has run out: it has no tasks
+)
+
+func (p MachinePhase) String() string {
+	return [...]string{"unseen", "joining", "current", "lapsed", "expired"}[p]
+}
+
+// Machine is a machine as the leader knows it.
+type Machine struct {
+	Name     string
+	Addr     string
+	Kind     model.Kind
+	Spot     bool
+	Phase    MachinePhase
+	Since    time.Time     // in this phase since
+	Hosted   bool          // its host record is stored
+	Cordoned bool          // for good
+	Retiring bool          // until its room is needed again
+	Notice   time.Duration // -1: none
+	NoticeAt time.Time
+	Seen     time.Time // first heard of by this leader
+	Idle     time.Time // without tasks since
+	Silent   time.Time // expired since
+	Quiet    bool      // its owner has not heard of it for longer than reports are apart
+	Listed   bool      // the cloud has listed it
+	knocked  time.Time // it reported to a controller that does not own its kind
+	Unsure   bool      // a start that is no longer wanted may be carried out late
+
+	session, seq uint64
+	current      uint64 // token under which it was last current
+	tasks        map[taskKey]*Task
+	load         model.Size // what the bound tasks take
+	images       []held     // in its cache, the last used one last
+	reported     []*peerspb.Task
+	blame        map[string]blame // by job: its tasks that failed here since one was done here
+	strays       int              // running tasks of jobs the book does not know
+	reserved     map[string]reservation
+	log          *slog.Logger
+}
+
+type reservation struct {
+	size  model.Size
+	class string // of standing room; else it is for one job
+	rank  int
+	until time.Time
+}
+
+// recordon tells an owner anew which machines are to get no tasks: a fresh
+// token voided what it was told before.
+func (b *Book) recordon(m *Machine) {
+	if m.Cordoned {
+		b.give(m, &peerspb.Order{Op: peerspb.Op_OP_CORDON})
+	}
+}
+
+// AddHost takes in a host record: a machine on which tasks may run.
+func (b *Book) AddHost(name, addr string, kind model.Kind, spot bool, now time.Time) {
+	if b.machines[name] == nil {
+		b.machines[name] = &Machine{Name: name, Addr: addr, Kind: kind, Spot: spot, Hosted: true, Notice: -1,
+			Seen: now, Idle: now, Since: now, Listed: true, tasks: map[taskKey]*Task{}, log: b.opt.Log}
+	}
+}
+
+// HostStored marks a machine's host record as written.
+func (b *Book) HostStored(name string) {
+	if m := b.machines[name]; m != nil {
+		m.Hosted = true
+		b.room++
+	}
+}
+
+// Greet has the owners call the machines that have not been heard of under
+// our token, rather than wait for their reports.
+func (b *Book) Greet() {
+	for _, m := range b.machines {
+		if m.Phase == Unseen && m.Addr != "" {
+			b.give(m, &peerspb.Order{Op: peerspb.Op_OP_GREET, Addr: m.Addr, Kind: &peerspb.Kind{Type: m.Kind.Type, Zone: m.Kind.Zone}})
+		}
+	}
+}
+
+// Missing lists the machines that the cloud no longer lists and nobody hears
+// of. The list lags, so this is no proof that they are gone; returning them
+// is, for a returned machine is gone for sure.
+func (b *Book) Missing(listed map[string]bool, heardBy time.Time) []string {
+	var out []string
+	for name, m := range b.machines {
+		silent := m.Quiet || m.Phase == Lapsed || m.Phase == Expired || (m.Phase == Unseen && m.Since.Before(heardBy))
+		if listed[name] {
+			m.Listed = true
+		} else if m.Listed && silent {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// Cordon keeps new tasks off a machine.
+func (b *Book) Cordon(m *Machine) {
+	if !m.Cordoned {
+		m.Cordoned = true
+		b.give(m, &peerspb.Order{Op: peerspb.Op_OP_CORDON})
+	}
+}
+
+// retire keeps new tasks off a machine until its room is needed again.
+func (b *Book) retire(m *Machine, on bool) {
+	if m.Retiring == on {
+		return
+	}
+	m.Retiring = on
+	if m.Cordoned {
+		return
+	}
+	if on {
+		b.give(m, &peerspb.Order{Op: peerspb.Op_OP_CORDON})
+		return
+	}
+	b.give(m, &peerspb.Order{Op: peerspb.Op_OP_UNCORDON})
+	b.room++
+}
+
+// Gone takes in that a machine no longer exists.
+func (b *Book) Gone(name string, now time.Time) {
+	m := b.machines[name]
+	if m == nil {
+		return
+	}
+	b.releaseAll(m, now)
+	b.give(m, &peerspb.Order{Op: peerspb.Op_OP_DROP})
+	b.dropImages(m)
+	delete(b.machines, name)
+	b.gone[name] = now
+}
+
+func (b *Book) releaseAll(m *Machine, now time.Time) {
+	for _, t := range m.tasks {
+		b.release(t, now)
+	}
+	m.reported, m.strays = nil, 0
+}
+
+// Machine takes in what a member says of a machine. trusted tells that an
+// expiry may be believed even for a machine that was not yet current under
+// our token; applied is the last order that the member has taken in.
+func (b *Book) Machine(now time.Time, member string, pm *peerspb.Machine, applied uint64, trusted bool) {
+	if _, lost := b.gone[pm.Name]; lost {
+		return
+	}
+	m := b.machines[pm.Name]
+	kind := model.Kind{Type: pm.Kind.GetType(), Zone: pm.Kind.GetZone()}
+	if m != nil {
+		kind = m.Kind
+	}
+	// Guard: only the kind's present owner speaks for a machine. An earlier
+	// owner's silence about a machine that moved on looks like an expiry.
+	if b.owners[kind] != member {
+		return
+	}
+	if m == nil {
+		if pm.Phase == "expired" {
+			return
+		}
+		m = &Machine{Name: pm.Name, Kind: kind, Notice: -1,
+			Seen: now, Idle: now, tasks: map[taskKey]*Task{}, log: b.opt.Log}
+		b.machines[pm.Name] = m
+	}
+	m.Quiet = pm.Quiet
+	switch pm.Phase {
+	case "joining":
+		m.Addr = pm.Addr
+		b.setPhase(m, Joining, now)
+	case "expired":
+		if m.Phase == Expired {
+			break // said again: it has no tasks
+		}
+		if trusted || m.current == b.token {
+			b.setPhase(m, Lapsed, now)
+		} else {
+			// Guard: the owner says this only once. The machine counts as
+			// unseen again until an expiry can be trusted; were it left
+			// joining, a takeover would never end.
+			b.setPhase(m, Unseen, now)
+		}
+	case "current":
+		m.Spot, m.Addr, m.session, m.seq = pm.Spot, pm.Addr, pm.Session, pm.Seq
+		if m.Notice < 0 && pm.NoticeMs >= 0 {
+			m.NoticeAt = now
+		}
+		m.Notice = time.Duration(pm.NoticeMs) * time.Millisecond
+		if pm.NoticeMs < 0 {
+			m.Notice = -1
+		}
+		m.reported = pm.Tasks
+		if m.current != b.token {
+			m.current = b.token
+			b.recordon(m)
+		}
+		b.setPhase(m, Current, now)
+		m.Unsure = pm.Unsure
+		b.reconcile(now, m, func(order uint64) bool { return order <= applied && !slices.Contains(pm.Undecided, order) })
+	}
+}
+
+// setPhase is the one place where a machine's phase changes.
+func (b *Book) setPhase(m *Machine, p MachinePhase, now time.Time) {
+	if m.Phase == p {
+		return
+	}
+	m.Phase, m.Since = p, now
+	b.room++
+	if p == Expired {
+		m.Silent = now
+	}
+}
+
+// UnseenLapsed takes in that machines of a member's kinds which it has not
+// mentioned have surely run out of the leases that it or anybody before it
+// extended.
+func (b *Book) UnseenLapsed(member string, now time.Time) {
+	for _, m := range b.machines {
+		if m.Phase == Unseen && b.owners[m.Kind] == member {
+			b.setPhase(m, Lapsed, now)
+		}
+	}
+}
+
+// Expire believes the lapses that were told before checked, the moment when
+// the last look that showed the key as ours was sent, and names the machines.
+//
+// Guard: a leader that was deposed without knowing it may still act, and to
+// its owners a machine that the next leader has won over looks like one whose
+// lease ran out, while its tasks go on. Only a look at the key that is younger
+// than the lapse shows that nobody else can have extended the lease.
+func (b *Book) Expire(checked, now time.Time) (names []string) {
+	for _, m := range b.machines {
+		if m.Phase == Lapsed && m.Since.Before(checked) {
+			b.releaseAll(m, now)
+			b.setPhase(m, Expired, now)
+			names = append(names, m.Name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Settle tells whether the book has become complete: each machine with a
+// host record has answered under our token, is gone, or has expired.
+func (b *Book) Settle() bool {
+	if b.complete {
+		return true
+	}
+	for _, m := range b.machines {
+		if m.Hosted && (m.Phase == Unseen || m.Phase == Joining || m.Phase == Lapsed) {
+			return false
+		}
+	}
+	b.complete = true
+	b.room++
+	return true
+}
+
+// Busy tells whether anything is bound to the machine or still to be settled
+// on it.
+func (m *Machine) Busy() bool { return len(m.tasks) > 0 || m.strays > 0 || len(m.reported) > 0 }
+
+// strays counts running tasks that belong to no open job. While there are
+// any, nothing starts: their team and size are not known.
+func (b *Book) strays() int {
+	n := 0
+	for _, m := range b.machines {
+		n += m.strays
+	}
+	return n
+}
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -317,13 +317,15 @@
 // the lowest share in use wins; ties go to the kind with the larger capacity for
 // this task. What stands before them are our exceptions.
 func (c choice) compare(o choice) int {
-	return cmp.Or(cmp.Compare(rank(!c.failed), rank(!o.failed)), cmp.Compare(rank(!c.late), rank(!o.late)), cmp.Compare(c.price, o.price), cmp.Compare(rank(!c.fetch), rank(!o.fetch)),
+	return cmp.Or(cmp.Compare(rank(!c.failed), rank(!o.failed)), cmp.Compare(rank(!c.late), rank(!o.late)),
+		cmp.Compare(c.price, o.price), cmp.Compare(rank(!c.fetch), rank(!o.fetch)),
 		cmp.Compare(c.share, o.share), cmp.Compare(o.slots, c.slots))
 }
 
 func (b *Book) choiceOf(j *Job, m *Machine, now time.Time) choice {
 	t := b.types[m.Kind.Type]
-	c := choice{failed: j.failedOn[m.Name], share: m.load.Share(t.Size), slots: j.Spec.Size.Slots(t.Size), fetch: !b.holders[j.Spec.Image][m]}
+	c := choice{failed: j.failedOn[m.Name], share: m.load.Share(t.Size),
+		slots: j.Spec.Size.Slots(t.Size), fetch: !b.holders[j.Spec.Image][m]}
 	if wait := b.opt.Aims[j.Spec.Class].Wait; wait > 0 && c.fetch && t.FetchGBPerS > 0 {
 		c.late = now.Add(model.Seconds(j.Spec.ImageGB / t.FetchGBPerS)).After(j.Accepted.Add(wait))
 	}
@@ -497,5 +499,6 @@
 func (b *Book) order(t *Task) {
 	b.opt.Log.Debug("start", "task", model.TaskName(t.job.Spec.ID, t.index), "class", t.job.Spec.Class, "machine", t.machine.Name,
 		"type", t.machine.Kind.Type, "spot", t.machine.Spot, "image", t.job.Spec.Image, "queued", t.since.Sub(t.job.seen))
-	t.order = b.give(t.machine, &peerspb.Order{Op: peerspb.Op_OP_START, Job: t.job.Spec.ID, Index: uint32(t.index), Attempt: t.attempt})
+	t.order = b.give(t.machine, &peerspb.Order{Op: peerspb.Op_OP_START, Job: t.job.Spec.ID,
+		Index: uint32(t.index), Attempt: t.attempt})
 }
--- /dev/null
+++ b/internal/placement/summary.go
@@ -0,0 +1,38 @@
+package placement
+
+import (
+	"time"
+)
+
+// Summary is the state of the cluster in a few figures, for the log.
+type Summary struct {
+	Machines, Busy, Retiring, Jobs, Bound, Unplaced int
+	Placeable                                       int // unplaced tasks that no limit holds back
+	CPUs, Used                                      float64
+}
+
+// Summary counts what there is.
+func (b *Book) Summary(now time.Time) Summary {
+	s := Summary{Machines: len(b.machines), Jobs: len(b.jobs)}
+	for _, m := range b.machines {
+		if m.Phase != Current {
+			continue
+		}
+		if m.Retiring {
+			s.Retiring++
+		}
+		s.CPUs += b.types[m.Kind.Type].Size.CPUs
+		s.Used += m.load.CPUs
+		if len(m.tasks) > 0 {
+			s.Busy++
+		}
+	}
+	for _, j := range b.jobs {
+		s.Bound += len(j.bound)
+		s.Unplaced += max(0, j.Unplaced())
+	}
+	for _, n := range b.Needs(now) {
+		s.Placeable += n.Tasks
+	}
+	return s
+}
--- /dev/null
+++ b/internal/workers/calls.go
@@ -0,0 +1,130 @@
+package workers
+
+import (
+	"time"
+
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/peers/peerspb"
+)
+
+// Call is a direct call to a worker.
+type Call struct {
+	Machine  string
+	Addr     string
+	Token    uint64
+	Session  uint64
+	Commands []model.Command
+	Until    time.Time // not to be sent from then on: the grant is over
+	id       uint64
+}
+
+// Calls returns the direct calls that are due: one at a time for each machine
+// that has starts waiting, or stops, for whose room another task waits, and an empty one for each that has not shown our
+// token yet: it takes the token in and answers with a report that does. Nothing
+// is called without a valid grant.
+func (d *Desk) Calls(now time.Time) []Call {
+	if !d.Granted(now) {
+		return nil
+	}
+	var out []Call
+	for _, m := range d.machines {
+		if m.call != 0 || m.failed || m.phase == Expired || m.addr == "" || m.notice >= 0 || d.owners[m.kind] != d.opt.Member {
+			continue
+		}
+		c := Call{Machine: m.name, Addr: m.addr, Token: d.token, Session: m.session, Commands: []model.Command{}, Until: d.grant}
+		due := m.phase == Joining
+		for _, o := range m.pending {
+			if o.state != queued || len(c.Commands) >= maxOrders || m.held(o) || m.phase != Current {
+				continue
+			}
+			switch {
+			case o.start():
+				due, o.state = true, calling
+			case o.op == peerspb.Op_OP_STOP && !o.told && m.find(o) != nil:
+				due = true
+			}
+			c.Commands = append(c.Commands, o.command())
+		}
+		if !due {
+			continue
+		}
+		d.calls++
+		c.id, m.call = d.calls, d.calls
+		out = append(out, c)
+	}
+	return out
+}
+
+// CallOutcome is what became of a direct call.
+type CallOutcome int
+
+// The outcomes.
+const (
+	Executed   CallOutcome = iota // 200, with the report after the commands
+	Refused                       // 409, 400 or never sent: nothing was executed
+	Unanswered                    // it may be executed late
+)
+
+func (o CallOutcome) String() string {
+	return [...]string{"executed", "refused", "unanswered"}[o]
+}
+
+// Called takes in the outcome of a direct call. r is the worker's report, if
+// one came with it.
+func (d *Desk) Called(now time.Time, c Call, outcome CallOutcome, r *model.Report) {
+	m := d.machines[c.Machine]
+	if m == nil || m.call != c.id {
+		return
+	}
+	m.call = 0
+	// Guard: without this pause a worker that cannot be called directly would
+	// be called again and again without end. A session that we did not know is
+	// worth one more try.
+	m.failed = outcome != Executed && (r == nil || r.Session == c.Session)
+	if c.Token != d.token {
+		return // orders of an earlier token are void; the next report decides its starts
+	}
+	if r != nil && r.Machine == m.name && r.Token <= d.token && CheckReport(r) == nil && r.Session > m.ended &&
+		(r.Session > m.session || (r.Session == m.session && r.Seq > m.seq)) {
+		d.takeReport(now, m, r)
+	}
+	for _, o := range m.pending {
+		o.told = o.told || (outcome == Executed && o.op == peerspb.Op_OP_STOP && c.has(o))
+		if o.state != calling {
+			continue
+		}
+		o.state = queued
+		if outcome == Unanswered && c.Session == m.session && m.find(o) == nil {
+			o.state = unsure
+		}
+		if outcome == Unanswered && c.Session == m.session {
+			if m.kept == nil {
+				m.kept = map[key]bool{}
+			}
+			m.kept[o.key()] = false
+		}
+	}
+	m.settle(func(o *order) bool {
+		if o.start() && o.state == queued && (outcome == Executed && c.has(o) || o.void || m.find(o) != nil) {
+			return true
+		}
+		// What the leader has done with but must not be forgotten yet.
+		if _, kept := m.kept[o.key()]; kept && o.op == peerspb.Op_OP_FORGET {
+			m.kept[o.key()] = true
+			return true
+		}
+		return false
+	})
+	d.touch(m)
+}
+
+// has tells whether the call carried an order.
+func (c *Call) has(o *order) bool {
+	want := o.command()
+	for _, k := range c.Commands {
+		if k.Op == want.Op && k.Task == want.Task && k.Attempt == want.Attempt {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/workers/rounds.go
@@ -0,0 +1,116 @@
+package workers
+
+import (
+	"time"
+
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/peers/peerspb"
+)
+
+// Round takes in one message of a leader: a grant, orders, wishes for
+// samples. A message with a lower token than the highest seen is answered
+// but has no effect.
+func (d *Desk) Round(now time.Time, r *peerspb.RoundRequest) *peerspb.RoundResponse {
+	out := &peerspb.RoundResponse{Boot: d.boot, ClockNs: int64(now.Sub(d.start))}
+	if r.Token < d.token {
+		out.Token = d.token
+		return out
+	}
+	if r.Token > d.token {
+		d.newToken(r.Token)
+	}
+	out.Token, d.leader = d.token, r.Leader
+	if r.StoreOk {
+		d.storeOK = now
+	}
+	// The grant is a moment on this process's own clock, so a message that a
+	// cut held back brings a grant that is over.
+	if r.Boot == d.boot {
+		if until := d.start.Add(time.Duration(r.GrantUntilNs)); until.After(d.grant) {
+			d.grant = until
+		}
+		d.take(now, r)
+	}
+	d.expire(now)
+	out.Applied, out.Change = d.applied, d.change
+	if r.Boot != d.boot {
+		return out
+	}
+	out.Knocks = d.takeKnocks(now)
+	for _, m := range d.machines {
+		if m.change > r.Seen {
+			out.Machines = append(out.Machines, m.message())
+		}
+	}
+	for _, w := range r.Wants {
+		out.Samples = append(out.Samples, d.sample(w)...)
+	}
+	return out
+}
+
+// newToken voids everything that was ordered under the token before.
+func (d *Desk) newToken(token uint64) {
+	d.token, d.grant, d.applied = token, time.Time{}, 0
+	d.owners, d.sizes = map[model.Kind]string{}, map[string]model.Size{}
+	for _, m := range d.machines {
+		// Another owner may have kept the machine's session alive meanwhile.
+		m.pending, m.cordon, m.failed, m.ended = nil, false, false, 0
+		if m.phase != Expired {
+			d.setPhase(m, Joining)
+		} else {
+			d.touch(m)
+		}
+	}
+}
+
+func (d *Desk) take(now time.Time, r *peerspb.RoundRequest) {
+	if len(r.Owners) > 0 {
+		d.owners = make(map[model.Kind]string, len(r.Owners))
+		d.silent = map[model.Kind][]string{}
+		for _, o := range r.Owners {
+			kind := model.Kind{Type: o.Kind.Type, Zone: o.Kind.Zone}
+			d.owners[kind] = o.Member
+			if len(o.Elsewhere) > 0 {
+				d.silent[kind] = o.Elsewhere
+			}
+		}
+		for name, m := range d.machines { // those that went to another owner
+			if d.owners[m.kind] != d.opt.Member && m.kind != (model.Kind{}) {
+				delete(d.machines, name)
+			}
+		}
+	}
+	for _, s := range r.Sizes {
+		d.sizes[s.Job] = sizeOf(s.Size)
+	}
+	for _, o := range r.Orders {
+		if o.Id <= d.applied { // a repeat, or a message that came late
+			continue
+		}
+		d.applied = o.Id
+		d.apply(now, o)
+	}
+}
+
+func (m *machine) message() *peerspb.Machine {
+	notice := int64(-1)
+	if m.notice >= 0 {
+		notice = m.notice.Milliseconds()
+	}
+	tasks := m.tasks
+	if len(m.kept) > 0 { // those that the leader has done with
+		tasks = nil
+		for _, t := range m.tasks {
+			if !m.kept[key{t.Job, int(t.Index), t.Attempt}] {
+				tasks = append(tasks, t)
+			}
+		}
+	}
+	doubt := false
+	for _, o := range m.pending {
+		doubt = doubt || (o.state == unsure && o.void)
+	}
+	return &peerspb.Machine{Name: m.name, Addr: m.addr, Kind: &peerspb.Kind{Type: m.kind.Type, Zone: m.kind.Zone},
+		Spot: m.spot, Phase: string(m.phase), Session: m.session, Seq: m.seq, Undecided: m.undecided(),
+		Unsure: doubt, Quiet: m.quiet, NoticeMs: notice, Tasks: tasks}
+}
--- /dev/null
+++ b/internal/workers/samples.go
@@ -0,0 +1,74 @@
+package workers
+
+import (
+	"sort"
+
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/peers/peerspb"
+)
+
+// used is the machine's occupancy, the starts on their way included. known
+// is false while some job's size has not been told.
+func (d *Desk) used(m *machine) (used model.Size, known bool) {
+	for _, t := range m.tasks {
+		if t.State == string(model.TaskExited) {
+			continue
+		}
+		size, ok := d.sizes[t.Job]
+		if !ok {
+			return used, false
+		}
+		used = used.Add(size)
+	}
+	for _, o := range m.pending {
+		if o.start() {
+			used = used.Add(d.sizes[o.job])
+		}
+	}
+	return used, true
+}
+
+// sample draws machines with room, w.Draws of each kind that this desk owns,
+// with replacement as in the paper; a scan names every machine with room. Spot
+// machines are drawn apart, for they differ from the others of their kind.
+func (d *Desk) sample(w *peerspb.Want) []*peerspb.Sample {
+	size := sizeOf(w.Size)
+	var out []*peerspb.Sample
+	for _, k := range w.Kinds {
+		kind := model.Kind{Type: k.Type, Zone: k.Zone}
+		if d.owners[kind] != d.opt.Member {
+			continue
+		}
+		room := map[bool][]string{} // by whether it is a spot machine
+		for _, m := range d.machines {
+			if m.kind != kind || m.phase != Current || m.cordon || m.notice >= 0 || (m.spot && !w.Spot) {
+				continue
+			}
+			used, known := d.used(m)
+			if known && size.Fits(d.types[kind.Type].Size.Sub(used)) {
+				room[m.spot] = append(room[m.spot], m.name)
+			}
+		}
+		for _, spot := range []bool{false, true} {
+			names := room[spot]
+			if len(names) == 0 {
+				continue
+			}
+			sort.Strings(names)
+			s := &peerspb.Sample{Want: w.Id, Kind: k}
+			if w.Scan {
+				s.Machines = names
+			} else {
+				for range w.Draws {
+					s.Machines = append(s.Machines, names[d.draw.IntN(len(names))])
+				}
+			}
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func sizeOf(s *peerspb.Size) model.Size {
+	return model.Size{CPUs: s.GetCpus(), GPUs: s.GetGpus(), MemoryGB: s.GetMemoryGb()}
+}
