--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -193,6 +193,11 @@
 		for _, k := range t.book.Deaf(now, late) {
 			owner := t.book.Owners()[k]
 			t.deaf[deafness{owner, k}] = now.Add(back)
+			for other, member := range t.book.Owners() { // those that are about to follow
+				if member == owner && t.silent[other] {
+					t.deaf[deafness{owner, other}] = now.Add(back)
+				}
+			}
 			why = "owner hears nothing from " + k.Type + " in " + k.Zone + ": " + owner
 		}
 	}
