--- a/internal/settings/defaults.sexp
+++ b/internal/settings/defaults.sexp
@@ -29,7 +29,7 @@
     (list-every "4s")
     (boot-factor 4)       ; a machine is given up after this many times its usual boot time
     (silent-wait "20s")   ; an expired machine is returned after this
-    (errors 3))           ; failed tasks in a row that make a machine suspect
+    (errors 3))           ; failures of tasks that make a machine suspect, unless the job is to blame
   (service
     (memory-share 0.6)    ; soft limit of the Go heap, as a share of the quota
     (heap-growth 400)     ; percent by which the heap grows between collections, below that limit
