--- a/internal/intake/board.go
+++ b/internal/intake/board.go
@@ -55,7 +55,6 @@
 
 // posted is what is kept of a job.
 type posted struct {
-	stamp   uint64
 	over    bool // its open record is gone; the final one tells the rest
 	Started bool `json:"started"`
 	Count   int  `json:"count"`
@@ -143,11 +142,11 @@
 	}
 	for _, e := range events {
 		if e.Delete != "" {
-			b.jobs.Add(strings.TrimPrefix(e.Delete, placement.JobPrefix), posted{stamp: e.Stamp, over: true})
+			b.jobs.Add(strings.TrimPrefix(e.Delete, placement.JobPrefix), posted{over: true})
 			continue
 		}
 		id := strings.TrimPrefix(e.Set, placement.JobPrefix)
-		p := posted{stamp: e.Stamp}
+		var p posted
 		if json.Unmarshal(e.Value, &p) != nil {
 			b.jobs.Remove(id) // reading it will tell
 			continue
@@ -192,14 +191,14 @@
 	case !ok:
 		l, err := in.find(ctx, id)
 		if err == nil && l.known && !l.stage.Final() {
-			in.board.keep(id, posted{stamp: l.stamp, Started: l.record.Started, Count: l.record.Count,
+			in.board.keep(id, posted{Started: l.record.Started, Count: l.record.Count,
 				Running: l.record.Running}, looks)
 		}
 		return l, err
 	case p.over:
 		return in.findFinal(ctx, id)
 	}
-	l := look{known: true, stamp: p.stamp, stage: model.Queued}
+	l := look{known: true, stage: model.Queued}
 	l.record.Count, l.record.Running = p.Count, p.Running
 	if p.Started {
 		l.stage = model.Running
--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -114,9 +114,6 @@
 	b.kindsGen++
 }
 
-// Token is the token that the book's orders carry.
-func (b *Book) Token() uint64 { return b.token }
-
 // Complete tells whether every task that may run anywhere is in the book.
 func (b *Book) Complete() bool { return b.complete }
 
