--- a/internal/placement/needs.go
+++ b/internal/placement/needs.go
@@ -24,7 +24,8 @@
 
 // horizon is how long an array's tasks may take turns without missing what is
 // asked of its class: no longer than the operators say, unless there is more than
-// twice that time and no limit that the team must not fall behind of.
+// twice that time. A team with a limit must not save time: once the limit holds it
+// back, it cannot make up for what it left undone.
 func (b *Book) horizon(j *Job, now time.Time) time.Duration {
 	h := time.Duration(0)
 	by := func(limit time.Duration) {
@@ -39,8 +40,12 @@
 	if aim.Wait > 0 {
 		by(aim.Wait*8/10 + j.Spec.Estimate)
 	}
-	if h == 0 || j.order.held {
+	limit := b.teams[j.Spec.Team].Limit
+	switch {
+	case h == 0:
 		return b.opt.Horizon
+	case limit.CPUs > 0 || limit.GPUs > 0:
+		return min(h, b.opt.Horizon)
 	}
 	return min(h, max(h/2, b.opt.Horizon))
 }
--- a/internal/placement/patient_test.go
+++ b/internal/placement/patient_test.go
@@ -129,7 +129,7 @@
 }
 
 // An array with more than twice the usual time takes turns for half of what it
-// has, unless its team's limit holds it back.
+// has, unless its team has a limit.
 func TestHorizon(t *testing.T) {
 	for _, c := range []struct {
 		name   string
@@ -143,7 +143,7 @@
 		{"half of what is left", func(j *model.Job) { j.Class = "soon" }, 100, 110 * time.Second},
 		{"less", func(j *model.Job) { j.Deadline = 40 * time.Second }, 0, 36 * time.Second},
 		{"too late", func(j *model.Job) { j.Deadline = 40 * time.Second }, 50, 45 * time.Second},
-		{"held back by a limit", func(j *model.Job) { j.Class, j.Team = "soon", "tight" }, 0, 45 * time.Second},
+		{"a team with a limit", func(j *model.Job) { j.Class, j.Team = "soon", "tight" }, 0, 45 * time.Second},
 	} {
 		b := spotBench(t)
 		b.opt.Horizon = 45 * time.Second
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -63,7 +63,6 @@
 			guaranteed: rank(b.teams[j.Spec.Team].WithinGuarantee(j.use.size.Add(j.Spec.Size))),
 			due:        b.due(j, now, held[j.Spec.Team]),
 			patient:    b.patient(j, now),
-			held:       held[j.Spec.Team],
 		}
 	}
 	slices.SortFunc(out, func(x, y *Job) int {
@@ -78,7 +77,6 @@
 	rank       int
 	guaranteed int // 0 comes first
 	due        time.Time
-	held       bool // its team's limit holds it back
 	patient    bool // only spot machines are rented for it
 }
 
