--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -92,7 +92,8 @@
 		n.boot, n.start, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	n.lead = leadership.New(leadership.Options{Member: cfg.Member, Boot: n.boot, Poll: terms.Poll,
 		Hold: terms.Hold, Act: terms.Act})
-	n.intake, err = intake.New(intake.Options{Teams: cfg.Teams, ValueBytes: cfg.ValueBytes - 1024,
+	n.intake, err = intake.New(intake.Options{Teams: cfg.Teams,
+		RecordBytes: cfg.ValueBytes - min(1024, cfg.ValueBytes/2), ValueBytes: cfg.ValueBytes - 64,
 		FinalCache: op.Service.FinalCache,
 		Glance:     op.Service.Glance, AskWait: op.Service.AskWait,
 		Types: n.knownTypes, View: n.view, Now: time.Now}, n.store)
--- a/internal/controller/node_test.go
+++ b/internal/controller/node_test.go
@@ -69,7 +69,7 @@
 			CloudAddr: s.cloud.Listener.Addr().String(), StateAddr: s.state.Listener.Addr().String(),
 			Teams:       map[string]model.Team{"t": {Name: "t"}},
 			ReportEvery: 20 * time.Millisecond, Lease: 2 * time.Second, CancelWait: 8 * time.Second,
-			StateRPS: 5000, StateWriteRPS: 1000, ValueBytes: 8192, TxnOps: 16, CloudRPS: 100, MemoryMB: 500, MaxConns: 400}
+			StateRPS: 5000, StateWriteRPS: 1000, ValueBytes: 8192, WideValueBytes: 8192, TxnOps: 16, CloudRPS: 100, MemoryMB: 500, MaxConns: 400}
 		for k := range 3 {
 			if k != i {
 				cfg.Siblings = append(cfg.Siblings, settings.Sibling{Member: fmt.Sprintf("n%d", k),
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"strconv"
 	"strings"
 	"time"
 
@@ -29,7 +28,7 @@
 			parts, _, err = n.store.List(t.ctx, placement.PartPrefix)
 		}
 		if err == nil {
-			jobs, rev, err = n.store.List(t.ctx, placement.JobPrefix)
+			jobs, rev, err = n.store.List(t.ctx, placement.OpenPrefix)
 		}
 		if err != nil {
 			n.log.Warn("cannot read the records", "err", err)
@@ -77,36 +76,46 @@
 	go t.watch(rev)
 }
 
+// takeJobs takes the records of open and of waiting jobs in. Waiting ones are
+// listed first, and a job moves from there to the open ones, so none is missed.
 func (t *term) takeJobs(jobs, parts []store.Item) {
-	marks := map[string]map[int]string{}
+	marks := map[string]map[string]string{}
 	for _, it := range parts {
 		rest := strings.TrimPrefix(it.Key, placement.PartPrefix)
 		i := strings.LastIndexByte(rest, '/')
-		part, err := strconv.Atoi(rest[i+1:])
 		var text string
-		if i < 0 || err != nil || json.Unmarshal(it.Value, &text) != nil {
+		if i < 0 || json.Unmarshal(it.Value, &text) != nil {
 			continue
 		}
 		if marks[rest[:i]] == nil {
-			marks[rest[:i]] = map[int]string{}
+			marks[rest[:i]] = map[string]string{}
 		}
-		marks[rest[:i]][part] = text
+		marks[rest[:i]][rest[i+1:]] = text
 	}
 	for _, it := range jobs {
-		id := strings.TrimPrefix(it.Key, placement.JobPrefix)
-		if err := t.book.PutJob(time.Now(), id, it.Value, it.Stamp, marks[id]); err != nil {
+		t.putJob(it.Key, it.Value, it.Stamp, marks)
+	}
+}
+
+// putJob takes one record of an open or waiting job in.
+func (t *term) putJob(key string, value json.RawMessage, stamp uint64, marks map[string]map[string]string) {
+	if id, waits := strings.CutPrefix(key, placement.WaitPrefix); waits {
+		t.putWaiting(id, value, stamp)
+	} else if id, open := strings.CutPrefix(key, placement.JobPrefix); open {
+		if err := t.book.PutJob(time.Now(), id, value, stamp, marks[id]); err != nil {
 			t.n.log.Error("job record", "err", err)
 		}
+		t.graph.Gone(id) // it was released
 	}
 }
 
 // watch follows the jobs. It runs outside the loop.
 func (t *term) watch(rev uint64) {
 	for t.ctx.Err() == nil {
-		events, next, err := t.n.store.Watch(t.ctx, placement.JobPrefix, rev, 10*time.Second)
+		events, next, err := t.n.store.Watch(t.ctx, placement.OpenPrefix, rev, 10*time.Second)
 		switch {
 		case errors.Is(err, store.ErrCompacted):
-			jobs, at, lerr := t.n.store.List(t.ctx, placement.JobPrefix)
+			jobs, at, lerr := t.n.store.List(t.ctx, placement.OpenPrefix)
 			if lerr != nil {
 				sleep(t.ctx, 300*time.Millisecond)
 				continue
@@ -133,14 +142,20 @@
 	}
 	have := map[string]bool{}
 	for _, it := range jobs {
-		have[strings.TrimPrefix(it.Key, placement.JobPrefix)] = true
+		have[it.Key] = true
 	}
 	t.takeJobs(jobs, nil)
 	for id := range t.book.Jobs() {
-		if !have[id] {
+		if !have[placement.JobPrefix+id] {
 			t.book.Cancel(id)
 		}
 	}
+	for _, id := range t.graph.IDs() {
+		if !have[placement.WaitPrefix+id] {
+			t.graph.Gone(id)
+		}
+	}
+	t.nextCheck = time.Time{}
 	t.beatSoon()
 }
 
@@ -149,19 +164,18 @@
 		return
 	}
 	for _, e := range events {
-		if e.Delete != "" {
-			id := strings.TrimPrefix(e.Delete, placement.JobPrefix)
+		if id, waited := strings.CutPrefix(e.Delete, placement.WaitPrefix); waited {
+			t.graph.Gone(id)
+		} else if id, open := strings.CutPrefix(e.Delete, placement.JobPrefix); open {
 			if t.book.Jobs()[id] != nil {
 				t.n.log.Debug("job record gone", "job", id)
 			}
 			t.book.Cancel(id)
-			continue
-		}
-		id := strings.TrimPrefix(e.Set, placement.JobPrefix)
-		if err := t.book.PutJob(time.Now(), id, e.Value, e.Stamp, nil); err != nil {
-			t.n.log.Error("job record", "err", err)
+		} else {
+			t.putJob(e.Set, e.Value, e.Stamp, nil)
 		}
 	}
+	t.nextCheck = time.Time{}
 	t.beatSoon()
 }
 
@@ -181,17 +195,22 @@
 
 // save stores what became of jobs.
 func (t *term) save(now time.Time) {
-	maxParts := min(t.n.cfg.TxnOps-1, 48<<10/t.n.cfg.ValueBytes-1)
+	maxParts := min(t.n.cfg.TxnOps-1, 48<<10/t.n.cfg.WideValueBytes-1)
 	for _, s := range t.book.Saves(now, time.Second, max(1, maxParts)) {
 		txn := t.txn()
 		txn.Guards = append(txn.Guards, store.Guard{Key: placement.JobPrefix + s.ID, Stamp: s.Stamp})
 		if s.Over != nil {
 			txn.Writes = append(txn.Writes, store.Del(placement.JobPrefix+s.ID), store.Put(placement.DonePrefix+s.ID, s.Over))
-		} else {
+		}
+		if s.Record != nil {
 			txn.Writes = append(txn.Writes, store.Put(placement.JobPrefix+s.ID, s.Record))
-			for part, text := range s.Parts {
-				txn.Writes = append(txn.Writes, store.Put(placement.PartKey(s.ID, part), text))
-			}
+		}
+		for part, text := range s.Parts {
+			txn.Writes = append(txn.Writes, store.Put(placement.PartPrefix+s.ID+"/"+part, text))
+		}
+		if len(txn.Writes) == 0 { // all of it stands in parts already
+			t.book.Saved(s, true, 0)
+			continue
 		}
 		go func() {
 			out, err := t.do(txn)
@@ -209,6 +228,10 @@
 					return
 				}
 				switch {
+				case errors.Is(err, store.ErrTooLarge):
+					t.n.log.Warn("save refused as too large", "job", s.ID, "err", err)
+					t.book.TooLarge(s)
+					return
 				case over:
 					t.n.log.Debug("job was over already", "job", s.ID)
 					t.book.Over(s.ID)
@@ -217,10 +240,11 @@
 						t.n.log.Error("job record", "err", perr)
 					}
 				}
-				t.book.Saved(s, ok, out.Revision)
 				if ok && s.Over != nil {
 					t.n.log.Debug("job done", "job", s.ID)
+					t.finished(s.ID)
 				}
+				t.book.Saved(s, ok, out.Revision)
 			})
 		}()
 	}
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -31,6 +31,7 @@
 	busy     bool
 	failures int
 	sizes    map[string]bool
+	records  uint32 // highest form of stored records that it reads
 }
 
 func (l *link) live(now time.Time) bool { return l.local || now.Sub(l.okAt) < 2*time.Second }
@@ -219,6 +220,7 @@
 		l.okSince = now
 	}
 	l.okAt = now
+	l.records = resp.Records
 	restarted := l.boot != "" && l.boot != resp.Boot
 	if l.failures > 0 {
 		l.failures = 0
@@ -245,6 +247,9 @@
 	if !t.loaded {
 		return
 	}
+	if t.allRead(peers.Records) {
+		t.book.Split()
+	}
 	if t.round != nil {
 		t.round.samples = append(t.round.samples, resp.Samples...)
 	}
@@ -268,6 +273,17 @@
 	}
 }
 
+// allRead tells whether every controller reads a form of stored records. One that
+// was not heard of may be of an earlier version.
+func (t *term) allRead(form uint32) bool {
+	for _, l := range t.n.links {
+		if l.records < form {
+			return false
+		}
+	}
+	return true
+}
+
 func (t *term) ack(l *link, token uint64, now time.Time) {
 	if token == t.token && !l.acked {
 		l.acked, l.ackAt = true, now
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -9,6 +9,7 @@
 
 	"github.com/marlwood/marlwood/internal/fleet"
 	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/pipelines"
 	"github.com/marlwood/marlwood/internal/placement"
 )
 
@@ -21,6 +22,7 @@
 	token uint64
 	began time.Time
 	book  *placement.Book
+	graph *pipelines.Graph
 	fleet *fleet.Fleet
 
 	loaded   bool // jobs and host records are in the book
@@ -38,7 +40,8 @@
 	nextTypes   time.Time
 	nextSummary time.Time
 	nextViews   time.Time
-	batch       int // writes in one transaction of host records
+	nextCheck   time.Time // of how needed jobs ended
+	batch       int       // writes in one transaction of host records
 	hosting     bool
 	listing     bool
 	cloudBusy   bool
@@ -62,9 +65,10 @@
 		PreemptWait: n.op.Placement.PreemptWait, Aims: n.cfg.Aims, Horizon: n.op.Fleet.Horizon,
 		ShortFirst: n.op.Placement.ShortFirst,
 		Unhurried:  n.op.Placement.Unhurried, Standing: n.op.Placement.Standing, Spare: n.op.Placement.Spare,
-		PartTasks: model.PartTasks(max(256, n.cfg.ValueBytes-2048)),
-		Rand:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: n.log,
+		PartTasks: model.PartTasks(max(256, n.cfg.WideValueBytes-2048)), SplitTasks: model.PartTasks(n.cfg.ValueBytes/2 - 128),
+		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: n.log,
 	}, token, n.cfg.Teams, n.knownTypes())
+	t.graph = pipelines.New(n.log)
 	t.fleet = fleet.New(fleet.Options{Idle: n.op.Fleet.Idle, Keep: n.op.Fleet.Keep, RefusedWait: n.op.Fleet.RefusedWait,
 		BootFactor: n.op.Fleet.BootFactor, SilentWait: n.op.Fleet.SilentWait}, token)
 	for _, l := range n.links {
@@ -231,6 +235,7 @@
 		t.n.log.Info("machines expired", "count", len(names), "machines", names)
 	}
 	t.save(now)
+	t.runGraph(now)
 	t.saveHosts(now)
 	if !now.Before(t.nextFleet) {
 		t.nextFleet = now.Add(t.n.op.Fleet.Tick)
@@ -252,6 +257,6 @@
 		s := t.book.Summary(now)
 		t.n.log.Info("cluster", "machines", s.Machines, "booting", t.fleet.Booting(), "busy", s.Busy,
 			"retiring", s.Retiring, "cpus", s.CPUs, "used", s.Used, "jobs", s.Jobs,
-			"bound", s.Bound, "unplaced", s.Unplaced, "placeable", s.Placeable)
+			"waiting", t.graph.Len(), "bound", s.Bound, "unplaced", s.Unplaced, "placeable", s.Placeable)
 	}
 }
--- a/internal/intake/board.go
+++ b/internal/intake/board.go
@@ -56,6 +56,10 @@
 // posted is what is kept of a job.
 type posted struct {
 	over    bool // its open record is gone; the final one tells the rest
+	waiting bool // for the jobs that it needs
+	Job     struct {
+		Needs []string `json:"awaits"`
+	} `json:"job"`
 	Started bool `json:"started"`
 	Count   int  `json:"count"`
 	Running int  `json:"running"`
@@ -126,7 +130,7 @@
 	err := store.ErrCompacted
 	now := rev
 	if rev > 0 {
-		events, now, err = b.store.Watch(ctx, placement.JobPrefix, rev, 0)
+		events, now, err = b.store.Watch(ctx, placement.OpenPrefix, rev, 0)
 	}
 	fresh := errors.Is(err, store.ErrCompacted)
 	if fresh {
@@ -141,22 +145,46 @@
 		b.jobs.Purge()
 	}
 	for _, e := range events {
-		if e.Delete != "" {
-			b.jobs.Add(strings.TrimPrefix(e.Delete, placement.JobPrefix), posted{over: true})
-			continue
-		}
-		id := strings.TrimPrefix(e.Set, placement.JobPrefix)
-		var p posted
-		if json.Unmarshal(e.Value, &p) != nil {
-			b.jobs.Remove(id) // reading it will tell
-			continue
-		}
-		b.jobs.Add(id, p)
+		b.note(e)
 	}
 	b.rev, b.looks = now, b.looks+1
 	return nil
 }
 
+// note takes one change in.
+//
+// Guard: a job that is released loses its waiting record and gets an open one in
+// the same transaction, told of in any order. Taken for the end of the job, the
+// loss would hide that it runs.
+func (b *board) note(e store.Event) {
+	if id, ok := strings.CutPrefix(e.Delete, placement.WaitPrefix); ok {
+		if p, known := b.jobs.Peek(id); !known || p.waiting {
+			b.jobs.Add(id, posted{over: true})
+		}
+		return
+	}
+	if id, ok := strings.CutPrefix(e.Delete, placement.JobPrefix); ok {
+		b.jobs.Add(id, posted{over: true})
+		return
+	}
+	id, waiting := strings.CutPrefix(e.Set, placement.WaitPrefix)
+	if !waiting {
+		var ok bool
+		if id, ok = strings.CutPrefix(e.Set, placement.JobPrefix); !ok {
+			return
+		}
+	}
+	p := posted{waiting: waiting}
+	if json.Unmarshal(e.Value, &p) != nil {
+		b.jobs.Remove(id) // reading it will tell
+		return
+	}
+	if !waiting {
+		p.Job.Needs = nil
+	}
+	b.jobs.Add(id, p)
+}
+
 // find tells what is known of a job after a look. looks names that look, for
 // keep.
 func (b *board) find(id string) (p posted, ok bool, looks uint64) {
@@ -186,19 +214,32 @@
 	if err := in.board.refresh(ctx); err != nil {
 		return look{}, err
 	}
+	return in.recall(ctx, id)
+}
+
+// recall answers what stage a job is in, as of the last look.
+func (in *Intake) recall(ctx context.Context, id string) (look, error) {
+	if f, ok := in.finals.Get(id); ok {
+		return look{known: true, stage: f.Stage, final: f}, nil
+	}
 	p, ok, looks := in.board.find(id)
 	switch {
 	case !ok:
 		l, err := in.find(ctx, id)
 		if err == nil && l.known && !l.stage.Final() {
-			in.board.keep(id, posted{Started: l.record.Started, Count: l.record.Count,
-				Running: l.record.Running}, looks)
+			p := posted{waiting: l.waiting, Started: l.record.Started, Count: l.record.Count, Running: l.record.Running}
+			p.Job.Needs = l.needs
+			in.board.keep(id, p, looks)
 		}
 		return l, err
 	case p.over:
-		return in.findFinal(ctx, id)
+		l, err := in.findFinal(ctx, id)
+		if err == nil && !l.known {
+			return look{}, errUnsure // it was there, so it is somewhere
+		}
+		return l, err
 	}
-	l := look{known: true, stage: model.Queued}
+	l := look{known: true, stage: model.Queued, waiting: p.waiting, needs: p.Job.Needs}
 	l.record.Count, l.record.Running = p.Count, p.Running
 	if p.Started {
 		l.stage = model.Running
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -29,11 +29,12 @@
 
 // Options are what intake knows of the deployment.
 type Options struct {
-	Teams      map[string]model.Team
-	ValueBytes int
-	FinalCache int
-	Glance     time.Duration // least time between two looks at the changes, for questions
-	AskWait    time.Duration // how long a question waits
+	Teams       map[string]model.Team
+	RecordBytes int // most that a job's record may be when it is taken in; marks come later
+	ValueBytes  int // most that any value may be
+	FinalCache  int
+	Glance      time.Duration // least time between two looks at the changes, for questions
+	AskWait     time.Duration // how long a question waits
 	// Types returns the machine types, nil while unknown.
 	Types func() map[string]model.MachineType
 	// View returns a job's live counts if this node has them.
@@ -94,34 +95,67 @@
 
 // look is a job as read through the state service.
 type look struct {
-	known  bool
-	stamp  uint64 // of the open record, 0 if over
-	stage  model.Stage
-	record placement.Record
-	final  placement.Final
+	known   bool
+	waiting bool     // for the jobs that it needs
+	needs   []string // while waiting
+	stamp   uint64   // of the open or waiting record, 0 if over
+	stage   model.Stage
+	record  placement.Record
+	final   placement.Final
 }
 
-// find reads a job. The open record is read first: a job moves from open to
-// over in one transaction, so it cannot be missed in between.
+// find reads a job. The open record is read first: a job moves from waiting to
+// open and from open to over in one transaction each, so it cannot be missed in
+// between. One that is found nowhere may have moved on from waiting meanwhile,
+// and is looked for once more.
 func (in *Intake) find(ctx context.Context, id string) (look, error) {
 	if f, ok := in.finals.Get(id); ok {
 		return look{known: true, stage: f.Stage, final: f}, nil
 	}
-	it, err := in.store.Get(ctx, placement.JobPrefix+id)
-	if err == nil {
-		l := look{known: true, stamp: it.Stamp, stage: model.Queued}
-		if err := json.Unmarshal(it.Value, &l.record); err != nil {
-			return look{}, fmt.Errorf("%w: %w", errUnsure, err)
-		}
-		if l.record.Started {
-			l.stage = model.Running
+	for _, read := range []func(context.Context, string) (look, error){in.findOpen, in.findFinal, in.findWaiting,
+		in.findOpen, in.findFinal} {
+		if l, err := read(ctx, id); err != nil || l.known {
+			return l, err
 		}
-		return l, nil
 	}
-	if !errors.Is(err, store.ErrNotFound) {
+	return look{}, nil
+}
+
+// findOpen reads a job that waits for nothing and is not over.
+func (in *Intake) findOpen(ctx context.Context, id string) (look, error) {
+	l, err := in.findRecord(ctx, placement.JobPrefix+id)
+	if l.record.Started {
+		l.stage = model.Running
+	}
+	return l, err
+}
+
+// findWaiting reads a job that waits for others.
+func (in *Intake) findWaiting(ctx context.Context, id string) (look, error) {
+	l, err := in.findRecord(ctx, placement.WaitPrefix+id)
+	if l.known {
+		l.waiting, l.needs = true, l.record.Job.Needs
+	}
+	return l, err
+}
+
+// findRecord reads the record of a job that is not over.
+func (in *Intake) findRecord(ctx context.Context, key string) (look, error) {
+	it, err := in.store.Get(ctx, key)
+	if errors.Is(err, store.ErrNotFound) {
+		return look{}, nil
+	}
+	if err != nil {
+		return look{}, fmt.Errorf("%w: %w", errUnsure, err)
+	}
+	l := look{known: true, stamp: it.Stamp, stage: model.Queued}
+	if err := json.Unmarshal(it.Value, &l.record); err != nil {
 		return look{}, fmt.Errorf("%w: %w", errUnsure, err)
 	}
-	return in.findFinal(ctx, id)
+	if l.record.Job == nil {
+		return look{}, errUnsure
+	}
+	return l, nil
 }
 
 // findFinal reads a job that has no open record.
@@ -200,16 +234,25 @@
 		}
 		job.Types = kept
 	}
-	write := store.Put(placement.JobPrefix+job.ID, placement.Record{Job: job, AcceptedMS: in.opt.Now().UnixMilli()})
-	if len(write.Value) > in.opt.ValueBytes {
-		return in.refuse(ctx, body, 400, errors.New("description too long"))
+	write, stage, err := in.entry(ctx, job)
+	switch {
+	case errors.Is(err, errNoSuchNeed):
+		return in.refuse(ctx, body, 422, err)
+	case errors.Is(err, errTooLong):
+		return in.refuse(ctx, body, 400, err)
+	case err != nil:
+		return Fail(503, errUnsure.Error())
 	}
 	out, err := in.store.Do(ctx, store.Txn{
-		Guards: []store.Guard{{Key: placement.JobPrefix + job.ID}, {Key: placement.DonePrefix + job.ID}},
+		Guards: []store.Guard{{Key: placement.JobPrefix + job.ID}, {Key: placement.DonePrefix + job.ID},
+			{Key: placement.WaitPrefix + job.ID}},
 		Writes: []store.Write{write},
 	})
 	if err == nil && out.OK() {
-		return answer(201, stateAnswer{ID: job.ID, Stage: model.Queued})
+		return answer(201, stateAnswer{ID: job.ID, Stage: stage})
+	}
+	if errors.Is(err, store.ErrTooLarge) {
+		return in.refuse(ctx, body, 400, errTooLong)
 	}
 	if err != nil && !errors.Is(err, store.ErrUnknown) {
 		return Fail(503, errUnsure.Error())
@@ -219,7 +262,22 @@
 	if err != nil || !l.known {
 		return Fail(503, errUnsure.Error())
 	}
-	return in.tell(200, job.ID, l)
+	return in.tellKnown(ctx, job.ID, l)
+}
+
+// tellKnown answers a repeated submission.
+func (in *Intake) tellKnown(ctx context.Context, id string, l look) httpwire.Answer {
+	err := error(nil)
+	if l.waiting {
+		err = in.board.refresh(ctx)
+	}
+	if err == nil {
+		l, err = in.settled(ctx, id, l)
+	}
+	if err != nil {
+		return Fail(503, errUnsure.Error())
+	}
+	return in.tell(200, id, l)
 }
 
 // refuse answers a bad submission, unless it repeats a known job.
@@ -230,7 +288,7 @@
 			return Fail(503, errUnsure.Error())
 		}
 		if l.known {
-			return in.tell(200, id, l)
+			return in.tellKnown(ctx, id, l)
 		}
 	}
 	return Fail(status, why.Error())
@@ -239,6 +297,9 @@
 // Ask answers GET of a job.
 func (in *Intake) Ask(ctx context.Context, id string) httpwire.Answer {
 	l, err := in.see(ctx, id)
+	if err == nil {
+		l, err = in.settled(ctx, id, l)
+	}
 	switch {
 	case err != nil:
 		return Fail(503, errUnsure.Error())
@@ -248,34 +309,45 @@
 	return in.tell(200, id, l)
 }
 
-// Cancel answers the cancellation of a job.
+// Cancel answers the cancellation of a job. Jobs that need it follow: the leader
+// spreads it, and whoever is asked about one of them looks for itself.
 func (in *Intake) Cancel(ctx context.Context, id string) httpwire.Answer {
+	l, err := in.end(ctx, id)
+	switch {
+	case err != nil:
+		return Fail(503, errUnsure.Error())
+	case !l.known:
+		return Fail(404, "no such job")
+	}
+	return answer(200, stateAnswer{ID: id, Stage: l.stage})
+}
+
+// end cancels a job unless it is over, and tells how it ended.
+func (in *Intake) end(ctx context.Context, id string) (look, error) {
 	for range 4 {
 		l, err := in.find(ctx, id)
-		if err != nil {
-			break
-		}
-		if !l.known {
-			return Fail(404, "no such job")
+		if err != nil || !l.known || l.stage.Final() {
+			return l, err
 		}
-		if l.stage.Final() {
-			return answer(200, stateAnswer{ID: id, Stage: l.stage})
+		key := placement.JobPrefix + id
+		if l.waiting {
+			key = placement.WaitPrefix + id
 		}
 		final := placement.Final{Stage: model.Cancelled, Tasks: l.record.Job.Tasks, Count: l.record.Count}
 		out, err := in.store.Do(ctx, store.Txn{
-			Guards: []store.Guard{{Key: placement.JobPrefix + id, Stamp: l.stamp}, {Key: placement.DonePrefix + id}},
-			Writes: []store.Write{store.Del(placement.JobPrefix + id), store.Put(placement.DonePrefix+id, final)},
+			Guards: []store.Guard{{Key: key, Stamp: l.stamp}, {Key: placement.DonePrefix + id}},
+			Writes: []store.Write{store.Del(key), store.Put(placement.DonePrefix+id, final)},
 		})
 		if err == nil && out.OK() {
 			in.finals.Add(id, final)
-			return answer(200, stateAnswer{ID: id, Stage: model.Cancelled})
+			return look{known: true, stage: final.Stage, final: final}, nil
 		}
 		if err != nil && !errors.Is(err, store.ErrUnknown) {
-			break
+			return look{}, fmt.Errorf("%w: %w", errUnsure, err)
 		}
 		// The record changed meanwhile, or no answer came: look again.
 	}
-	return Fail(503, errUnsure.Error())
+	return look{}, errUnsure
 }
 
 // Call is what a request under /api/jobs asks for.
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -129,7 +129,7 @@
 	s := &fakeStore{keys: map[string]store.Item{}}
 	in, err := New(Options{
 		Teams:      map[string]model.Team{"t": {Name: "t", Limit: model.Size{CPUs: 8}}, "free": {Name: "free"}},
-		ValueBytes: 4096, FinalCache: 4, AskWait: time.Second,
+		RecordBytes: 3072, ValueBytes: 4032, FinalCache: 4, AskWait: time.Second,
 		Types: func() map[string]model.MachineType { return types },
 		View:  func(string) (placement.View, bool) { return placement.View{}, false },
 		Now:   func() time.Time { return time.Unix(1000, 0) },
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -218,6 +218,7 @@
 	CheckpointEvery time.Duration
 	SaveTime        time.Duration
 	Deadline        time.Duration // from submission; 0: none
+	Needs           []string      // jobs that must be done before any task starts
 }
 
 // Allows tells whether the job's tasks may run on machines of a kind.
--- a/internal/model/wire.go
+++ b/internal/model/wire.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -34,6 +35,7 @@
 	CheckpointS *float64  `json:"snapshotEveryS"`
 	SaveS       *float64  `json:"snapshotCostS"`
 	DeadlineS   *float64  `json:"dueS"`
+	Needs       []*string `json:"awaits,omitempty"`
 }
 
 // Seconds turns an amount of seconds into a duration.
@@ -138,6 +140,14 @@
 	if w.DeadlineS != nil {
 		j.Deadline = Seconds(*w.DeadlineS)
 	}
+	for _, need := range w.Needs {
+		if need == nil {
+			return nil, errors.New("field awaits: not a list of job ids")
+		}
+		if !slices.Contains(j.Needs, *need) {
+			j.Needs = append(j.Needs, *need)
+		}
+	}
 	return j, nil
 }
 
@@ -159,6 +169,9 @@
 	if j.Deadline > 0 {
 		w.DeadlineS = sec(j.Deadline)
 	}
+	for i := range j.Needs {
+		w.Needs = append(w.Needs, &j.Needs[i])
+	}
 	return json.Marshal(w)
 }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -14,6 +14,10 @@
 	"github.com/marlwood/marlwood/internal/peers/peerspb"
 )
 
+// Records is the highest form of stored records that this version reads; a leader
+// writes only what every controller reads. 1 knows split marks.
+const Records = 1
+
 // Serve answers rounds on addr with handle until the process ends.
 func Serve(addr string, handle func(*peerspb.RoundRequest) *peerspb.RoundResponse) (stop func(), err error) {
 	l, err := net.Listen("tcp4", addr)
--- /dev/null
+++ b/internal/pipelines/urgency.go
@@ -0,0 +1,81 @@
+package pipelines
+
+import (
+	"time"
+
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/placement"
+)
+
+// lateWeight is how much one job that is done counts in what is expected of the
+// next of its class.
+const lateWeight = 0.2
+
+// Observe learns how much longer than estimated a job of a class takes from the
+// moment when it may start until it is done: machines boot, images are fetched,
+// and the slowest of many tasks decides. Only jobs that others wait for count.
+func (g *Graph) Observe(class string, estimate, took time.Duration) {
+	over := max(took-estimate, 0)
+	if before, known := g.late[class]; known {
+		over = time.Duration(float64(before) + lateWeight*float64(over-before))
+	}
+	g.late[class] = over
+}
+
+// Urgencies returns how urgent the open jobs are that others wait for: each has
+// the highest priority of those that need it, directly or through others, and is
+// due when the first of them must start. ok is false if nothing changed since
+// the last call.
+func (g *Graph) Urgencies() (out map[string]placement.Urgency, ok bool) {
+	if !g.changed {
+		return nil, false
+	}
+	g.changed = false
+	known := map[string]placement.Urgency{}
+	out = map[string]placement.Urgency{}
+	for id := range g.needs {
+		u := g.urgency(id, known)
+		if !g.Has(id) {
+			out[id] = u
+		}
+	}
+	return out, true
+}
+
+// urgency works out what those that wait for a job ask of it.
+func (g *Graph) urgency(id string, known map[string]placement.Urgency) placement.Urgency {
+	if u, ok := known[id]; ok {
+		return u
+	}
+	u := placement.Urgency{Rank: model.Low.Rank()}
+	known[id] = u // nothing needs itself, but a record may say anything
+	for name, j := range g.needs[id].dependents {
+		if j.state == Cancelling {
+			continue
+		}
+		spec := j.record.Job
+		rank, due := spec.Priority.Rank(), time.Time{}
+		if spec.Deadline > 0 {
+			due = time.UnixMilli(j.record.AcceptedMS).Add(spec.Deadline)
+		}
+		if g.needs[name] != nil {
+			later := g.urgency(name, known)
+			rank = max(rank, later.Rank)
+			due = earlier(due, later.Due)
+		}
+		if !due.IsZero() {
+			due = due.Add(-spec.Estimate - g.late[spec.Class])
+		}
+		u.Rank, u.Due = max(u.Rank, rank), earlier(u.Due, due)
+	}
+	known[id] = u
+	return u
+}
+
+// earlier returns the earlier of two moments, of which one may be none.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
+		return b
+	}
+	return a
+}
--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -25,7 +25,8 @@
 	Unhurried     time.Duration        // how long only spot machines are rented for long tasks of which nothing is asked
 	Standing      float64              // how much of it, as a multiple of the arrivals during a boot
 	Spare         float64              // share of the machines in use that is kept free
-	PartTasks     int                  // tasks whose marks one stored value holds
+	PartTasks     int                  // tasks whose marks one stored value holds, as every version reads them
+	SplitTasks    int                  // the same for split marks, which fit the tightest limits
 	Rand          *rand.Rand
 	Log           *slog.Logger
 }
@@ -57,8 +58,12 @@
 	writing  bool
 	wroteAt  time.Time
 	dirty    bool
-	attempt  uint64 // gang: the present attempt
-	order    turn   // in the queue that was made last
+	attempt  uint64        // gang: the present attempt
+	order    turn          // in the queue that was made last
+	rank     int           // its priority, or that of a job which needs it
+	within   time.Duration // of Accepted, when it is due; 0: never
+	per      int           // tasks whose marks one part holds, once marks are split
+	bulky    bool          // its description leaves no room for marks in its record
 }
 
 // Finished counts the finished tasks.
@@ -74,24 +79,26 @@
 
 // Book is the leader's whole knowledge.
 type Book struct {
-	opt      Options
-	token    uint64
-	complete bool
-	types    map[string]model.MachineType
-	teams    map[string]model.Team
-	jobs     map[string]*Job
-	machines map[string]*Machine
-	owners   map[model.Kind]string
-	out      map[string][]*peerspb.Order
-	orderID  uint64
-	attempts uint64
-	room     uint64 // counts events that may have made room
-	gone     map[string]time.Time
-	plan     []*planned
-	classes  map[string]*class
-	holders  map[string]map[*Machine]bool // by image: the machines that have it
-	use      map[string]*teamUse
-	kindsGen uint64 // counts changes of owners and types
+	opt       Options
+	token     uint64
+	complete  bool
+	types     map[string]model.MachineType
+	teams     map[string]model.Team
+	jobs      map[string]*Job
+	machines  map[string]*Machine
+	owners    map[model.Kind]string
+	out       map[string][]*peerspb.Order
+	orderID   uint64
+	attempts  uint64
+	room      uint64 // counts events that may have made room
+	gone      map[string]time.Time
+	plan      []*planned
+	classes   map[string]*class
+	holders   map[string]map[*Machine]bool // by image: the machines that have it
+	use       map[string]*teamUse
+	kindsGen  uint64 // counts changes of owners and types
+	urgencies map[string]Urgency
+	split     bool // marks are written in split parts
 }
 
 // NewBook makes an empty book under a token.
--- a/internal/placement/book_test.go
+++ b/internal/placement/book_test.go
@@ -26,7 +26,7 @@
 		"big":   {Name: "big", Size: model.Size{CPUs: 32, MemoryGB: 256}, Zones: []string{"a", "b"}},
 	}
 	teams := map[string]model.Team{"free": {Name: "free"}, "tight": {Name: "tight", Limit: model.Size{CPUs: 4}}}
-	b := NewBook(Options{Draws: 2, ScanAfter: 2, TasksPerRound: 64, PreemptWait: time.Second, PartTasks: 64}, 5, teams, types)
+	b := NewBook(Options{Draws: 2, ScanAfter: 2, TasksPerRound: 64, PreemptWait: time.Second, PartTasks: 64, SplitTasks: 64}, 5, teams, types)
 	owners := map[model.Kind]string{}
 	for name := range types {
 		for _, z := range []string{"a", "b"} {
@@ -654,7 +654,7 @@
 	for i := 0; i < 300; i += 2 {
 		b.finish(j, i)
 	}
-	parts := map[int]string{}
+	parts := map[string]string{}
 	var rec *Record
 	for i := range 3 {
 		for _, s := range b.Saves(at(float64(10*i)), time.Second, 2) {
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -26,20 +26,21 @@
 	Count int         `json:"count"`
 }
 
-// Keys of the state service.
+// Keys of the state service. A job that waits for others has a key of its own
+// under WaitPrefix: versions that know nothing of waiting never see it, so they
+// cannot start it too early. OpenPrefix is what both kinds of open jobs share.
 const (
+	OpenPrefix = "job"
+	WaitPrefix = "job-waiting/"
 	JobPrefix  = "job/"
 	DonePrefix = "done/"
 	PartPrefix = "part/"
 	HostPrefix = "host/"
 )
 
-// PartKey names the key of a job's marks beyond the first part.
-func PartKey(id string, part int) string { return fmt.Sprintf("%s%s/%d", PartPrefix, id, part) }
-
 // PutJob takes in a job's record as stored with a stamp. parts are the marks
-// beyond the first part, if any are known.
-func (b *Book) PutJob(now time.Time, id string, value json.RawMessage, stamp uint64, parts map[int]string) error {
+// kept beside it by the names of their parts, if any are known.
+func (b *Book) PutJob(now time.Time, id string, value json.RawMessage, stamp uint64, parts map[string]string) error {
 	if j := b.jobs[id]; j != nil {
 		j.Stamp = max(j.Stamp, stamp)
 		return nil
@@ -53,18 +54,23 @@
 	}
 	j := &Job{Spec: r.Job, Accepted: time.UnixMilli(r.AcceptedMS), Stamp: stamp, seen: now, Started: r.Started,
 		use:      b.useOf(r.Job.Team),
-		finished: model.NewTaskSet(r.Job.Tasks), stored: model.NewTaskSet(r.Job.Tasks), bound: map[int]*Task{}}
+		finished: model.NewTaskSet(r.Job.Tasks), stored: model.NewTaskSet(r.Job.Tasks), bound: map[int]*Task{},
+		per: b.opt.SplitTasks}
 	for _, set := range []*model.TaskSet{j.finished, j.stored} {
 		if err := set.Merge(0, r.Finished); err != nil {
 			return fmt.Errorf("record of job %s: %w", id, err)
 		}
 		for part, text := range parts {
-			if err := set.Merge(part*b.opt.PartTasks, text); err != nil {
+			if err := set.Merge(b.partFrom(part), text); err != nil {
 				return fmt.Errorf("record of job %s: %w", id, err)
 			}
 		}
 	}
+	j.hurry(b.urgencies[id])
 	j.dirty = j.finished.Len() == j.Spec.Tasks
+	if b.split {
+		b.splitMarks(j)
+	}
 	b.jobs[id] = j
 	b.arrived(j)
 	b.opt.Log.Debug("job", "job", id, "class", r.Job.Class, "team", r.Job.Team, "shape", r.Job.Shape, "priority", r.Job.Priority,
@@ -108,84 +114,6 @@
 	return n
 }
 
-// Save is a change of a job's records that is due.
-type Save struct {
-	ID     string
-	Stamp  uint64
-	Over   *Final         // the job is done: its record is replaced by this
-	Record *Record        // otherwise the record
-	Parts  map[int]string // and marks beyond the first part
-	marks  []int          // parts whose marks are stored by this
-	snap   *model.TaskSet
-}
-
-// Saves returns the records that are due, at most one at a time for each job
-// and not more often than every pause unless the job is done.
-func (b *Book) Saves(now time.Time, pause time.Duration, maxParts int) []*Save {
-	var out []*Save
-	for id, j := range b.jobs {
-		if !j.dirty || j.writing || j.Cancelled {
-			continue
-		}
-		over := j.finished.Len() == j.Spec.Tasks
-		if !over && now.Sub(j.wroteAt) < pause {
-			continue
-		}
-		j.writing, j.wroteAt, j.dirty = true, now, false
-		s := &Save{ID: id, Stamp: j.Stamp}
-		if over {
-			s.Over = &Final{Stage: model.Done, Tasks: j.Spec.Tasks, Count: j.Spec.Tasks}
-			out = append(out, s)
-			continue
-		}
-		per := b.opt.PartTasks
-		s.Parts = map[int]string{}
-		s.snap = model.NewTaskSet(j.Spec.Tasks)
-		for part := 0; part*per < j.Spec.Tasks; part++ {
-			from, to := part*per, min((part+1)*per, j.Spec.Tasks)
-			if part > 0 && !j.finished.Differs(j.stored, from, to) {
-				continue
-			}
-			if part > 0 && len(s.Parts) >= maxParts {
-				j.dirty = true // the rest goes with the next save
-				break
-			}
-			text := j.finished.Encode(from, to)
-			s.snap.Union(j.finished, from, to)
-			if part > 0 {
-				s.Parts[part] = text
-			} else {
-				s.Record = &Record{Job: j.Spec, AcceptedMS: j.Accepted.UnixMilli(), Started: j.Started,
-					Finished: text, Count: j.finished.Len(), Running: j.running()}
-			}
-			s.marks = append(s.marks, part)
-		}
-		out = append(out, s)
-	}
-	return out
-}
-
-// Saved takes in the outcome of a save. Only an answered success counts; a
-// failure is tried again with the job's then stamp.
-func (b *Book) Saved(s *Save, ok bool, stamp uint64) {
-	j := b.jobs[s.ID]
-	if j == nil {
-		return
-	}
-	j.writing = false
-	if !ok {
-		j.dirty = true
-		return
-	}
-	if s.Over != nil {
-		b.close(j)
-		return
-	}
-	j.Stamp = max(j.Stamp, stamp)
-	j.stored.Union(s.snap, 0, j.Spec.Tasks)
-	b.settleJob(s.ID)
-}
-
 // Over takes in that a job's final record is stored.
 func (b *Book) Over(id string) {
 	if j := b.jobs[id]; j != nil {
--- a/internal/placement/needs.go
+++ b/internal/placement/needs.go
@@ -36,7 +36,7 @@
 	}
 	aim := b.opt.Aims[j.Spec.Class]
 	by(aim.Finished * 8 / 10)
-	by(j.Spec.Deadline * 9 / 10)
+	by(j.within * 9 / 10)
 	if aim.Wait > 0 {
 		by(aim.Wait*8/10 + j.Spec.Estimate)
 	}
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -59,7 +59,7 @@
 	held := b.heldBack()
 	for _, j := range out {
 		j.order = turn{
-			rank:       j.Spec.Priority.Rank(),
+			rank:       j.rank,
 			guaranteed: rank(b.teams[j.Spec.Team].WithinGuarantee(j.use.size.Add(j.Spec.Size))),
 			due:        b.due(j, now, held[j.Spec.Team]),
 			patient:    b.patient(j, now),
@@ -90,7 +90,7 @@
 		return false
 	}
 	spare := b.opt.Unhurried
-	for _, within := range []time.Duration{s.Deadline, aim.Finished} {
+	for _, within := range []time.Duration{j.within, aim.Finished} {
 		if within > 0 {
 			spare = min(spare, within/2-s.Estimate)
 		}
@@ -127,7 +127,7 @@
 // its team's limit: while a limit holds a team back, short jobs go first
 // without long ones waiting for ever.
 func (b *Book) due(j *Job, now time.Time, held bool) time.Time {
-	within := j.Spec.Deadline
+	within := j.within
 	aim := b.opt.Aims[j.Spec.Class]
 	if held {
 		aim = model.Aim{}
@@ -261,7 +261,7 @@
 		switch {
 		case now.After(r.until) || (r.class == "" && (b.jobs[id] == nil || b.jobs[id].Unplaced() == 0)):
 			delete(m.reserved, id)
-		case id != j.Spec.ID && r.class != j.Spec.Class && r.rank >= j.Spec.Priority.Rank():
+		case id != j.Spec.ID && r.class != j.Spec.Class && r.rank >= j.rank:
 			kept = kept.Add(r.size)
 		}
 	}
--- /dev/null
+++ b/internal/placement/saves.go
@@ -0,0 +1,169 @@
+package placement
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/model"
+)
+
+// Save is a change of a job's records that is due.
+type Save struct {
+	ID     string
+	Stamp  uint64
+	Over   *Final            // the job is done: its record is replaced by this
+	Record *Record           // otherwise the record, if it is to be written
+	Parts  map[string]string // and marks beside it, by the names of their parts
+	snap   *model.TaskSet    // whose marks are stored by this
+}
+
+// splitMark begins the name of a part of split marks; the first task follows.
+// Names of other parts are their numbers.
+const splitMark = "t"
+
+// partFrom is the first task of a part; of a nonsense name it is beyond all tasks.
+func (b *Book) partFrom(name string) int {
+	from, per := name, b.opt.PartTasks
+	if rest, split := strings.CutPrefix(name, splitMark); split {
+		from, per = rest, 1
+	}
+	n, err := strconv.Atoi(from)
+	if err != nil || n < 0 || n > model.MaxTasks {
+		return model.MaxTasks
+	}
+	return n * per
+}
+
+// Split has marks written in split parts from now on, which fit the tightest
+// limits; the others are written while some controller can read nothing else.
+//
+// Guard: the state service's limits fall without notice. Records that were
+// stored before are larger than it takes then.
+func (b *Book) Split() {
+	if b.split {
+		return
+	}
+	b.split = true
+	for _, j := range b.jobs {
+		b.splitMarks(j)
+	}
+}
+
+// splitMarks counts as stored only what surely is in split parts. What is kept
+// elsewhere is written once more; nothing of it is dropped before.
+func (b *Book) splitMarks(j *Job) {
+	if j.Spec.Tasks <= j.per || j.Cancelled {
+		return
+	}
+	j.stored = model.NewTaskSet(j.Spec.Tasks)
+	j.dirty = j.dirty || j.finished.Len() > 0
+}
+
+// Saves returns the records that are due, at most one at a time for each job
+// and not more often than every pause unless the job is done. A transaction has
+// room for maxParts parts beside a record.
+func (b *Book) Saves(now time.Time, pause time.Duration, maxParts int) []*Save {
+	var out []*Save
+	for id, j := range b.jobs {
+		if !j.dirty || j.writing || j.Cancelled {
+			continue
+		}
+		over := j.finished.Len() == j.Spec.Tasks
+		if !over && now.Sub(j.wroteAt) < pause {
+			continue
+		}
+		j.writing, j.wroteAt, j.dirty = true, now, false
+		s := &Save{ID: id, Stamp: j.Stamp}
+		if over {
+			s.Over = &Final{Stage: model.Done, Tasks: j.Spec.Tasks, Count: j.Spec.Tasks}
+		} else {
+			b.fill(s, j, maxParts)
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// fill puts into a save what is due of a job: parts of its marks, then its record
+// with those of the first part.
+//
+// Guard: a record that was written larger shrinks here. It is written only after
+// all that it loses stands in parts; a leader lost in between left marks behind
+// in neither.
+func (b *Book) fill(s *Save, j *Job, maxParts int) {
+	per := b.opt.PartTasks
+	name := func(part int) string { return strconv.Itoa(part) }
+	if b.split {
+		per = j.per
+		name = func(part int) string { return splitMark + strconv.Itoa(part*per) }
+	}
+	s.Parts, s.snap = map[string]string{}, model.NewTaskSet(j.Spec.Tasks)
+	first := 1
+	if j.bulky {
+		first = 0
+	}
+	for part := first; part*per < j.Spec.Tasks; part++ {
+		from, to := part*per, min((part+1)*per, j.Spec.Tasks)
+		if !j.finished.Differs(j.stored, from, to) {
+			continue
+		}
+		if len(s.Parts) >= maxParts {
+			j.dirty = true // the rest goes with the next save
+			return
+		}
+		s.Parts[name(part)] = j.finished.Encode(from, to)
+		s.snap.Union(j.finished, from, to)
+	}
+	if j.bulky {
+		return
+	}
+	to := min(per, j.Spec.Tasks)
+	s.snap.Union(j.finished, 0, to)
+	s.Record = &Record{Job: j.Spec, AcceptedMS: j.Accepted.UnixMilli(), Started: j.Started,
+		Finished: j.finished.Encode(0, to), Count: j.finished.Len(), Running: j.running()}
+}
+
+// Saved takes in the outcome of a save. Only an answered success counts; a
+// failure is tried again with the job's then stamp.
+func (b *Book) Saved(s *Save, ok bool, stamp uint64) {
+	j := b.jobs[s.ID]
+	if j == nil {
+		return
+	}
+	j.writing = false
+	if !ok {
+		j.dirty = true
+		return
+	}
+	if s.Over != nil {
+		b.close(j)
+		return
+	}
+	if s.Record != nil {
+		j.Stamp = max(j.Stamp, stamp)
+	}
+	j.stored.Union(s.snap, 0, j.Spec.Tasks)
+	b.settleJob(s.ID)
+}
+
+// TooLarge takes in that the state service refused a save as too large. It comes
+// again in smaller parts, not as it was.
+func (b *Book) TooLarge(s *Save) {
+	j := b.jobs[s.ID]
+	if j == nil {
+		return
+	}
+	j.writing = false
+	if !b.split {
+		j.dirty = true
+		b.Split()
+		return
+	}
+	smaller := max(64, j.per/2/64*64)
+	if smaller == j.per && j.bulky {
+		b.opt.Log.Error("marks cannot be stored", "job", s.ID, "parts", len(s.Parts))
+		return
+	}
+	j.per, j.bulky, j.dirty = smaller, j.bulky || s.Record != nil, true
+}
--- /dev/null
+++ b/internal/placement/urgency.go
@@ -0,0 +1,30 @@
+package placement
+
+import "time"
+
+// Urgency is what the jobs that wait for a job ask of it.
+type Urgency struct {
+	Rank int       // at least this priority
+	Due  time.Time // zero: none
+}
+
+// Hasten replaces what waiting jobs ask of the open ones.
+func (b *Book) Hasten(urgencies map[string]Urgency) {
+	b.urgencies = urgencies
+	for id, j := range b.jobs {
+		j.hurry(urgencies[id])
+	}
+}
+
+// hurry works out a job's priority and time from its own and from what those
+// that wait for it ask.
+func (j *Job) hurry(u Urgency) {
+	j.rank, j.within = j.Spec.Priority.Rank(), j.Spec.Deadline
+	j.rank = max(j.rank, u.Rank)
+	if u.Due.IsZero() {
+		return
+	}
+	if within := max(u.Due.Sub(j.Accepted), time.Millisecond); j.within == 0 || within < j.within {
+		j.within = within
+	}
+}
--- a/internal/settings/platform.go
+++ b/internal/settings/platform.go
@@ -36,13 +36,18 @@
 	Lease       time.Duration
 	CancelWait  time.Duration
 
+	// What the state service takes, and will take from some moment on: the
+	// tighter of both, for that moment comes without notice.
 	StateRPS      float64
 	StateWriteRPS float64
 	ValueBytes    int
 	TxnOps        int
-	CloudRPS      float64
-	MemoryMB      float64
-	MaxConns      int
+	// WideValueBytes is what the state service takes at first. Versions that know
+	// nothing of later limits split large records by it.
+	WideValueBytes int
+	CloudRPS       float64
+	MemoryMB       float64
+	MaxConns       int
 }
 
 type wirePlatform struct {
@@ -78,10 +83,8 @@
 			CancelS float64 `json:"cancel_s"`
 		} `json:"workers"`
 		State struct {
-			RPS      float64 `json:"rps"`
-			WriteRPS float64 `json:"write_rps"`
-			ValueKB  float64 `json:"value_kb"`
-			TxnOps   int     `json:"txn_ops"`
+			stateLimits
+			Next *stateLimits `json:"next"`
 		} `json:"state"`
 		Cloud struct {
 			RPS float64 `json:"rps"`
@@ -93,6 +96,67 @@
 	} `json:"deployment"`
 }
 
+// stateLimits are what the state service takes.
+type stateLimits struct {
+	RPS      *float64 `json:"rps"`
+	WriteRPS *float64 `json:"write_rps"`
+	ValueKB  *float64 `json:"value_kb"`
+	TxnOps   *int     `json:"txn_ops"`
+}
+
+// leastTxnOps is the fewest changes that one transaction must take: a job that
+// becomes ready or is over moves from one key to another.
+const leastTxnOps = 2
+
+// leastValueBytes is the least size of a value that a job's record fits into.
+const leastValueBytes = 1024
+
+// limits takes the state service's limits in, now and next; a field that is
+// missing from those to come does not change.
+func (p *Platform) limits(now stateLimits, next *stateLimits) error {
+	for i, l := range []*stateLimits{&now, next} {
+		name := []string{"state", "state.next"}[i]
+		if l == nil {
+			continue
+		}
+		for _, f := range []struct {
+			name string
+			v    *float64
+			to   *float64
+		}{{"rps", l.RPS, &p.StateRPS}, {"write_rps", l.WriteRPS, &p.StateWriteRPS}} {
+			switch {
+			case f.v == nil && l == next:
+			case f.v == nil || *f.v <= 0:
+				return fmt.Errorf("deployment.%s.%s: missing or not positive", name, f.name)
+			case l == next:
+				*f.to = min(*f.to, *f.v)
+			default:
+				*f.to = *f.v
+			}
+		}
+		if l.ValueKB != nil || l != next {
+			if l.ValueKB == nil || *l.ValueKB*1024 < leastValueBytes || *l.ValueKB > 1<<20 {
+				return fmt.Errorf("deployment.%s.value_kb: missing or out of range", name)
+			}
+			bytes := int(*l.ValueKB * 1024)
+			if l != next {
+				p.ValueBytes, p.WideValueBytes = bytes, bytes
+			}
+			p.ValueBytes = min(p.ValueBytes, bytes)
+		}
+		if l.TxnOps != nil || l != next {
+			if l.TxnOps == nil || *l.TxnOps < leastTxnOps {
+				return fmt.Errorf("deployment.%s.txn_ops: missing or less than %d", name, leastTxnOps)
+			}
+			if l != next {
+				p.TxnOps = *l.TxnOps
+			}
+			p.TxnOps = min(p.TxnOps, *l.TxnOps)
+		}
+	}
+	return nil
+}
+
 // LoadPlatform reads and checks the platform's file.
 func LoadPlatform(path string) (*Platform, error) {
 	b, err := os.ReadFile(path)
@@ -122,10 +186,8 @@
 		CloudAddr: w.Services.Cloud, StateAddr: w.Services.State, Teams: map[string]model.Team{}, Aims: map[string]model.Aim{},
 		ReportEvery: model.Seconds(w.Params.Workers.ReportS), Lease: model.Seconds(w.Params.Workers.LeaseS),
 		CancelWait: model.Seconds(w.Params.Workers.CancelS),
-		StateRPS:   w.Params.State.RPS, StateWriteRPS: w.Params.State.WriteRPS,
-		ValueBytes: int(w.Params.State.ValueKB * 1024), TxnOps: w.Params.State.TxnOps,
-		CloudRPS: w.Params.Cloud.RPS,
-		MemoryMB: w.Params.Limits.MemoryMB, MaxConns: w.Params.Limits.Sockets,
+		CloudRPS:   w.Params.Cloud.RPS,
+		MemoryMB:   w.Params.Limits.MemoryMB, MaxConns: w.Params.Limits.Sockets,
 	}
 	for _, f := range []struct{ name, v string }{{"member", p.Member}, {"location", p.Zone}} {
 		if f.v == "" {
@@ -177,14 +239,16 @@
 		v    float64
 	}{
 		{"workers.report_s", p.ReportEvery.Seconds()}, {"workers.lease_s", p.Lease.Seconds()},
-		{"workers.cancel_s", p.CancelWait.Seconds()}, {"state.rps", p.StateRPS}, {"state.write_rps", p.StateWriteRPS},
-		{"state.value_kb", float64(p.ValueBytes)}, {"state.txn_ops", float64(p.TxnOps)}, {"cloud.rps", p.CloudRPS},
+		{"workers.cancel_s", p.CancelWait.Seconds()}, {"cloud.rps", p.CloudRPS},
 		{"quota.mem_mb", p.MemoryMB}, {"quota.sockets", float64(p.MaxConns)},
 	} {
 		if f.v <= 0 {
 			return nil, fmt.Errorf("deployment.%s: missing or not positive", f.name)
 		}
 	}
+	if err := p.limits(w.Params.State.stateLimits, w.Params.State.Next); err != nil {
+		return nil, err
+	}
 	return p, nil
 }
 
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -4,12 +4,14 @@
 package store
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -25,6 +27,7 @@
 	ErrUnknown   = errors.New("store: no answer, may be executed") // read before believing
 	ErrCompacted = errors.New("store: revision too old")
 	ErrNoHold    = errors.New("store: no such hold")
+	ErrTooLarge  = errors.New("store: above the limits on values or transactions") // of no use to send again
 )
 
 // errTooMany is why a request above the service's limits was refused.
@@ -289,7 +292,12 @@
 		}
 		return out, nil
 	case 400:
-		return Outcome{}, fmt.Errorf("%w: 400: %.200s", ErrRefused, resp.Body)
+		for _, w := range t.Writes {
+			if w.Hold != 0 { // its hold may be over
+				return Outcome{}, fmt.Errorf("%w: 400: %.200s", ErrRefused, resp.Body)
+			}
+		}
+		return Outcome{}, fmt.Errorf("%w: %w: 400: %.200s", ErrRefused, ErrTooLarge, resp.Body)
 	}
 	return Outcome{}, fmt.Errorf("%w: status %d", ErrUnknown, resp.Status)
 }
@@ -340,5 +348,10 @@
 	if err := decode(resp, &out); err != nil {
 		return nil, 0, err
 	}
+	// A transaction that moves a record is told of as a loss and a gain: the loss
+	// comes first, and changes come in the order in which they were made.
+	slices.SortStableFunc(out.Events, func(x, y Event) int {
+		return cmp.Or(cmp.Compare(x.Stamp, y.Stamp), cmp.Compare(y.Delete, x.Delete))
+	})
 	return out.Events, max(after, out.Revision), nil
 }
--- a/internal/workers/rounds.go
+++ b/internal/workers/rounds.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/peers"
 	"github.com/marlwood/marlwood/internal/peers/peerspb"
 )
 
@@ -11,7 +12,7 @@
 // samples. A message with a lower token than the highest seen is answered
 // but has no effect.
 func (d *Desk) Round(now time.Time, r *peerspb.RoundRequest) *peerspb.RoundResponse {
-	out := &peerspb.RoundResponse{Boot: d.boot, ClockNs: int64(now.Sub(d.start))}
+	out := &peerspb.RoundResponse{Boot: d.boot, ClockNs: int64(now.Sub(d.start)), Records: peers.Records}
 	if r.Token < d.token {
 		out.Token = d.token
 		return out
