--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -18,12 +18,13 @@
 // fakeStore keeps keys in memory and can fail in the ways the state service
 // does.
 type fakeStore struct {
-	keys    map[string]store.Item
-	rev     uint64
-	refuse  bool   // 503: nothing is executed
-	lost    int    // this many transactions are executed but not answered
-	missed  int    // this many are neither executed nor answered
-	between func() // runs once before the next transaction
+	keys     map[string]store.Item
+	rev      uint64
+	refuse   bool   // 503: nothing is executed
+	lost     int    // this many transactions are executed but not answered
+	missed   int    // this many are neither executed nor answered
+	between  func() // runs once before the next transaction
+	tooLarge bool   // 400: above the limits
 
 	mu        sync.Mutex
 	log       []store.Event
@@ -103,6 +104,9 @@
 	if f.refuse {
 		return store.Outcome{}, store.ErrRefused
 	}
+	if f.tooLarge {
+		return store.Outcome{}, fmt.Errorf("%w: %w", store.ErrRefused, store.ErrTooLarge)
+	}
 	if f.missed > 0 {
 		f.missed--
 		return store.Outcome{}, store.ErrUnknown
@@ -128,7 +132,7 @@
 func setup(t *testing.T) (*Intake, *fakeStore) {
 	s := &fakeStore{keys: map[string]store.Item{}}
 	in, err := New(Options{
-		Teams:      map[string]model.Team{"t": {Name: "t", Limit: model.Size{CPUs: 8}}, "free": {Name: "free"}},
+		Teams:       map[string]model.Team{"t": {Name: "t", Limit: model.Size{CPUs: 8}}, "free": {Name: "free"}},
 		RecordBytes: 3072, ValueBytes: 4032, FinalCache: 4, AskWait: time.Second,
 		Types: func() map[string]model.MachineType { return types },
 		View:  func(string) (placement.View, bool) { return placement.View{}, false },
--- /dev/null
+++ b/internal/pipelines/graph_test.go
@@ -0,0 +1,208 @@
+package pipelines
+
+import (
+	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/placement"
+)
+
+var t0 = time.Unix(1000, 0)
+
+func at(s float64) time.Time { return t0.Add(time.Duration(s * float64(time.Second))) }
+
+func newGraph() *Graph { return New(slog.New(slog.DiscardHandler)) }
+
+// put adds a job that waits; change may set what else its description says.
+func (g *Graph) put(id, needs string, change func(j *model.Job)) {
+	j := &model.Job{ID: id, Class: "c", Shape: model.Array, Priority: model.Low, Tasks: 3, Estimate: 10 * time.Second,
+		Needs: strings.Fields(needs)}
+	if change != nil {
+		change(j)
+	}
+	g.Put(placement.Record{Job: j, AcceptedMS: t0.UnixMilli()}, 7)
+}
+
+// steps plays the leader's edge: it carries out what is due until nothing is, by
+// what the state service holds of jobs that are over, and tells what was done.
+func (g *Graph) steps(open map[string]bool, over map[string]model.Stage) string {
+	var did []string
+	for s := 1.0; s < 100; s++ {
+		g.Check(func(id string) bool { return open[id] })
+		actions := g.Actions(at(s))
+		if len(actions) == 0 {
+			return strings.Join(did, " ")
+		}
+		for _, a := range actions {
+			switch a.Op {
+			case Look:
+				stage, ok := over[a.ID]
+				g.Seen(a.ID, ok, stage, at(s))
+				if ok {
+					did = append(did, "look:"+a.ID)
+				}
+			case Release:
+				did = append(did, "release:"+a.ID)
+				open[a.ID] = true
+				g.Wrote(a, true, 0, at(s))
+			case Cancel:
+				did = append(did, "cancel:"+a.ID)
+				over[a.ID] = model.Cancelled
+				g.Wrote(a, true, 0, at(s))
+			}
+		}
+	}
+	return strings.Join(did, " ") + " and so on"
+}
+
+func TestGraph(t *testing.T) {
+	type stages = map[string]model.Stage
+	for _, c := range []struct {
+		name string
+		jobs [][2]string // waiting jobs and what they need
+		open string
+		over stages // what the state service holds
+		do   func(g *Graph)
+		want string
+	}{
+		{"one that waits", [][2]string{{"b", "a"}}, "a", stages{}, nil, ""},
+		{"released when all is done", [][2]string{{"c", "a b"}}, "b", stages{},
+			func(g *Graph) { g.Ended("a", model.Done); g.Ended("b", model.Done) }, "release:c"},
+		{"not when some is done", [][2]string{{"c", "a b"}}, "b", stages{}, func(g *Graph) { g.Ended("a", model.Done) }, ""},
+		{"a need that ended between check and store", [][2]string{{"b", "a"}}, "", stages{"a": model.Done}, nil, "look:a release:b"},
+		{"cancelled between check and store", [][2]string{{"b", "a"}}, "", stages{"a": model.Cancelled}, nil, "look:a cancel:b"},
+		{"its record was lost from sight, but it is not over", [][2]string{{"b", "a"}}, "", stages{}, nil, " and so on"},
+		{"a diamond goes on once", [][2]string{{"b", "a"}, {"c", "a"}, {"d", "b c"}}, "a", stages{},
+			func(g *Graph) { g.Ended("a", model.Done) }, "release:b release:c"},
+		{"a diamond is cancelled as a whole", [][2]string{{"b", "a"}, {"c", "a"}, {"d", "b c"}}, "a", stages{},
+			func(g *Graph) { g.Ended("a", model.Cancelled) }, "cancel:b cancel:c cancel:d"},
+		{"one path of a diamond is cancelled", [][2]string{{"c", "a"}, {"d", "b c"}}, "a b", stages{},
+			func(g *Graph) { g.Ended("b", model.Cancelled) }, "cancel:d"},
+		{"cancelled and done at once: what is stored counts", [][2]string{{"b", "a"}}, "", stages{"a": model.Done},
+			func(g *Graph) { g.Ended("a", model.Running) }, "look:a release:b"},
+		{"a waiting job is cancelled by its user", [][2]string{{"b", "a"}, {"c", "b"}}, "a", stages{"b": model.Cancelled},
+			func(g *Graph) { g.Gone("b") }, "look:b cancel:c"},
+		{"a spread that a lost leader left half done", [][2]string{{"b", "a"}, {"d", "c"}}, "",
+			stages{"a": model.Cancelled, "c": model.Cancelled}, nil, "look:a look:c cancel:b cancel:d"},
+		{"half a pipeline was released by a lost leader", [][2]string{{"d", "b c"}}, "c", stages{"b": model.Done}, nil, "look:b"},
+		{"needs twenty", [][2]string{{"z", "a b c d e f g h i j k l m n o p q r s t"}}, "t", stages{},
+			func(g *Graph) {
+				for n := 'a'; n <= 't'; n++ {
+					g.Ended(string(n), model.Done)
+				}
+			}, "release:z"},
+		{"named again under a later stamp", [][2]string{{"b", "a"}, {"b", "a"}}, "", stages{"a": model.Done}, nil, "look:a release:b"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newGraph()
+			for _, j := range c.jobs {
+				g.put(j[0], j[1], nil)
+			}
+			if c.do != nil {
+				c.do(g)
+			}
+			open := map[string]bool{}
+			for _, id := range strings.Fields(c.open) {
+				open[id] = true
+			}
+			if got := g.steps(open, maps.Clone(c.over)); got != c.want && !(c.want == " and so on" && got == "") {
+				t.Errorf("did %q, want %q", got, c.want)
+			}
+			if left := slices.Collect(maps.Keys(g.needs)); g.Len() == 0 && len(left) > 0 {
+				t.Errorf("nothing waits, but %v are kept", left)
+			}
+		})
+	}
+}
+
+// A write that failed comes again with the record's then stamp, after a pause, and
+// few are under way at once.
+func TestPace(t *testing.T) {
+	g := newGraph()
+	for i := range 50 {
+		g.put(fmt.Sprintf("b%02d", i), "a", nil)
+	}
+	g.Ended("a", model.Cancelled)
+	first := g.Actions(at(1))
+	if len(first) != maxUnderWay || len(g.Actions(at(1))) != 0 {
+		t.Fatalf("%d actions at once", len(first))
+	}
+	g.Wrote(first[0], false, 9, at(1))
+	if again := g.Actions(at(1.1)); len(again) != 1 || again[0].ID == first[0].ID {
+		t.Errorf("at once after a failure: %+v", again)
+	}
+	for _, a := range first[1:] {
+		g.Wrote(a, true, 0, at(2))
+	}
+	if next := g.Actions(at(3)); next[0].ID != first[0].ID || next[0].Stamp != 9 {
+		t.Errorf("after the pause: %+v", next[0])
+	}
+}
+
+// A released job's record is an ordinary one of that moment; what is left of its
+// due time counts from the submission.
+func TestReleased(t *testing.T) {
+	for _, c := range []struct{ deadline, after, want float64 }{{90, 60, 30}, {0, 60, 0}, {90, 100, 0.001}} {
+		g := newGraph()
+		g.put("b", "a", func(j *model.Job) { j.Deadline = model.Seconds(c.deadline) })
+		g.Ended("a", model.Done)
+		r := g.Actions(at(c.after))[0].Record
+		if r.Job.Needs != nil || r.Job.Deadline != model.Seconds(c.want) || r.AcceptedMS != at(c.after).UnixMilli() {
+			t.Errorf("due after %v, released after %v: %+v", c.deadline, c.after, r)
+		}
+	}
+}
+
+// What the last job asks reaches all before it, and leaves them when it goes.
+func TestUrgency(t *testing.T) {
+	last := func(j *model.Job) { j.Class, j.Priority, j.Deadline = "last", model.High, 100*time.Second }
+	due := func(g *Graph, id string) string {
+		g.changed = true
+		u, _ := g.Urgencies()
+		if u[id].Due.IsZero() {
+			return fmt.Sprintf("%d", u[id].Rank)
+		}
+		return fmt.Sprintf("%d %v", u[id].Rank, u[id].Due.Sub(t0))
+	}
+	g := newGraph()
+	g.put("b", "a", nil)
+	if got := due(g, "a"); got != "0" {
+		t.Errorf("before the last is known: %s", got)
+	}
+	g.put("c", "b", nil)
+	g.put("d", "c x", last)
+	if got := due(g, "a"); got != "2 1m10s" {
+		t.Errorf("three stages before the end: %s", got)
+	}
+	if got := due(g, "x"); got != "2 1m30s" {
+		t.Errorf("one stage before the end: %s", got)
+	}
+	if u, _ := g.Urgencies(); u != nil {
+		t.Error("nothing changed, but there are new ones")
+	}
+	// Jobs take longer than estimated: those before them must hurry.
+	g.Observe("last", 10*time.Second, 16*time.Second)
+	if got := due(g, "x"); got != "2 1m24s" {
+		t.Errorf("after a late job: %s", got)
+	}
+	g.Observe("last", 10*time.Second, 8*time.Second)
+	if got := due(g, "x"); got != "2 1m25.2s" {
+		t.Errorf("after a late and a quick one: %s", got)
+	}
+	// A second pipeline through the same job asks for more.
+	g.put("e", "x", func(j *model.Job) { j.Priority, j.Deadline = model.Production, 30*time.Second })
+	if got := due(g, "x"); got != "3 20s" {
+		t.Errorf("with a more urgent one: %s", got)
+	}
+	g.Gone("e")
+	g.Gone("d")
+	if got := due(g, "a"); got != "0" {
+		t.Errorf("after the last went: %s", got)
+	}
+}
--- /dev/null
+++ b/internal/placement/saves_test.go
@@ -0,0 +1,236 @@
+package placement
+
+import (
+	"encoding/json"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/model"
+)
+
+// What the version before split marks wrote, and a job's final record as it wrote
+// it. Made by that version's own book: an array of 40,000 tasks, values of 8 KiB,
+// 15,000 tasks drawn and marked.
+type production struct {
+	Record json.RawMessage   `json:"record"`
+	Parts  map[string]string `json:"parts"`
+	Final  json.RawMessage   `json:"final"`
+}
+
+func loadProduction(t *testing.T) (p production) {
+	b, err := os.ReadFile("testdata/production.json")
+	if err == nil {
+		err = json.Unmarshal(b, &p)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// limited is a store of one job's records with limits: it takes saves as the state
+// service does.
+type limited struct {
+	value, ops int
+	record     json.RawMessage
+	parts      map[string]string
+	stamp      uint64
+	written    int
+	now        float64
+}
+
+func (l *limited) take(t *testing.T, s *Save) bool {
+	ops := len(s.Parts)
+	size := 0
+	var record json.RawMessage
+	if s.Record != nil {
+		var err error
+		if record, err = json.Marshal(s.Record); err != nil {
+			t.Fatal(err)
+		}
+		ops, size = ops+1, len(record)
+	}
+	for _, text := range s.Parts {
+		size = max(size, len(text)+2)
+	}
+	if size > l.value || ops > l.ops {
+		return false
+	}
+	for name, text := range s.Parts {
+		l.parts[name] = text
+	}
+	if l.stamp++; record != nil {
+		l.record = record
+	}
+	l.written++
+	return true
+}
+
+// save plays saves until nothing is due, and returns how many were refused. After
+// each the marks must come back as they were, whenever the leader is lost.
+func (l *limited) save(t *testing.T, b bench, maxParts int, least int) (refused int) {
+	for range 100 {
+		l.now += 2
+		saves := b.Saves(at(l.now), time.Second, maxParts)
+		if len(saves) == 0 {
+			return refused
+		}
+		for _, v := range saves {
+			if l.take(t, v) {
+				b.Saved(v, true, l.stamp)
+			} else {
+				refused++
+				b.TooLarge(v)
+			}
+		}
+		if got := l.load(t, b.opt).Finished(); got < least {
+			t.Fatalf("%d marks came back, %d were stored before", got, least)
+		}
+	}
+	t.Fatal("saves never end")
+	return 0
+}
+
+// load reads the job back into a new book.
+func (l *limited) load(t *testing.T, opt Options) *Job {
+	again := newBench(t)
+	again.opt.PartTasks, again.opt.SplitTasks = opt.PartTasks, opt.SplitTasks
+	if err := again.PutJob(at(0), "req-000412", l.record, 30, l.parts); err != nil {
+		t.Fatal(err)
+	}
+	return again.jobs["req-000412"]
+}
+
+// A record that the version in production wrote is read, and shrinks at its next
+// write to what the fallen limits take, without a moment at which marks are lost.
+func TestProductionRecord(t *testing.T) {
+	p := loadProduction(t)
+	b := newBench(t)
+	b.opt.PartTasks, b.opt.SplitTasks = model.PartTasks(8192-2048), model.PartTasks(1024-128)
+	l := &limited{value: 2048, ops: 5, record: p.Record, parts: p.Parts, stamp: 30, now: 5}
+	if err := b.PutJob(at(0), "req-000412", p.Record, 30, p.Parts); err != nil {
+		t.Fatal(err)
+	}
+	j := b.jobs["req-000412"]
+	if j.Finished() != 15000 || !j.Started || j.Spec.Deadline != 90*time.Second {
+		t.Fatalf("read %d marks, %+v", j.Finished(), j.Spec)
+	}
+	// While some controller reads nothing else, the form is the old one.
+	b.finish(j, j.pick(1)[0])
+	old := b.Saves(at(5), time.Second, 4)[0]
+	if _, ok := old.Parts["t0"]; ok || old.Record == nil || len(old.Record.Finished) < 2048 {
+		t.Errorf("old form: %d parts", len(old.Parts))
+	}
+	b.TooLarge(old)
+	refused := l.save(t, b, 4, 15000)
+	if refused > 0 || len(l.record) > 2048 {
+		t.Errorf("%d saves refused, a record of %d bytes", refused, len(l.record))
+	}
+	if got := l.load(t, b.opt).Finished(); got != 15001 {
+		t.Errorf("%d marks at the end", got)
+	}
+	before := l.written
+	b.finish(j, j.pick(1)[0])
+	l.save(t, b, 4, 15001)
+	if l.written != before+1 {
+		t.Errorf("one mark more took %d saves", l.written-before)
+	}
+}
+
+// A description that leaves no room for marks, and limits below what the settings
+// say: marks go in ever smaller parts, and what cannot be stored is not repeated.
+func TestTooLarge(t *testing.T) {
+	b := newBench(t)
+	b.opt.PartTasks, b.opt.SplitTasks = 40000, model.PartTasks(896)
+	b.job("req-000412", func(j *model.Job) { j.Tasks, j.Image = 5000, strings.Repeat("i", 1900) })
+	b.Split()
+	l := &limited{value: 300, ops: 5, parts: map[string]string{}}
+	l.record, _ = json.Marshal(Record{Job: b.jobs["req-000412"].Spec})
+	for i := 0; i < 5000; i += 3 {
+		b.finish(b.jobs["req-000412"], i)
+	}
+	if refused := l.save(t, b, 4, 0); refused == 0 || refused > 10 {
+		t.Errorf("%d saves refused", refused)
+	}
+	if got := l.load(t, b.opt).Finished(); got != 1667 {
+		t.Errorf("%d marks", got)
+	}
+	l.value = 0
+	b.finish(b.jobs["req-000412"], 1)
+	if refused := l.save(t, b, 4, 1667); refused > 10 {
+		t.Errorf("%d saves refused by a store that takes nothing", refused)
+	}
+}
+
+// A released job's record has nothing that the version in production does not know,
+// so a leader of that version runs it like any other.
+func TestRecordForm(t *testing.T) {
+	keys := func(v json.RawMessage) (out []string) {
+		var m map[string]json.RawMessage
+		if err := json.Unmarshal(v, &m); err != nil {
+			t.Fatal(err)
+		}
+		for k, inner := range m {
+			out = append(out, k)
+			if k == "job" {
+				var spec map[string]json.RawMessage
+				if err := json.Unmarshal(inner, &spec); err != nil {
+					t.Fatal(err)
+				}
+				for name := range spec {
+					out = append(out, "job."+name)
+				}
+			}
+		}
+		slices.Sort(out)
+		return out
+	}
+	p := loadProduction(t)
+	known := keys(p.Record)
+	v, err := json.Marshal(Record{Job: &model.Job{ID: "req-1", Zone: "a", Types: []string{"big"}, Deadline: time.Second}, AcceptedMS: 1,
+		Started: true, Finished: "b", Count: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, k := range keys(v) {
+		if !slices.Contains(known, k) && k != "job.yard" {
+			t.Errorf("%s is new", k)
+		}
+	}
+	final, err := json.Marshal(Final{Stage: model.Cancelled, Tasks: 3})
+	if err != nil || !slices.Equal(keys(final), keys(p.Final)) {
+		t.Errorf("a final record of %v", keys(final))
+	}
+}
+
+// A job takes its place in the queue by what waits for it, until that is gone.
+func TestHasten(t *testing.T) {
+	b := newBench(t)
+	b.job("plain", nil)
+	b.Hasten(map[string]Urgency{"early": {Rank: model.High.Rank(), Due: at(50)}, "plain": {Rank: model.Low.Rank()}})
+	b.job("early", func(j *model.Job) { j.Priority = model.Low })
+	b.job("dated", func(j *model.Job) { j.Deadline = time.Minute })
+	order := func() string {
+		var got []string
+		for _, j := range b.queue(at(1)) {
+			got = append(got, j.Spec.ID)
+		}
+		return strings.Join(got, " ")
+	}
+	if got := order(); got != "early dated plain" {
+		t.Errorf("hastened: %s", got)
+	}
+	if j := b.jobs["early"]; j.within != 50*time.Second {
+		t.Errorf("due within %v", j.within)
+	}
+	if j := b.jobs["plain"]; j.rank != model.Normal.Rank() {
+		t.Error("a job was made less urgent than it is")
+	}
+	b.Hasten(nil)
+	if got := order(); got != "dated plain early" {
+		t.Errorf("afterwards: %s", got)
+	}
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -41,6 +41,38 @@
 	}
 }
 
+// Limits that are to come count from the start, where they are tighter.
+func TestLimitsToCome(t *testing.T) {
+	for _, c := range []struct {
+		next             string
+		rps, writes      float64
+		value, wide, ops int
+		err              string
+	}{
+		{`null`, 250, 60, 16384, 16384, 16, ""},
+		{`{}`, 250, 60, 16384, 16384, 16, ""},
+		{`{"write_rps":42,"value_kb":2,"txn_ops":5,"other":1}`, 250, 42, 2048, 16384, 5, ""},
+		{`{"rps":100,"write_rps":80,"value_kb":32,"txn_ops":32}`, 100, 60, 16384, 16384, 16, ""},
+		{`{"write_rps":0}`, 0, 0, 0, 0, 0, "deployment.state.next.write_rps"},
+		{`{"value_kb":0.5}`, 0, 0, 0, 0, 0, "deployment.state.next.value_kb"},
+		{`{"txn_ops":1}`, 0, 0, 0, 0, 0, "deployment.state.next.txn_ops"},
+		{`{"txn_ops":"x"}`, 0, 0, 0, 0, 0, "txn_ops"},
+		{`7`, 0, 0, 0, 0, 0, "next"},
+	} {
+		p, err := ParsePlatform([]byte(strings.Replace(platform, `"txn_ops":16`, `"txn_ops":16,"next":`+c.next, 1)))
+		if c.err != "" {
+			if err == nil || !strings.Contains(err.Error(), c.err) {
+				t.Errorf("%s: %v", c.next, err)
+			}
+			continue
+		}
+		if err != nil || p.StateRPS != c.rps || p.StateWriteRPS != c.writes || p.ValueBytes != c.value ||
+			p.WideValueBytes != c.wide || p.TxnOps != c.ops {
+			t.Errorf("%s: %+v, %v", c.next, p, err)
+		}
+	}
+}
+
 // The parts of cancel_s never add up to more than it: a cancelled job's tasks
 // must be gone even if the leader can no longer hear of the cancellation.
 func TestTerms(t *testing.T) {
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -43,6 +43,8 @@
 	holds   map[uint64]*hold
 	lastID  uint64
 	refuse  bool
+	value   int // most bytes of a value; 0: any
+	ops     int // most changes of a transaction; 0: any
 	changed chan struct{}
 }
 
@@ -80,6 +82,21 @@
 	}
 }
 
+// Limit bounds values and transactions from now on.
+func (s *State) Limit(value, ops int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.value, s.ops = value, ops
+}
+
+// Has tells whether a key is stored.
+func (s *State) Has(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.keys[key]
+	return ok
+}
+
 func reply(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -168,6 +185,14 @@
 			return
 		}
 	}
+	tooLarge := s.ops > 0 && (len(t.Writes) > s.ops || len(t.Guards) > 4*s.ops)
+	for _, c := range t.Writes {
+		tooLarge = tooLarge || (s.value > 0 && len(c.Value) > s.value)
+	}
+	if tooLarge {
+		reply(w, 400, map[string]string{"error": "above the limits"})
+		return
+	}
 	var failed []string
 	for _, g := range t.Guards {
 		if s.keys[g.K].stamp != g.Stamp {
--- a/internal/store/client_test.go
+++ b/internal/store/client_test.go
@@ -36,6 +36,7 @@
 		{"outage", 503, `{}`, do, ErrRefused},
 		{"over budget", 429, `{}`, do, ErrRefused},
 		{"malformed or hold gone", 400, `{"error":"no such lease"}`, do, ErrRefused},
+		{"above the limits", 400, `{"error":"value too large"}`, do, ErrTooLarge},
 		{"no answer", 0, ``, do, ErrUnknown},
 		{"nonsense", 200, `hello`, do, ErrUnknown},
 		{"odd status", 500, `{}`, do, ErrUnknown},
