--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -49,7 +49,7 @@
 		return
 	}
 	for _, j := range b.queue(now) {
-		if (j.rank <= 0 && j.order.guaranteed != 0) || j.Suspect() || j.empty <= b.opt.ScanAfter ||
+		if (j.power(now) <= 0 && j.order.guaranteed != 0) || j.Suspect() || j.empty <= b.opt.ScanAfter ||
 			now.Sub(j.waiting) < b.opt.PreemptWait || now.Sub(j.cleared) < clearAgain {
 			continue
 		}
@@ -59,7 +59,7 @@
 		}
 		if j.Spec.Shape != model.Gang {
 			n = min(n, b.opt.TasksPerRound)
-			if j.rank <= 0 {
+			if j.power(now) <= 0 {
 				n = min(n, b.guaranteedRoom(j))
 			}
 		}
@@ -90,7 +90,7 @@
 		if p.machine.reserved == nil {
 			p.machine.reserved = map[string]reservation{}
 		}
-		p.machine.reserved[j.Spec.ID] = reservation{size: j.Spec.Size.Times(p.tasks), rank: j.rank,
+		p.machine.reserved[j.Spec.ID] = reservation{size: j.Spec.Size.Times(p.tasks), rank: j.power(now),
 			until: now.Add(15 * time.Second)}
 	}
 	for _, t := range c.victims {
@@ -102,7 +102,7 @@
 // room, some of which must be made: a place where its image is missing stands
 // idle for as long as the fetch takes. The room is made then.
 func (b *Book) betterCleared(now time.Time, j *Job, found []*Task) bool {
-	if j.rank <= 0 || j.Suspect() || now.Sub(j.cleared) < clearAgain {
+	if j.power(now) <= 0 || j.Suspect() || now.Sub(j.cleared) < clearAgain {
 		return false
 	}
 	var fetches time.Duration
@@ -198,7 +198,7 @@
 		for _, t := range m.tasks {
 			if t.stopping {
 				c.room = c.room.Add(t.job.Spec.Size)
-			} else if t.state != model.TaskOrdered && (t.job.rank < j.rank || b.borrowed(j, t)) {
+			} else if t.state != model.TaskOrdered && (t.job.rank < j.power(now) || b.borrowed(j, t)) {
 				c.victims = append(c.victims, t)
 			}
 		}
--- a/internal/placement/saves_test.go
+++ b/internal/placement/saves_test.go
@@ -234,3 +234,25 @@
 		t.Errorf("afterwards: %s", got)
 	}
 }
+
+// A job stops others by the priority of those that wait for it only once its time is
+// running out. Before that, most of what was stopped for it was lost for nothing.
+func TestPower(t *testing.T) {
+	b := newBench(t)
+	b.job("early", func(j *model.Job) { j.Priority, j.Estimate = model.Low, 20*time.Second })
+	b.job("own", func(j *model.Job) { j.Priority = model.High })
+	b.Hasten(map[string]Urgency{"early": {Rank: model.High.Rank(), Due: at(50)}})
+	for _, c := range []struct {
+		id   string
+		now  float64
+		want model.Priority
+	}{{"early", 10, model.Low}, {"early", 25, model.High}, {"early", 60, model.High}, {"own", 1, model.High}} {
+		if got := b.jobs[c.id].power(at(c.now)); got != c.want.Rank() {
+			t.Errorf("%s at %v: %d", c.id, c.now, got)
+		}
+	}
+	b.Hasten(map[string]Urgency{"early": {Rank: model.High.Rank()}})
+	if b.jobs["early"].power(at(99)) != model.Low.Rank() {
+		t.Error("nothing is asked of it, but it stops others")
+	}
+}
--- a/internal/placement/urgency.go
+++ b/internal/placement/urgency.go
@@ -28,3 +28,13 @@
 		j.within = within
 	}
 }
+
+// power is the priority with which a job stops tasks: that of a job that waits for
+// it only once its time is running out. Most are in time without, and what is
+// stopped for them is mostly lost.
+func (j *Job) power(now time.Time) int {
+	if j.within > 0 && now.Add(j.Spec.Estimate*3/2).After(j.Accepted.Add(j.within)) {
+		return j.rank
+	}
+	return j.Spec.Priority.Rank()
+}
