--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -59,7 +59,7 @@
 	held := b.heldBack()
 	for _, j := range out {
 		j.order = turn{
-			rank:       j.rank,
+			rank:       j.turnRank(),
 			guaranteed: rank(b.teams[j.Spec.Team].WithinGuarantee(j.use.size.Add(j.Spec.Size))),
 			due:        b.due(j, now, held[j.Spec.Team]),
 			patient:    b.patient(j, now),
--- a/internal/placement/urgency.go
+++ b/internal/placement/urgency.go
@@ -38,3 +38,13 @@
 	}
 	return j.Spec.Priority.Rank()
 }
+
+// turnRank is a job's priority in the queue: with that of a job which waits for it,
+// it goes behind those that have it by themselves, whose time does not depend on
+// others, and before all of lower priority.
+func (j *Job) turnRank() int {
+	if own := j.Spec.Priority.Rank(); own >= j.rank {
+		return 2 * own
+	}
+	return 2*j.rank - 1
+}
