Host records of expired machines are removed at once

The removal guards the record's stamp, and a machine that is back gets a fresh record before its next start.

--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -58,7 +58,7 @@
 		if err := json.Unmarshal(it.Value, &h); err != nil {
 			t.n.log.Error("host record", "key", it.Key, "err", err)
 		}
-		t.book.AddHost(strings.TrimPrefix(it.Key, placement.HostPrefix), h.Addr, h.Kind, h.Spot, now)
+		t.book.AddHost(strings.TrimPrefix(it.Key, placement.HostPrefix), h.Addr, h.Kind, h.Spot, it.Stamp, now)
 	}
 	for _, it := range charters {
 		var c fleet.Charter
@@ -282,6 +282,7 @@
 		txn.Writes = append(txn.Writes, store.Del(placement.HostPrefix+name))
 	}
 	if len(txn.Writes) == 0 {
+		t.dropExpired()
 		return
 	}
 	t.hosting = true
@@ -303,9 +304,36 @@
 			t.batch = min(t.n.cfg.TxnOps, t.batch+1)
 			t.dropHosts = t.dropHosts[dropped:]
 			for _, name := range names {
-				t.book.HostStored(name)
+				t.book.HostStored(name, out.Revision)
 			}
 			t.beatSoon()
 		})
 	}()
 }
+
+// dropExpired removes the host records of expired machines. What fails is left to
+// the next leader, which waits for these machines.
+func (t *term) dropExpired() {
+	hosts := t.book.ExpiredHosts(t.batch)
+	if len(hosts) == 0 {
+		return
+	}
+	txn := t.txn()
+	for name, stamp := range hosts {
+		txn.Guards = append(txn.Guards, store.Guard{Key: placement.HostPrefix + name, Stamp: stamp})
+		txn.Writes = append(txn.Writes, store.Del(placement.HostPrefix+name))
+	}
+	t.hosting = true
+	go func() {
+		out, err := t.do(txn)
+		t.n.post(func() {
+			t.hosting = false
+			if err != nil || !out.OK() || t.ctx.Err() != nil {
+				return
+			}
+			for name, stamp := range hosts {
+				t.book.HostDropped(name, stamp)
+			}
+		})
+	}()
+}
--- a/internal/controller/renting.go
+++ b/internal/controller/renting.go
@@ -106,7 +106,7 @@
 			return
 		}
 		for _, name := range names {
-			if m := t.book.Machines()[name]; m != nil && m.Hosted {
+			if m := t.book.Machines()[name]; m != nil && m.Stamp != 0 {
 				t.dropHosts = append(t.dropHosts, name)
 			}
 			t.book.Gone(name, now)
--- a/internal/placement/book_test.go
+++ b/internal/placement/book_test.go
@@ -40,7 +40,7 @@
 func (b bench) machine(name, typ, zone string, tasks ...*peerspb.Task) {
 	b.Machine(at(0), "n0", &peerspb.Machine{Name: name, Kind: &peerspb.Kind{Type: typ, Zone: zone}, Phase: "current",
 		NoticeMs: -1, Tasks: tasks}, 0, false)
-	b.HostStored(name)
+	b.HostStored(name, 3)
 }
 
 // says is a later report of a machine whose owner has taken in and settled the
@@ -366,7 +366,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			b := newBench(t)
-			b.AddHost("old", "x:1", model.Kind{Type: "small", Zone: "a"}, false, at(0))
+			b.AddHost("old", "x:1", model.Kind{Type: "small", Zone: "a"}, false, 4, at(0))
 			b.machine("new", "small", "b")
 			b.job("x", nil)
 			c.do(b)
@@ -377,6 +377,34 @@
 	}
 }
 
+// An expired machine's host record is removed, so that the next leader does not wait
+// for it, and one that is back gets no task before it has a fresh record.
+func TestExpiredHosts(t *testing.T) {
+	b := newBench(t)
+	b.AddHost("old", "x:1", model.Kind{Type: "small", Zone: "a"}, false, 4, at(0))
+	b.job("x", nil)
+	if got := b.ExpiredHosts(9); len(got) != 0 {
+		t.Errorf("unseen, but dropped: %v", got)
+	}
+	b.UnseenLapsed("n0", at(1))
+	b.Expire(at(1.5), at(1.5))
+	if got := b.ExpiredHosts(9); len(got) != 1 || got["old"] != 4 {
+		t.Errorf("expired: %v", got)
+	}
+	if got := b.ExpiredHosts(9); len(got) != 0 {
+		t.Errorf("dropped twice: %v", got)
+	}
+	b.says(3, "old", "current", 0)
+	if got := b.round(4); got != 0 {
+		t.Error("a start without a record")
+	}
+	b.HostStored("old", 8)
+	b.HostDropped("old", 4) // what was sent before the fresh record
+	if got := b.round(6); got != 1 || b.machines["old"].Stamp != 8 {
+		t.Errorf("with a record: %d placed, stamp %d", got, b.machines["old"].Stamp)
+	}
+}
+
 func (b bench) orders(op peerspb.Op) int {
 	n := 0
 	for _, o := range b.Orders("n0") {
--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -34,7 +34,9 @@
 	Spot     bool
 	Phase    MachinePhase
 	Since    time.Time     // in this phase since
-	Hosted   bool          // its host record is stored
+	Hosted   bool          // its host record is stored, and tasks may be started
+	Stamp    uint64        // of its host record; 0: none is known
+	dropping bool          // the record with this stamp was tried to be removed
 	Cordoned bool          // for good
 	Retiring bool          // until its room is needed again
 	Notice   time.Duration // -1: none
@@ -75,21 +77,46 @@
 }
 
 // AddHost takes in a host record: a machine on which tasks may run.
-func (b *Book) AddHost(name, addr string, kind model.Kind, spot bool, now time.Time) {
+func (b *Book) AddHost(name, addr string, kind model.Kind, spot bool, stamp uint64, now time.Time) {
 	if b.machines[name] == nil {
-		b.machines[name] = &Machine{Name: name, Addr: addr, Kind: kind, Spot: spot, Hosted: true, Notice: -1,
+		b.machines[name] = &Machine{Name: name, Addr: addr, Kind: kind, Spot: spot, Hosted: true, Stamp: stamp, Notice: -1,
 			Seen: now, Idle: now, Since: now, Listed: true, tasks: map[taskKey]*Task{}, log: b.opt.Log}
 	}
 }
 
-// HostStored marks a machine's host record as written.
-func (b *Book) HostStored(name string) {
+// HostStored marks a machine's host record as written with a stamp.
+func (b *Book) HostStored(name string, stamp uint64) {
 	if m := b.machines[name]; m != nil {
-		m.Hosted = true
+		m.Hosted, m.Stamp, m.dropping = true, stamp, false
 		b.room++
 	}
 }
 
+// ExpiredHosts returns up to n machines whose leases have run out and whose host
+// records are to be removed, with the records' stamps. Each is returned once.
+//
+// Guard: the next leader waits for every machine with a record. Without this, it
+// waited once more, for as long as any earlier leader may act and a lease longer,
+// for machines that this one knows to be without tasks. The removal must guard the
+// stamp: a machine may be back and have a fresh record when it is carried out.
+func (b *Book) ExpiredHosts(n int) map[string]uint64 {
+	out := map[string]uint64{}
+	for name, m := range b.machines {
+		if len(out) < n && m.Phase == Expired && m.Stamp != 0 && !m.dropping {
+			m.dropping = true
+			out[name] = m.Stamp
+		}
+	}
+	return out
+}
+
+// HostDropped marks a machine's host record with a stamp as removed.
+func (b *Book) HostDropped(name string, stamp uint64) {
+	if m := b.machines[name]; m != nil && m.Stamp == stamp {
+		m.Stamp = 0
+	}
+}
+
 // Greet has the owners call the machines that have not been heard of under
 // our token, rather than wait for their reports.
 func (b *Book) Greet() {
@@ -258,6 +285,7 @@
 		if m.Phase == Lapsed && m.Since.Before(checked) {
 			b.releaseAll(m, now)
 			b.setPhase(m, Expired, now)
+			m.Hosted = false // its record goes; it gets another before its next start
 			names = append(names, m.Name)
 		}
 	}
