--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -68,6 +68,14 @@
 		{"a silent zone is left alone", func(f *Fleet) { f.market.dark["a"] = at(0) }, need(8, false, 0), map[Source]int{}},
 		{"until one is tried", func(f *Fleet) { f.market.dark["a"] = at(-20) }, need(64, false, 0),
 			map[Source]int{{large, false}: 1, {small, false}: 1}},
+		{"a few in a zone of which nothing was heard", func(f *Fleet) { f.market.heard["b"] = true }, need(64, false, 0),
+			map[Source]int{{large, false}: 3, {small, false}: 3}},
+		{"no more while these boot", func(f *Fleet) {
+			f.market.heard["b"] = true
+			for _, name := range []string{"m1", "m2", "m3"} {
+				f.booting[name] = &rented{source: Source{small, false}, since: at(0)}
+			}
+		}, need(64, false, 0), map[Source]int{}},
 		{"what boots in a silent zone does not count", func(f *Fleet) {
 			f.booting["m"] = &rented{source: Source{model.Kind{Type: "large", Zone: "b"}, false}, since: at(0)}
 			f.market.dark["b"] = at(0)
--- a/internal/fleet/market.go
+++ b/internal/fleet/market.go
@@ -11,8 +11,10 @@
 type market struct {
 	wait    time.Duration // before one machine is asked for against what was learnt
 	held    map[Source]int
+	zones   map[string]int // machines held, by zone
 	refused map[Source]refusal
 	dark    map[string]time.Time // zones that fell silent: since, or the last try
+	heard   map[string]bool      // zones of which a machine was heard of
 }
 
 // refusal is the last time that a source gave less than was asked for.
@@ -22,7 +24,7 @@
 }
 
 func newMarket(wait time.Duration) market {
-	return market{wait: wait, held: map[Source]int{}, refused: map[Source]refusal{}, dark: map[string]time.Time{}}
+	return market{wait: wait, held: map[Source]int{}, zones: map[string]int{}, refused: map[Source]refusal{}, dark: map[string]time.Time{}, heard: map[string]bool{}}
 }
 
 // count takes in which machines there are. A zone most of whose machines are
@@ -45,12 +47,17 @@
 			k.held[r.source]++
 		}
 	}
+	clear(k.zones)
+	for s, n := range k.held {
+		k.zones[s.Kind.Zone] += n
+	}
 	for zone, n := range known {
 		switch {
 		case n >= leastDark && 2*heard[zone] < n:
 			k.dark[zone] = now
 		case heard[zone] > 0:
 			delete(k.dark, zone)
+			k.heard[zone] = true
 		}
 	}
 }
@@ -88,8 +95,17 @@
 		}
 		return probe
 	}
+	// Guard: a new leader that finds no machines in a zone does not know whether
+	// the zone is cut off. It once rented dozens there, and while these booted for
+	// ever, none elsewhere. A few are tried first, unless no zone was heard of yet.
+	if len(k.heard) > 0 && !k.heard[s.Kind.Zone] && k.zones[s.Kind.Zone]+flying >= leastDark {
+		return 0
+	}
 	r, ok := k.refused[s]
 	if !ok {
+		if len(k.heard) > 0 && !k.heard[s.Kind.Zone] {
+			return leastDark - flying
+		}
 		return MaxRent - flying
 	}
 	if n := r.held - k.held[s] - flying; n > 0 {
--- a/internal/placement/needs.go
+++ b/internal/placement/needs.go
@@ -219,6 +219,10 @@
 // queue's order. Of an array, tasks that they can take in turn within its
 // horizon are left out.
 //
+// Guard: what is asked for a team's earlier jobs counts against its limit only. Taken
+// off each later job's tasks, it hid nearly all of a team that had many jobs; with a
+// thousand tasks waiting, machines were rented for a few dozen.
+//
 // Guard: what counts is the room, not whether the last round placed something.
 // A large array that gets a few places in every round still needs machines.
 func (b *Book) Needs(now time.Time) []Need {
@@ -230,11 +234,7 @@
 		if j.Suspect() {
 			continue
 		}
-		n := b.headroom(j)
-		if size := j.Spec.Size; size.CPUs > 0 {
-			n -= int(asked[j.Spec.Team].CPUs/size.CPUs + 0.999)
-		}
-		n = max(n, 0)
+		n := b.headroomAfter(j, asked[j.Spec.Team])
 		if limit := b.teams[j.Spec.Team].Limit; limit.CPUs > 0 || limit.GPUs > 0 {
 			asked[j.Spec.Team] = asked[j.Spec.Team].Add(j.Spec.Size.Times(n))
 		}
--- a/internal/placement/patient_test.go
+++ b/internal/placement/patient_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -159,3 +160,28 @@
 		}
 	}
 }
+
+// What is asked for a team's earlier jobs counts against its limit, not against the
+// tasks of its later ones.
+func TestNeedsOfManyJobs(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		team string
+		jobs int
+		want int
+	}{{"no limit", "free", 20, 200}, {"far from the limit", "wide", 20, 200}, {"up to the limit", "wide", 70, 500}, {"a tight limit", "tight", 9, 2}} {
+		b := newBench(t)
+		b.teams["wide"] = model.Team{Name: "wide", Limit: model.Size{CPUs: 1000}}
+		for i := range c.jobs {
+			b.job(fmt.Sprintf("x%02d", i), func(j *model.Job) { j.Team, j.Tasks, j.Estimate = c.team, 10, time.Hour })
+		}
+		b.Settle()
+		got := 0
+		for _, n := range b.Needs(at(1)) {
+			got += n.Tasks
+		}
+		if got != c.want {
+			t.Errorf("%s: %d tasks, want %d", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -149,10 +149,13 @@
 }
 
 // headroom is how many more tasks of a job its team's limit allows.
-func (b *Book) headroom(j *Job) int {
+func (b *Book) headroom(j *Job) int { return b.headroomAfter(j, model.Size{}) }
+
+// headroomAfter is the same after something else was promised to the team.
+func (b *Book) headroomAfter(j *Job, promised model.Size) int {
 	team := b.teams[j.Spec.Team]
 	n := j.Unplaced()
-	used := j.use.size
+	used := j.use.size.Add(promised)
 	if team.Limit.CPUs > 0 && j.Spec.Size.CPUs > 0 {
 		n = min(n, model.Size{CPUs: j.Spec.Size.CPUs}.Slots(model.Size{CPUs: team.Limit.CPUs - used.CPUs}))
 	}
