--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -24,7 +24,7 @@
 	Get(ctx context.Context, key string) (store.Item, error)
 	Do(ctx context.Context, t store.Txn) (store.Outcome, error)
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Event, uint64, error)
-	Revision(ctx context.Context) (uint64, error)
+	List(ctx context.Context, prefix string) ([]store.Item, uint64, error)
 }
 
 // Options are what intake knows of the deployment.
@@ -57,11 +57,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("intake: %w", err)
 	}
-	board, err := newBoard(s, opt.FinalCache, opt.Glance, opt.AskWait)
-	if err != nil {
-		return nil, err
-	}
-	return &Intake{opt: opt, store: s, board: board, finals: finals}, nil
+	return &Intake{opt: opt, store: s, board: newBoard(s, opt.Glance, opt.AskWait), finals: finals}, nil
 }
 
 type stateAnswer struct {
@@ -112,8 +108,12 @@
 	if f, ok := in.finals.Get(id); ok {
 		return look{known: true, stage: f.Stage, final: f}, nil
 	}
-	for _, read := range []func(context.Context, string) (look, error){in.findOpen, in.findFinal, in.findWaiting,
-		in.findOpen, in.findFinal} {
+	return firstKnown(ctx, id, in.findOpen, in.findFinal, in.findWaiting, in.findOpen, in.findFinal)
+}
+
+// firstKnown reads one record after the other until the job is found.
+func firstKnown(ctx context.Context, id string, reads ...func(context.Context, string) (look, error)) (look, error) {
+	for _, read := range reads {
 		if l, err := read(ctx, id); err != nil || l.known {
 			return l, err
 		}
--- a/internal/settings/defaults.sexp
+++ b/internal/settings/defaults.sexp
@@ -40,4 +40,4 @@
     (direct-call "1500ms"); deadline of direct calls to workers
     (glance "100ms")      ; least time between two looks at the changes of jobs, for users' questions
     (ask-wait "1500ms")   ; how long a question waits for such a look
-    (final-cache 2000)))  ; jobs whose state is kept in memory: so many open ones and so many finished ones
+    (final-cache 2000)))  ; finished jobs whose state is kept in memory
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -233,12 +233,6 @@
 	}
 }
 
-// Revision reads the present revision.
-func (c *Client) Revision(ctx context.Context) (uint64, error) {
-	_, rev, err := c.List(ctx, "revision/") // there are no such keys
-	return rev, err
-}
-
 // Do runs a transaction. Without an error it was executed, and the outcome
 // tells whether its guards held.
 //
