Machines are rented for jobs that are about to be released

Expected: a boot takes about as long as a short stage, so each stage meets machines that have booted.

--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -244,6 +244,7 @@
 		t.book.StandingRoom(now)
 		t.book.Consolidate(now)
 		t.suspects()
+		t.book.Expect(t.graph.Next(), now)
 		t.runFleet(now)
 	}
 	t.runCloud()
--- a/internal/pipelines/urgency.go
+++ b/internal/pipelines/urgency.go
@@ -72,6 +72,23 @@
 	return u
 }
 
+// Next lists the jobs that wait only for jobs that do not wait themselves: they are
+// released as soon as these are done.
+func (g *Graph) Next() []*model.Job {
+	var out []*model.Job
+	for _, id := range sorted(g.jobs) {
+		j := g.jobs[id]
+		next := j.state == Waiting
+		for n := range j.unmet {
+			next = next && !g.Has(n)
+		}
+		if next {
+			out = append(out, j.record.Job)
+		}
+	}
+	return out
+}
+
 // earlier returns the earlier of two moments, of which one may be none.
 func earlier(a, b time.Time) time.Time {
 	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -98,7 +98,8 @@
 	use       map[string]*teamUse
 	kindsGen  uint64 // counts changes of owners and types
 	urgencies map[string]Urgency
-	split     bool // marks are written in split parts
+	coming    []*Job // that are about to be released
+	split     bool   // marks are written in split parts
 }
 
 // NewBook makes an empty book under a token.
--- a/internal/placement/needs.go
+++ b/internal/placement/needs.go
@@ -20,6 +20,8 @@
 	OneZone  bool
 	Estimate time.Duration
 	Horizon  time.Duration // within which its tasks are to end
+
+	job *Job
 }
 
 // horizon is how long an array's tasks may take turns without missing what is
@@ -228,7 +230,7 @@
 func (b *Book) Needs(now time.Time) []Need {
 	var out []Need
 	asked := map[string]model.Size{} // by team: demand of the jobs before
-	queue := b.queue(now)
+	queue := append(b.queue(now), b.coming...)
 	pool := b.pool(now, queue)
 	for _, j := range queue {
 		if j.Suspect() {
@@ -242,7 +244,7 @@
 			continue
 		}
 		need := Need{Job: j.Spec.ID, Size: j.Spec.Size, Kinds: b.kindsFor(j), Spot: j.Spec.Spot, SpotOnly: j.order.patient,
-			Whole: j.Spec.Shape != model.Array, OneZone: j.Spec.OneZone, Estimate: j.Spec.Estimate, Horizon: b.horizon(j, now)}
+			Whole: j.Spec.Shape != model.Array, OneZone: j.Spec.OneZone, Estimate: j.Spec.Estimate, Horizon: b.horizon(j, now), job: j}
 		zone := ""
 		if need.OneZone {
 			zone = pool.bestZone(j, need.Kinds, n)
@@ -262,7 +264,7 @@
 		if c.short > 0 {
 			j := c.last
 			out = append(out, Need{Job: name, Size: j.Spec.Size, Tasks: c.short, Kinds: b.kindsFor(j), Spot: j.Spec.Spot, Whole: true,
-				Estimate: j.Spec.Estimate, Horizon: b.opt.Horizon})
+				Estimate: j.Spec.Estimate, Horizon: b.opt.Horizon, job: j})
 		}
 	}
 	return out
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -90,10 +90,7 @@
 		if !n.SpotOnly {
 			cpus += n.Size.CPUs * float64(n.Tasks)
 		}
-		j := b.jobs[n.Job]
-		if j == nil { // standing room
-			j = b.classes[n.Job].last
-		}
+		j := n.job
 		left := n.Tasks
 		for _, m := range retiring {
 			if left <= 0 {
--- a/internal/placement/urgency.go
+++ b/internal/placement/urgency.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/marlwood/marlwood/internal/model"
+)
 
 // Urgency is what the jobs that wait for a job ask of it.
 type Urgency struct {
@@ -16,6 +20,18 @@
 	}
 }
 
+// Expect says which jobs are about to be released: machines are rented and kept
+// for them, since a boot takes about as long as the jobs that they wait for.
+func (b *Book) Expect(specs []*model.Job, now time.Time) {
+	b.coming = b.coming[:0]
+	for _, spec := range specs {
+		j := &Job{Spec: spec, Accepted: now, use: b.useOf(spec.Team), finished: model.NewTaskSet(0)}
+		j.hurry(Urgency{})
+		j.within = 0
+		b.coming = append(b.coming, j)
+	}
+}
+
 // hurry works out a job's priority and time from its own and from what those
 // that wait for it ask.
 func (j *Job) hurry(u Urgency) {
