--- a/internal/fleet/market.go
+++ b/internal/fleet/market.go
@@ -24,7 +24,8 @@
 }
 
 func newMarket(wait time.Duration) market {
-	return market{wait: wait, held: map[Source]int{}, zones: map[string]int{}, refused: map[Source]refusal{}, dark: map[string]time.Time{}, heard: map[string]bool{}}
+	return market{wait: wait, held: map[Source]int{}, zones: map[string]int{}, refused: map[Source]refusal{},
+		dark: map[string]time.Time{}, heard: map[string]bool{}}
 }
 
 // count takes in which machines there are. A zone most of whose machines are
--- a/internal/pipelines/graph.go
+++ b/internal/pipelines/graph.go
@@ -88,13 +88,13 @@
 	jobs     map[string]*job
 	needs    map[string]*need
 	underWay int
-	changed  bool // urgencies are to be worked out again
-	late     map[string]time.Duration
+	changed  bool                 // urgencies are to be worked out again
+	late     map[string]*lateness // by class of those that wait or waited
 }
 
 // New makes an empty graph.
 func New(log *slog.Logger) *Graph {
-	return &Graph{log: log, jobs: map[string]*job{}, needs: map[string]*need{}, late: map[string]time.Duration{}}
+	return &Graph{log: log, jobs: map[string]*job{}, needs: map[string]*need{}, late: map[string]*lateness{}}
 }
 
 // Len is how many jobs wait.
@@ -103,17 +103,8 @@
 // Has tells whether a job waits.
 func (g *Graph) Has(id string) bool { return g.jobs[id] != nil }
 
-// Needed tells whether a job is waited for.
-func (g *Graph) Needed(id string) bool { return g.needs[id] != nil }
-
 // IDs lists the jobs that wait.
-func (g *Graph) IDs() []string {
-	out := make([]string, 0, len(g.jobs))
-	for id := range g.jobs {
-		out = append(out, id)
-	}
-	return out
-}
+func (g *Graph) IDs() []string { return sorted(g.jobs) }
 
 // to is the one place where a waiting job's state changes.
 func (g *Graph) to(j *job, s State) {
@@ -132,6 +123,9 @@
 	}
 	j := &job{record: r, stamp: stamp, unmet: map[string]bool{}}
 	g.jobs[id], g.changed = j, true
+	if g.late[r.Job.Class] == nil {
+		g.late[r.Job.Class] = &lateness{}
+	}
 	for _, n := range r.Job.Needs {
 		j.unmet[n] = true
 		if g.needs[n] == nil {
--- a/internal/pipelines/urgency.go
+++ b/internal/pipelines/urgency.go
@@ -7,19 +7,29 @@
 	"github.com/marlwood/marlwood/internal/placement"
 )
 
+// lateness is how much longer than estimated jobs of a class take from the moment
+// when they may start until they are done: machines boot, images are fetched, and
+// the slowest of many tasks decides.
+type lateness struct {
+	seen bool
+	over time.Duration
+}
+
 // lateWeight is how much one job that is done counts in what is expected of the
 // next of its class.
 const lateWeight = 0.2
 
-// Observe learns how much longer than estimated a job of a class takes from the
-// moment when it may start until it is done: machines boot, images are fetched,
-// and the slowest of many tasks decides. Only jobs that others wait for count.
+// Observe takes in how long a job took. Only classes of jobs that wait count.
 func (g *Graph) Observe(class string, estimate, took time.Duration) {
+	l := g.late[class]
+	if l == nil {
+		return
+	}
 	over := max(took-estimate, 0)
-	if before, known := g.late[class]; known {
-		over = time.Duration(float64(before) + lateWeight*float64(over-before))
+	if l.seen {
+		over = l.over + time.Duration(lateWeight*float64(over-l.over))
 	}
-	g.late[class] = over
+	l.seen, l.over = true, over
 }
 
 // Urgencies returns how urgent the open jobs are that others wait for: each has
@@ -64,7 +74,7 @@
 			due = earlier(due, later.Due)
 		}
 		if !due.IsZero() {
-			due = due.Add(-spec.Estimate - g.late[spec.Class])
+			due = due.Add(-spec.Estimate - g.late[spec.Class].over)
 		}
 		u.Rank, u.Due = max(u.Rank, rank), earlier(u.Due, due)
 	}
--- a/internal/placement/patient_test.go
+++ b/internal/placement/patient_test.go
@@ -169,7 +169,10 @@
 		team string
 		jobs int
 		want int
-	}{{"no limit", "free", 20, 200}, {"far from the limit", "wide", 20, 200}, {"up to the limit", "wide", 70, 500}, {"a tight limit", "tight", 9, 2}} {
+	}{
+		{"no limit", "free", 20, 200}, {"far from the limit", "wide", 20, 200}, {"up to the limit", "wide", 70, 500},
+		{"a tight limit", "tight", 9, 2},
+	} {
 		b := newBench(t)
 		b.teams["wide"] = model.Team{Name: "wide", Limit: model.Size{CPUs: 1000}}
 		for i := range c.jobs {
--- a/internal/placement/urgency_test.go
+++ b/internal/placement/urgency_test.go
@@ -87,7 +87,8 @@
 			b.machine("m", "small", "a", task("first", 0, 1, model.TaskRunning, ""))
 		}
 		b.Settle()
-		spec := &model.Job{ID: "second", Team: "free", Shape: model.Array, Priority: model.Low, Tasks: 6, Size: model.Size{CPUs: 2}, Estimate: time.Minute}
+		spec := &model.Job{ID: "second", Team: "free", Shape: model.Array, Priority: model.Low, Tasks: 6,
+			Size: model.Size{CPUs: 2}, Estimate: time.Minute}
 		needs := []string{"first"}
 		if c.gone {
 			needs = []string{"other"}
