--- a/internal/controller/renting.go
+++ b/internal/controller/renting.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"errors"
 	"time"
 
 	"github.com/marlwood/marlwood/internal/fleet"
@@ -149,7 +150,13 @@
 		txn := t.txn(store.Put(typesKey, cat))
 		go func() {
 			out, err := t.do(txn)
-			t.n.post(func() { t.typesSet = err == nil && out.OK() })
+			t.n.post(func() {
+				t.typesSet = err == nil && out.OK()
+				if errors.Is(err, store.ErrTooLarge) { // nodes learn the types from the cloud alone
+					t.typesSet = true
+					t.n.log.Warn("machine types are too large to be stored", "err", err)
+				}
+			})
 		}()
 	})
 }
--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -100,6 +100,7 @@
 	urgencies map[string]Urgency
 	coming    []*Job // that are about to be released
 	split     bool   // marks are written in split parts
+	fewParts  int    // most parts that a transaction took lately; 0: as many as the settings say
 }
 
 // NewBook makes an empty book under a token.
--- a/internal/placement/saves.go
+++ b/internal/placement/saves.go
@@ -65,6 +65,9 @@
 // room for maxParts parts beside a record.
 func (b *Book) Saves(now time.Time, pause time.Duration, maxParts int) []*Save {
 	var out []*Save
+	if b.fewParts > 0 {
+		maxParts = min(maxParts, b.fewParts)
+	}
 	for id, j := range b.jobs {
 		if !j.dirty || j.writing || j.Cancelled {
 			continue
@@ -148,7 +151,7 @@
 }
 
 // TooLarge takes in that the state service refused a save as too large. It comes
-// again in smaller parts, not as it was.
+// again with fewer or smaller parts, not as it was.
 func (b *Book) TooLarge(s *Save) {
 	j := b.jobs[s.ID]
 	if j == nil {
@@ -160,6 +163,10 @@
 		b.Split()
 		return
 	}
+	if n := len(s.Parts); n > 1 {
+		b.fewParts, j.dirty = n/2, true
+		return
+	}
 	smaller := max(64, j.per/2/64*64)
 	if smaller == j.per && j.bulky {
 		b.opt.Log.Error("marks cannot be stored", "job", s.ID, "parts", len(s.Parts))
--- a/internal/placement/saves_test.go
+++ b/internal/placement/saves_test.go
@@ -158,9 +158,17 @@
 	if got := l.load(t, b.opt).Finished(); got != 1667 {
 		t.Errorf("%d marks", got)
 	}
+	// Fewer changes in a transaction than the settings say.
+	l.ops = 2
+	for i := 1; i < 5000; i += 3 {
+		b.finish(b.jobs["req-000412"], i)
+	}
+	if refused := l.save(t, b, 4, 1667); refused > 3 || l.load(t, b.opt).Finished() != 3334 {
+		t.Errorf("%d saves refused, %d marks", refused, l.load(t, b.opt).Finished())
+	}
 	l.value = 0
-	b.finish(b.jobs["req-000412"], 1)
-	if refused := l.save(t, b, 4, 1667); refused > 10 {
+	b.finish(b.jobs["req-000412"], 2)
+	if refused := l.save(t, b, 4, 3334); refused > 10 {
 		t.Errorf("%d saves refused by a store that takes nothing", refused)
 	}
 }
