--- a/cmd/marlwood/main.go
+++ b/cmd/marlwood/main.go
@@ -20,7 +20,7 @@
 )
 
 // version is what "marlwood version" prints.
-const version = "0.1.0"
+const version = "0.2.0"
 
 type cli struct {
 	Serve   serveCmd   `cmd:"" help:"Run a controller."`
--- a/internal/pipelines/graph.go
+++ b/internal/pipelines/graph.go
@@ -88,6 +88,7 @@
 	jobs     map[string]*job
 	needs    map[string]*need
 	underWay int
+	active   bool                 // something may be due; else nothing is looked through
 	changed  bool                 // urgencies are to be worked out again
 	late     map[string]*lateness // by class of those that wait or waited
 }
@@ -110,7 +111,7 @@
 func (g *Graph) to(j *job, s State) {
 	if j.state != s {
 		g.log.Debug("waiting job", "job", j.record.Job.ID, "from", j.state.String(), "to", s.String())
-		j.state = s
+		j.state, g.active = s, true
 	}
 }
 
@@ -208,11 +209,16 @@
 func (g *Graph) Check(open func(id string) bool) {
 	for id, n := range g.needs {
 		n.unsure = !g.Has(id) && !open(id)
+		g.active = g.active || n.unsure
 	}
 }
 
 // Actions returns what is due, releases first, and counts it as under way.
 func (g *Graph) Actions(now time.Time) []Action {
+	if !g.active {
+		return nil
+	}
+	g.active = false
 	var out []Action
 	add := func(a Action) bool {
 		if g.underWay >= maxUnderWay {
@@ -224,12 +230,14 @@
 	}
 	for _, id := range sorted(g.needs) {
 		n := g.needs[id]
+		g.active = g.active || n.unsure
 		if n.unsure && !n.looking && !now.Before(n.lookAt) {
 			n.looking = add(Action{Op: Look, ID: id})
 		}
 	}
 	var due []*job
 	for _, j := range g.jobs {
+		g.active = g.active || j.state != Waiting
 		if j.state != Waiting && !j.writing && !now.Before(j.retryAt) {
 			due = append(due, j)
 		}
--- a/internal/pipelines/graph_test.go
+++ b/internal/pipelines/graph_test.go
@@ -145,6 +145,24 @@
 	}
 }
 
+// Jobs that wait cost nothing while nothing ends.
+func TestIdle(t *testing.T) {
+	g := newGraph()
+	for i := range 500 {
+		g.put(fmt.Sprintf("b%03d", i), fmt.Sprintf("a%03d", i), nil)
+	}
+	g.Check(func(string) bool { return true })
+	g.Actions(at(1))
+	g.Urgencies()
+	if allocs := testing.AllocsPerRun(10, func() { g.Actions(at(2)); g.Urgencies() }); allocs > 0 {
+		t.Errorf("%v allocations", allocs)
+	}
+	g.Ended("a007", model.Done)
+	if got := g.Actions(at(3)); len(got) != 1 || got[0].ID != "b007" {
+		t.Errorf("after an end: %+v", got)
+	}
+}
+
 // A released job's record is an ordinary one of that moment; what is left of its
 // due time counts from the submission.
 func TestReleased(t *testing.T) {
