A desk's lease bound covers what other owners may have extended

Change: a fresh token moves the bound to now, and so does the first report that shows the token, direct calls included.

--- a/internal/workers/desk.go
+++ b/internal/workers/desk.go
@@ -46,7 +46,9 @@
 	// until the session or the token has moved on; true: the leader wanted it.
 	kept map[key]bool
 
-	answered time.Time // last 200: its lease runs from no later than this
+	// The last moment at which a lease of this machine may have been extended, by
+	// us or, before it had shown our token, by anybody else.
+	answered time.Time
 	change   uint64
 }
 
@@ -240,6 +242,12 @@
 	if m.phase != phase {
 		if phase == Current {
 			m.kept = nil
+			// Guard: until the worker took our token in, another owner may have
+			// answered it, for all that this desk knows; from then on nobody else
+			// can. Without this, a desk that had owned the machine before counted
+			// the lease from its own last answer of then, and the word that it had
+			// run out was believed, for the machine had shown our token.
+			m.answered = now
 		}
 		d.setPhase(m, phase)
 	}
--- a/internal/workers/desk_test.go
+++ b/internal/workers/desk_test.go
@@ -479,6 +479,63 @@
 	}
 }
 
+// What this desk knew of a machine says nothing about its lease once the kind
+// may have had another owner, which may have answered until the worker took our
+// token in. The steps lead from an answer at 1 s under token 5, with no word of
+// token 6, under which another controller owned the kind, to token 7, under which
+// the kind is ours again. The lease is 10 s, the margin 1 s.
+func TestLeaseAfterAnotherOwner(t *testing.T) {
+	running := model.WireTask{Task: "j/3", Attempt: 9, State: model.TaskRunning}
+	called := func(d *Desk, sent, answered float64, outcome CallOutcome, r *model.Report) {
+		for _, c := range d.Calls(at(sent)) {
+			d.Called(at(answered), c, outcome, r)
+		}
+	}
+	greet := &peerspb.Order{Id: 1, Machine: "m1", Op: peerspb.Op_OP_GREET, Addr: "x:1", Kind: kindA}
+	for _, c := range []struct {
+		name    string
+		steps   func(d *Desk)
+		live    float64 // until then another owner's answer may keep its tasks alive
+		expired float64 // by then its word must be that the lease is over
+	}{
+		{"a greeting's answer shows our token", func(d *Desk) {
+			d.Round(at(30), grant(7, 60, greet))
+			called(d, 30, 31, Executed, report(1, 40, 7, running))
+		}, 41, 42.1},
+		{"a refused greeting, then one that is carried out", func(d *Desk) {
+			d.Round(at(30), grant(7, 60, greet))
+			called(d, 30, 31, Refused, report(2, 40, 6, running))
+			called(d, 32, 33, Executed, report(2, 41, 7, running))
+		}, 43, 44.1},
+		{"a report before it has seen our token", func(d *Desk) {
+			d.Round(at(30), grant(7, 60, greet))
+			d.CheckIn(at(31), report(1, 40, 6, running))
+		}, 41, 42.1},
+		{"no word yet", func(d *Desk) { d.Round(at(30), grant(7, 60, greet)) }, 40, 41.1},
+		{"called again under our token, which extends nothing", func(d *Desk) {
+			d.Round(at(30), grant(7, 60, greet))
+			called(d, 30, 31, Executed, report(1, 40, 7, running))
+			d.Round(at(32), grant(7, 60, ord(2, peerspb.Op_OP_START, 1)))
+			called(d, 32, 36, Executed, report(1, 41, 7, running))
+		}, 41, 42.1},
+		{"the end was told under the old token", func(d *Desk) {
+			d.Round(at(13), grant(5, 20))
+			d.Round(at(30), grant(7, 60, greet))
+			d.CheckIn(at(31), report(1, 40, 6, running))
+		}, 41, 42.1},
+	} {
+		d := desk()
+		d.CheckIn(at(1), report(1, 1, 5, running))
+		c.steps(d)
+		if m := d.Round(at(c.live), grant(7, 60)).Machines[0]; m.Phase == string(Expired) {
+			t.Errorf("%s: called expired while another owner's answer may keep it alive", c.name)
+		}
+		if m := d.Round(at(c.expired), grant(7, 60)).Machines[0]; m.Phase != string(Expired) {
+			t.Errorf("%s: %s when its lease is surely over", c.name, m.Phase)
+		}
+	}
+}
+
 // What a round brings back grows with what changed, not with the machines
 // there are: a report that says nothing new costs the leader nothing.
 func TestWorkPerRound(t *testing.T) {
--- a/internal/workers/rounds.go
+++ b/internal/workers/rounds.go
@@ -18,7 +18,7 @@
 		return out
 	}
 	if r.Token > d.token {
-		d.newToken(r.Token)
+		d.newToken(now, r.Token)
 	}
 	out.Token, d.leader = d.token, r.Leader
 	if r.StoreOk {
@@ -49,13 +49,17 @@
 	return out
 }
 
-// newToken voids everything that was ordered under the token before.
-func (d *Desk) newToken(token uint64) {
+// newToken voids everything that was ordered under the token before, and what
+// was known of leases: the kinds may have had another owner since this desk last
+// heard of them.
+func (d *Desk) newToken(now time.Time, token uint64) {
 	d.token, d.grant, d.applied = token, time.Time{}, 0
 	d.owners, d.sizes = map[model.Kind]string{}, map[string]model.Size{}
 	for _, m := range d.machines {
-		// Another owner may have kept the machine's session alive meanwhile.
-		m.pending, m.cordon, m.failed, m.ended = nil, false, false, 0
+		// Guard: another owner may have kept the machine's session alive
+		// meanwhile. Counted from what this desk last heard, the machine was
+		// called expired although it lived, and its reports were refused.
+		m.pending, m.cordon, m.failed, m.ended, m.answered, m.quiet = nil, false, false, 0, now, false
 		if m.phase != Expired {
 			d.setPhase(m, Joining)
 		} else {
