Nothing that a restarted owner says counts until the fresh token

Cause: looking for what else outlives a change of owner. A restart was marked by a failure count of -1, which the next unanswered message made 0: the fresh token never came. Until it came, the new process took later orders for the last of all, so starts that its earlier process had handed out counted as decided while on their way, and a start for a machine it had not heard of made it call the machine expired. The grant that its first answer begins was not counted either. Change: a field of its own, lost until the fresh token; grants only meanwhile, no orders, no word of machines; the grant's end is counted from every answer.

--- /dev/null
+++ b/internal/controller/links_test.go
@@ -0,0 +1,124 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/peers/peerspb"
+	"github.com/marlwood/marlwood/internal/placement"
+	"github.com/marlwood/marlwood/internal/settings"
+)
+
+// leading is a term of n0 under token 7 whose sibling n1 owns the kind big in a.
+// There m1 is up, and a task has been ordered to it that no report shows yet.
+func leading(t *testing.T) (*term, *link, uint64) {
+	op, err := settings.LoadOperator("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg := &settings.Platform{Member: "n0", Zone: "b", StateAddr: "127.0.0.1:1", CloudAddr: "127.0.0.1:1", Teams: map[string]model.Team{"t": {Name: "t"}},
+		Siblings:    []settings.Sibling{{Member: "n1", Zone: "a", Addr: "127.0.0.1:1"}},
+		ReportEvery: time.Second, Lease: 10 * time.Second, CancelWait: 35 * time.Second,
+		StateRPS: 1000, StateWriteRPS: 1000, ValueBytes: 8192, WideValueBytes: 8192, TxnOps: 16, CloudRPS: 1000, MemoryMB: 100, MaxConns: 100}
+	n, err := New(cfg, op, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	n.ctx = ctx
+	n.setTypes(map[string]model.MachineType{"big": {Name: "big", Size: model.Size{CPUs: 4, MemoryGB: 16}, Zones: []string{"a"}}})
+	now := time.Now()
+	tm := newTerm(n, 7, now)
+	tm.loaded = true
+	l := n.links[1]
+	receive := func(resp *peerspb.RoundResponse) { tm.receive(l, tm.token, time.Now(), resp, nil) }
+	receive(&peerspb.RoundResponse{Token: 7, Boot: "first"})
+	tm.assign(now)
+	receive(says("first", 7, 0))
+	tm.book.HostStored("m1", 3)
+	tm.book.Settle()
+	v, _ := json.Marshal(placement.Record{Job: &model.Job{ID: "j", Team: "t", Shape: model.Array, Priority: model.Normal, Tasks: 1,
+		Size: model.Size{CPUs: 2, MemoryGB: 2}, Image: "i"}})
+	if err := tm.book.PutJob(now, "j", v, 10, nil); err != nil {
+		t.Fatal(err)
+	}
+	for _, w := range tm.book.Wants(now) {
+		tm.book.Place(now, []*peerspb.Sample{{Want: w.Id, Kind: w.Kinds[0], Machines: []string{"m1", "m1"}}})
+	}
+	orders := tm.book.Orders("n1")
+	if len(orders) == 0 || tm.book.Jobs()["j"].Bound() != 1 {
+		t.Fatalf("orders %v", orders)
+	}
+	id := orders[len(orders)-1].Id
+	receive(says("first", 7, id, id)) // taken in, and handed over by a call that is under way
+	return tm, l, id
+}
+
+// says is an answer of n1 about m1, which runs nothing that it knows of.
+func says(boot string, token, applied uint64, undecided ...uint64) *peerspb.RoundResponse {
+	return &peerspb.RoundResponse{Token: token, Boot: boot, Applied: applied, Change: applied + 1, Machines: []*peerspb.Machine{{Name: "m1", Addr: "x:1",
+		Kind: &peerspb.Kind{Type: "big", Zone: "a"}, Phase: "current", Session: 1, Seq: applied + 1, NoticeMs: -1, Undecided: undecided}}}
+}
+
+// What a restarted owner says of orders and machines counts for nothing until the
+// fresh token, whatever else goes wrong meanwhile: a start that its earlier process
+// handed out may still be carried out.
+func TestRestartedOwner(t *testing.T) {
+	expired := says("second", 7, 99)
+	expired.Machines[0].Phase = "expired"
+	for _, c := range []struct {
+		name  string
+		steps []*peerspb.RoundResponse // nil: no answer
+	}{
+		{"it takes a later order for the last of all", []*peerspb.RoundResponse{says("second", 7, 99)}},
+		{"a message goes unanswered first", []*peerspb.RoundResponse{nil, says("second", 7, 99)}},
+		{"several do", []*peerspb.RoundResponse{nil, nil, nil, says("second", 7, 99)}},
+		{"it restarts once more", []*peerspb.RoundResponse{says("third", 7, 0), says("third", 7, 99)}},
+		{"it calls a machine expired that it has not heard of", []*peerspb.RoundResponse{expired}},
+	} {
+		tm, l, id := leading(t)
+		for _, resp := range append([]*peerspb.RoundResponse{says("second", 7, 0)}, c.steps...) {
+			err := error(nil)
+			if resp == nil {
+				err = errors.New("no answer")
+			}
+			tm.receive(l, 7, time.Now(), resp, err)
+			tm.book.Expire(time.Now().Add(time.Second), time.Now())
+			if tm.book.Jobs()["j"].Bound() != 1 {
+				t.Fatalf("%s: a start that may come late counts as decided", c.name)
+			}
+		}
+		if !l.lost {
+			t.Errorf("%s: no fresh token is wanted", c.name)
+		}
+		tm.renewed(8, time.Now())
+		if l.lost {
+			t.Errorf("%s: a fresh token leaves its orders lost", c.name)
+		}
+		boot := l.boot
+		tm.receive(l, 8, time.Now(), says(boot, 8, id), nil)
+		if tm.book.Jobs()["j"].Bound() != 0 {
+			t.Errorf("%s: a report under the fresh token does not decide the start", c.name)
+		}
+	}
+}
+
+// Every answer's clock reading may be the beginning of a grant, also that of a
+// process which has just started.
+func TestGrantsAreCounted(t *testing.T) {
+	for _, boot := range []string{"first", "second"} {
+		tm, l, _ := leading(t)
+		l.grantEnd = time.Time{}
+		before := time.Now()
+		tm.receive(l, 7, before, &peerspb.RoundResponse{Token: 7, Boot: boot, ClockNs: 5}, nil)
+		if l.clock != 5 || l.grantEnd.Before(before.Add(tm.n.terms.Grant)) {
+			t.Errorf("answer of process %s: a grant until %v counts as over %v after it", boot, tm.n.terms.Grant, l.grantEnd.Sub(before))
+		}
+	}
+}
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -29,7 +29,8 @@
 	okAt     time.Time // last answer
 	okSince  time.Time // answers without a gap since
 	busy     bool
-	failures int
+	failures int  // messages in a row that brought no answer
+	lost     bool // restarted under the present token: its orders are lost, and a fresh token is wanted
 	sizes    map[string]bool
 	records  uint32 // highest form of stored records that it reads
 }
@@ -93,7 +94,7 @@
 	}
 	t.book.Preempt(now)
 	for _, l := range t.n.links {
-		if !l.busy && len(t.book.Orders(l.member)) > 0 {
+		if !l.busy && !l.lost && len(t.book.Orders(l.member)) > 0 {
 			t.send(l, now, nil)
 		}
 	}
@@ -126,7 +127,11 @@
 			}
 			r.Owners = append(r.Owners, o)
 		}
-		r.Orders = t.book.Orders(l.member)
+		if l.lost {
+			wants = nil
+		} else {
+			r.Orders = t.book.Orders(l.member)
+		}
 		r.Sizes = t.sizesFor(l, r.Orders)
 		for _, w := range wants {
 			if slices.ContainsFunc(w.Kinds, func(k *peerspb.Kind) bool {
@@ -221,30 +226,33 @@
 	}
 	l.okAt = now
 	l.records = resp.Records
-	restarted := l.boot != "" && l.boot != resp.Boot
-	if l.failures > 0 {
-		l.failures = 0
-	}
+	l.failures = 0
+	// Guard: the next message gives a grant from this reading on, whether or not it
+	// is answered. Not counted for a process that had just started, the grant was
+	// held to be over while that process still answered under it.
+	l.clock = resp.ClockNs
+	l.grantEnd = now.Add(drift(t.n.terms.Grant))
 	if l.boot != resp.Boot {
-		if restarted {
+		if l.boot != "" {
 			l.okSince = now
-			if l.acked {
-				l.failures = -1 // its orders are lost: a fresh token decides them
-			}
+			l.lost = l.lost || l.acked
 		}
 		l.boot, l.seen, l.sizes = resp.Boot, 0, map[string]bool{}
-		l.clock = resp.ClockNs
 		t.ack(l, token, now)
 		t.beatSoon()
 		return
 	}
-	l.clock = resp.ClockNs
-	l.grantEnd = now.Add(drift(t.n.terms.Grant))
 	if token != t.token || resp.Token != t.token {
 		return
 	}
 	t.ack(l, token, now)
-	if !t.loaded {
+	if !t.loaded || l.lost {
+		// Guard: what a restarted owner says of its orders is not to be believed.
+		// It takes later ones for the last of all, so those that its earlier
+		// process handed out counted as decided while they were still on their
+		// way; and a start for a machine that it has not heard of yet made it call
+		// the machine expired. Until the fresh token it has its grant, which keeps
+		// its machines alive, and nothing else.
 		return
 	}
 	if t.allRead(peers.Records) {
@@ -287,9 +295,6 @@
 func (t *term) ack(l *link, token uint64, now time.Time) {
 	if token == t.token && !l.acked {
 		l.acked, l.ackAt = true, now
-		if l.failures < 0 {
-			l.failures = 0
-		}
 	}
 }
 
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -72,7 +72,7 @@
 	t.fleet = fleet.New(fleet.Options{Idle: n.op.Fleet.Idle, Keep: n.op.Fleet.Keep, RefusedWait: n.op.Fleet.RefusedWait,
 		BootFactor: n.op.Fleet.BootFactor, SilentWait: n.op.Fleet.SilentWait}, token)
 	for _, l := range n.links {
-		l.acked, l.seen, l.sizes, l.busy = false, 0, map[string]bool{}, false
+		l.acked, l.seen, l.sizes, l.busy, l.lost = false, 0, map[string]bool{}, false, false
 		// An earlier leader may have acted for H after its last check, and its
 		// last grant may run until then and a grant longer.
 		l.bound = now.Add(drift(n.terms.Act + n.terms.Grant))
@@ -94,7 +94,7 @@
 	t.book.Renewed(token, now)
 	for _, l := range t.n.links {
 		l.bound = l.grantEnd
-		l.failures = max(l.failures, 0) // a restart is dealt with by this token
+		l.lost = false // a restart is dealt with by this token
 		l.acked, l.seen, l.sizes = false, 0, map[string]bool{}
 	}
 	t.assign(now)
@@ -178,7 +178,7 @@
 		switch {
 		case owned[l.member] && !l.live(now) && now.After(l.grantEnd) && now.Sub(t.assigned) > 3*time.Second:
 			why = "owner lost"
-		case owned[l.member] && l.failures < 0:
+		case owned[l.member] && l.lost:
 			why = "owner restarted"
 		case !owned[l.member] && l.live(now) && !t.isDeaf(l.member, now) && t.book.Complete() &&
 			now.Sub(l.okSince) > back && now.Sub(t.assigned) > back:
