A machine that expired while its host record was written counts as without one

Cause: found by reading what outlives an expiry. The record of such a machine is the next to be removed, but the late answer to its writing made it usable again; back at that moment it got tasks while its record went, and the next leader did not wait for it. Change: HostStored leaves an expired machine unhosted; it gets a fresh record when it is back.

--- a/internal/placement/book_test.go
+++ b/internal/placement/book_test.go
@@ -405,6 +405,32 @@
 	}
 }
 
+// A machine that expired while its host record was being written gets no tasks
+// before another record is stored: that one is about to be removed.
+func TestHostStoredTooLate(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		back   float64 // when it is heard of again; 0: not before the record is stored
+		placed int
+	}{{"still expired", 0, 0}, {"back meanwhile", 2, 1}} {
+		b := newBench(t)
+		b.machine("m", "small", "a")
+		b.machines["m"].Hosted = false // its record is being written
+		b.job("x", nil)
+		b.says(1, "m", "expired", 0)
+		b.Expire(at(1.5), at(1.5))
+		if c.back > 0 {
+			b.says(c.back, "m", "current", 0)
+		}
+		b.HostStored("m", 9)
+		dropped := b.ExpiredHosts(9)
+		b.says(3, "m", "current", 0)
+		if got := b.round(4); got != c.placed {
+			t.Errorf("%s: %d placed, %v being removed", c.name, got, dropped)
+		}
+	}
+}
+
 func (b bench) orders(op peerspb.Op) int {
 	n := 0
 	for _, o := range b.Orders("n0") {
--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -85,9 +85,14 @@
 }
 
 // HostStored marks a machine's host record as written with a stamp.
+//
+// Guard: the record of a machine that expired while it was written is the next to
+// be removed. Were the machine counted as hosted all the same, it could come back
+// and get tasks while the removal is under way, and the next leader would not wait
+// for it.
 func (b *Book) HostStored(name string, stamp uint64) {
 	if m := b.machines[name]; m != nil {
-		m.Hosted, m.Stamp, m.dropping = true, stamp, false
+		m.Hosted, m.Stamp, m.dropping = m.Phase != Expired, stamp, false
 		b.room++
 	}
 }
