A restarted process takes no grant under a token that is over

Cause: found by asking what a restart forgets. A controller that had taken a leader's token in and was started anew took grants from the leader before, which may act for H without the state service; the new leader counts leases from the first taking in, so leases extended then counted as over. Change: a process takes part in rounds after its first look at the leader key, and under no token below what that look showed. Until then the leader hears no answer and gives its kinds to others.

--- a/internal/controller/links_test.go
+++ b/internal/controller/links_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/marlwood/marlwood/internal/leadership"
 	"github.com/marlwood/marlwood/internal/model"
 	"github.com/marlwood/marlwood/internal/peers/peerspb"
 	"github.com/marlwood/marlwood/internal/placement"
@@ -122,3 +123,37 @@
 		}
 	}
 }
+
+// A process takes no part in rounds before it has looked at the leader key, and
+// then none under a token that is over.
+func TestRoundsBeforeALook(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		stamp uint64 // of the key at the first look; 0: no look yet
+		token uint64 // told by the answer; 0: no answer
+	}{{"no look yet", 0, 0}, {"a later leader has the key", 9, 9}, {"this leader has it", 7, 7}} {
+		tm, _, _ := leading(t)
+		n, err := New(tm.n.cfg, tm.n.op, slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		n.ctx = ctx
+		go func() {
+			for f := range n.events {
+				f()
+			}
+		}()
+		if c.stamp > 0 {
+			now := time.Now()
+			n.lead.KeyRead(now, now, true, leadership.Value{Member: "n2", Boot: "b", Claim: 1}, c.stamp)
+			n.desk.NoneBelow(n.lead.Least())
+		}
+		out := n.serveRound(&peerspb.RoundRequest{Token: 7, Leader: "n1", Boot: n.boot, GrantUntilNs: int64(time.Hour)})
+		if out.GetToken() != c.token || (out == nil) != (c.token == 0) {
+			t.Errorf("%s: %v", c.name, out)
+		}
+		cancel()
+		close(n.events)
+	}
+}
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -389,11 +389,16 @@
 	return httpwire.Answer{Status: 200, Body: []byte(`{"status":"ok"}`)}
 }
 
-// serveRound answers a leader; it runs on gRPC's goroutines.
+// serveRound answers a leader, or nil before this process has looked at the leader
+// key; it runs on gRPC's goroutines.
 func (n *Node) serveRound(r *peerspb.RoundRequest) *peerspb.RoundResponse {
 	ch := make(chan *peerspb.RoundResponse, 1)
 	n.post(func() {
 		now := time.Now()
+		if n.lead.Least() == 0 { // see workers.Desk.NoneBelow
+			ch <- nil
+			return
+		}
 		n.lead.Heard(now, r.Token)
 		ch <- n.desk.Round(now, r)
 		n.follow(now)
@@ -404,7 +409,7 @@
 	case out := <-ch:
 		return out
 	case <-n.ctx.Done():
-		return &peerspb.RoundResponse{}
+		return nil
 	}
 }
 
@@ -532,10 +537,11 @@
 				n.perform(n.lead.KeyRead(now, sent, true, v, it.Stamp))
 			case errors.Is(err, store.ErrNotFound):
 				n.sawStore(now)
-				n.perform(n.lead.KeyRead(now, sent, false, v, 0))
+				n.perform(n.lead.KeyRead(now, sent, false, v, it.Stamp))
 			default:
 				n.lead.ReadFailed(now)
 			}
+			n.desk.NoneBelow(n.lead.Least())
 			n.follow(now)
 		})
 	case leadership.GetHold:
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -73,6 +73,7 @@
 	touching  bool
 	nextTouch time.Time
 	highest   uint64 // highest token heard of
+	least     uint64 // tokens below it are over, as of the first look; 0: no look yet
 	renewing  bool   // a guarded write by the leader itself, for a fresh token
 }
 
@@ -141,9 +142,20 @@
 	return out
 }
 
-// KeyRead takes in a look at the key that was sent at sent.
+// Least is below which tokens were over when this process first looked at the
+// key, or 0 before any look has succeeded.
+func (m *Machine) Least() uint64 { return m.least }
+
+// KeyRead takes in a look at the key that was sent at sent. stamp is the key's; of
+// an absent key it is the revision at which it was absent.
 func (m *Machine) KeyRead(now, sent time.Time, found bool, v Value, stamp uint64) []Action {
 	m.reading = false
+	if m.least == 0 {
+		m.least = stamp
+		if !found { // whoever had the key up to then has lost it
+			m.least++
+		}
+	}
 	mine := found && v.Member == m.opt.Member && v.Boot == m.opt.Boot
 	switch m.state {
 	case Claiming:
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -145,3 +145,28 @@
 		}
 	}
 }
+
+// The first look tells which tokens are over; later ones change nothing, and a
+// failed one tells nothing.
+func TestLeast(t *testing.T) {
+	other := Value{"n1", "b1", 1}
+	for _, c := range []struct {
+		name string
+		do   func(m *Machine)
+		want uint64
+	}{
+		{"no look", func(*Machine) {}, 0},
+		{"a failed look", func(m *Machine) { m.Tick(at(0)); m.ReadFailed(at(1)) }, 0},
+		{"another leads", func(m *Machine) { m.KeyRead(at(0), at(0), true, other, 9) }, 9},
+		{"the key was absent at 12", func(m *Machine) { m.KeyRead(at(0), at(0), false, Value{}, 12) }, 13},
+		{"the second look counts for nothing", func(m *Machine) {
+			m.KeyRead(at(0), at(0), true, other, 9)
+			m.KeyRead(at(1), at(1), true, other, 15)
+		}, 9},
+	} {
+		m := node()
+		if c.do(m); m.Least() != c.want {
+			t.Errorf("%s: %d, want %d", c.name, m.Least(), c.want)
+		}
+	}
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -9,7 +9,9 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
 
 	"github.com/marlwood/marlwood/internal/peers/peerspb"
 )
@@ -18,7 +20,8 @@
 // writes only what every controller reads. 1 knows split marks.
 const Records = 1
 
-// Serve answers rounds on addr with handle until the process ends.
+// Serve answers rounds on addr with handle until the process ends. What handle has
+// no answer to is refused: the caller gets an error.
 func Serve(addr string, handle func(*peerspb.RoundRequest) *peerspb.RoundResponse) (stop func(), err error) {
 	l, err := net.Listen("tcp4", addr)
 	if err != nil {
@@ -37,7 +40,10 @@
 
 // Round passes one message of the leader on.
 func (s *server) Round(_ context.Context, r *peerspb.RoundRequest) (*peerspb.RoundResponse, error) {
-	return s.handle(r), nil
+	if out := s.handle(r); out != nil {
+		return out, nil
+	}
+	return nil, status.Error(codes.Unavailable, "not ready for rounds")
 }
 
 // Link is a connection to one sibling; it reconnects by itself.
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -173,7 +173,8 @@
 	return nil
 }
 
-// Get reads one key.
+// Get reads one key. With ErrNotFound the item's stamp is the service's revision:
+// the key was absent then.
 func (c *Client) Get(ctx context.Context, key string) (Item, error) {
 	resp, err := c.call(ctx, "GET", "/kv/"+key, nil)
 	if err != nil {
@@ -187,7 +188,7 @@
 		if json.Unmarshal(resp.Body, &body) != nil || body.Revision == nil {
 			return Item{}, fmt.Errorf("%w: odd 404", ErrUnknown)
 		}
-		return Item{}, ErrNotFound
+		return Item{Key: key, Stamp: *body.Revision}, ErrNotFound
 	}
 	var it Item
 	if err := decode(resp, &it); err != nil {
--- a/internal/workers/desk_test.go
+++ b/internal/workers/desk_test.go
@@ -310,6 +310,22 @@
 	}
 }
 
+// A process that took token 6 in and was started anew takes no grant from the
+// leader of token 5, although it remembers nothing.
+func TestNoneBelow(t *testing.T) {
+	for _, c := range []struct {
+		least, token uint64
+		granted      bool
+	}{{0, 5, true}, {6, 5, false}, {6, 6, true}, {6, 7, true}} {
+		d := NewDesk(Options{Member: "n0", Lease: 10 * time.Second}, "boot", t0, nil)
+		d.NoneBelow(c.least)
+		out := d.Round(at(1), grant(c.token, 10))
+		if d.Granted(at(2)) != c.granted || out.Token < c.least {
+			t.Errorf("least %d: token %d granted %v, answered with %d", c.least, c.token, d.Granted(at(2)), out.Token)
+		}
+	}
+}
+
 // When its kind goes to another owner, a machine's record goes too: silence
 // here says nothing about it any more.
 func TestKindMovesAway(t *testing.T) {
--- a/internal/workers/rounds.go
+++ b/internal/workers/rounds.go
@@ -49,6 +49,13 @@
 	return out
 }
 
+// NoneBelow tells a desk that has just begun that tokens below one are over.
+//
+// Guard: a process forgets with its end which token it had taken in. The leader
+// of that token counts on it, while an earlier one which may still act could give
+// the next process grants, and lengthen leases that count as over.
+func (d *Desk) NoneBelow(token uint64) { d.token = max(d.token, token) }
+
 // newToken voids everything that was ordered under the token before, and what
 // was known of leases: the kinds may have had another owner since this desk last
 // heard of them.
