A deposed leader does not lead again under its old token; links are freed by their own term

Cause: found by reading. A look at the key from before it was lost, arriving after a later token had been heard of, made a node lead again under the old token: a second term with the same token numbers orders and attempts anew, while the first one's may come late. An answer to a term that had ended freed the link of the next, so that two messages could be under way and be answered in the wrong order. Change: such a look is ignored; only its own term's answer frees a link.

--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -157,8 +157,10 @@
 			resp, err = peer.Round(t.ctx, r)
 		}
 		n.post(func() {
-			l.busy = false
+			// Guard: an answer to an earlier term does not free the link; two
+			// messages under way at once could be answered in the wrong order.
 			if t.ctx.Err() == nil {
+				l.busy = false
 				t.receive(l, token, now, resp, err)
 			}
 		})
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -172,6 +172,12 @@
 		m.to(Following, now)
 		return nil
 	}
+	if mine && stamp < m.highest {
+		// Guard: a look from before the key was lost, which comes after the later
+		// token. Leading once more under the old one would number orders and
+		// attempts from the start again, while those of before may still come late.
+		return nil
+	}
 	if mine {
 		// A claim whose answer never came has been carried out after all.
 		m.token, m.checked = stamp, sent
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -61,6 +61,10 @@
 		{"key gone", func(m *Machine) { m.KeyRead(at(1), at(1), false, Value{}, 0) }, Following, 0},
 		{"another's key", func(m *Machine) { m.KeyRead(at(1), at(1), true, Value{"n1", "b1", 1}, 9) }, Following, 0},
 		{"higher token heard", func(m *Machine) { m.Heard(at(1), 9) }, Following, 0},
+		{"higher token heard, then a look from before it", func(m *Machine) {
+			m.Heard(at(1), 9)
+			m.KeyRead(at(1.5), at(0.5), true, mine, 7)
+		}, Following, 0},
 		{"own token heard", func(m *Machine) { m.Heard(at(1), 7) }, Leading, 7},
 		{"look failed", func(m *Machine) { m.ReadFailed(at(1)) }, Leading, 7},
 		{"hold gone, look not back yet", func(m *Machine) { m.Touched(at(1), true) }, Leading, 7},
