--- a/internal/controller/links_test.go
+++ b/internal/controller/links_test.go
@@ -53,7 +53,7 @@
 		tm.book.Place(now, []*peerspb.Sample{{Want: w.Id, Kind: w.Kinds[0], Machines: []string{"m1", "m1"}}})
 	}
 	orders := tm.book.Orders("n1")
-	if len(orders) == 0 || tm.book.Jobs()["j"].Bound() != 1 {
+	if len(orders) == 0 || tm.book.Jobs().At("j").Bound() != 1 {
 		t.Fatalf("orders %v", orders)
 	}
 	id := orders[len(orders)-1].Id
@@ -91,7 +91,7 @@
 			}
 			tm.receive(l, 7, time.Now(), resp, err)
 			tm.book.Expire(time.Now().Add(time.Second), time.Now())
-			if tm.book.Jobs()["j"].Bound() != 1 {
+			if tm.book.Jobs().At("j").Bound() != 1 {
 				t.Fatalf("%s: a start that may come late counts as decided", c.name)
 			}
 		}
@@ -104,7 +104,7 @@
 		}
 		boot := l.boot
 		tm.receive(l, 8, time.Now(), says(boot, 8, id), nil)
-		if tm.book.Jobs()["j"].Bound() != 0 {
+		if tm.book.Jobs().At("j").Bound() != 0 {
 			t.Errorf("%s: a report under the fresh token does not decide the start", c.name)
 		}
 	}
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -145,7 +145,7 @@
 		have[it.Key] = true
 	}
 	t.takeJobs(jobs, nil)
-	for id := range t.book.Jobs() {
+	for id := range t.book.Jobs().All() {
 		if !have[placement.JobPrefix+id] {
 			t.book.Cancel(id)
 		}
@@ -167,7 +167,7 @@
 		if id, waited := strings.CutPrefix(e.Delete, placement.WaitPrefix); waited {
 			t.graph.Gone(id)
 		} else if id, open := strings.CutPrefix(e.Delete, placement.JobPrefix); open {
-			if t.book.Jobs()[id] != nil {
+			if t.book.Jobs().At(id) != nil {
 				t.n.log.Debug("job record gone", "job", id)
 			}
 			t.book.Cancel(id)
@@ -271,7 +271,7 @@
 	}
 	var names []string
 	txn := t.txn()
-	for name, m := range t.book.Machines() {
+	for name, m := range t.book.Machines().All() {
 		if m.Phase == placement.Current && !m.Hosted && len(txn.Writes) < t.batch {
 			names = append(names, name)
 			txn.Writes = append(txn.Writes, store.Put(placement.HostPrefix+name, host{m.Kind, m.Spot, m.Addr}))
--- a/internal/controller/renting.go
+++ b/internal/controller/renting.go
@@ -26,7 +26,7 @@
 			t.queueCloud(func() { t.rent(*a.Rent) })
 		case len(a.Release) > 0:
 			for _, name := range a.Release {
-				if m := t.book.Machines()[name]; m != nil {
+				if m := t.book.Machines().At(name); m != nil {
 					t.book.Cordon(m)
 				}
 			}
@@ -107,7 +107,7 @@
 			return
 		}
 		for _, name := range names {
-			if m := t.book.Machines()[name]; m != nil && m.Stamp != 0 {
+			if m := t.book.Machines().At(name); m != nil && m.Stamp != 0 {
 				t.dropHosts = append(t.dropHosts, name)
 			}
 			t.book.Gone(name, now)
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -86,7 +86,7 @@
 		return
 	}
 	if !t.book.Complete() && t.book.Settle() {
-		t.n.log.Info("takeover complete", "token", t.token, "after", now.Sub(t.began), "machines", len(t.book.Machines()))
+		t.n.log.Info("takeover complete", "token", t.token, "after", now.Sub(t.began), "machines", t.book.Machines().Len())
 	}
 	if placed := t.book.Place(now, samples); placed > 0 {
 		t.n.log.Debug("placed", "tasks", placed)
@@ -181,7 +181,7 @@
 func (t *term) sizesFor(l *link, orders []*peerspb.Order) []*peerspb.JobSize {
 	var out []*peerspb.JobSize
 	add := func(id string) {
-		j := t.book.Jobs()[id]
+		j := t.book.Jobs().At(id)
 		if j == nil || l.sizes[id] {
 			return
 		}
@@ -191,7 +191,7 @@
 	for _, o := range orders {
 		add(o.Job)
 	}
-	for id, j := range t.book.Jobs() {
+	for id, j := range t.book.Jobs().All() {
 		if !l.sizes[id] && j.Bound() > 0 {
 			add(id)
 		}
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -205,7 +205,7 @@
 			why = "owner hears nothing from " + k.Type + " in " + k.Zone + ": " + owner
 		}
 	}
-	for _, m := range t.book.Machines() {
+	for _, m := range t.book.Machines().All() {
 		if why == "" && m.Unsure && now.Sub(t.assigned) > 2*time.Second {
 			why = "unwanted start may come late: " + m.Name
 		}
--- a/internal/controller/waiting.go
+++ b/internal/controller/waiting.go
@@ -23,7 +23,7 @@
 
 // finished takes in that a job's last task is done and its final record stored.
 func (t *term) finished(id string) {
-	if j := t.book.Jobs()[id]; j != nil {
+	if j := t.book.Jobs().At(id); j != nil {
 		t.graph.Observe(j.Spec.Class, j.Spec.Estimate, time.Since(j.Accepted))
 	}
 	t.graph.Ended(id, model.Done)
@@ -31,7 +31,7 @@
 
 // isOpen tells whether a job has an open record, as far as the book knows.
 func (t *term) isOpen(id string) bool {
-	j := t.book.Jobs()[id]
+	j := t.book.Jobs().At(id)
 	return j != nil && !j.Cancelled
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -76,8 +76,8 @@
 	opt      Options
 	token    uint64
 	n        int
-	charters map[string]*Charter
-	booting  map[string]*rented
+	charters *model.Table[string, *Charter]
+	booting  *model.Table[string, *rented]
 	market   market
 	leaving  map[string]bool      // a release is under way
 	gone     map[string]time.Time // when returned: the list may still show it
@@ -85,14 +85,14 @@
 
 // New makes a fleet that names its charters after the token.
 func New(opt Options, token uint64) *Fleet {
-	return &Fleet{opt: opt, token: token, charters: map[string]*Charter{}, booting: map[string]*rented{},
+	return &Fleet{opt: opt, token: token, charters: model.NewTable[string, *Charter](), booting: model.NewTable[string, *rented](),
 		market: newMarket(opt.RefusedWait), leaving: map[string]bool{}, gone: map[string]time.Time{}}
 }
 
 // Adopt takes over an unresolved charter of an earlier leader.
 func (f *Fleet) Adopt(c Charter, now time.Time) {
 	c.state, c.since = Stored, now
-	f.charters[c.Name] = &c
+	f.charters.Put(c.Name, &c)
 }
 
 // Action is something to do at the cloud or in the store.
@@ -107,12 +107,12 @@
 
 // IntentStored takes in whether a charter's record was stored.
 func (f *Fleet) IntentStored(name string, ok bool, now time.Time) {
-	c := f.charters[name]
+	c := f.charters.At(name)
 	if c == nil {
 		return
 	}
 	if !ok {
-		delete(f.charters, name) // never sent
+		f.charters.Drop(name) // never sent
 		return
 	}
 	c.to(Stored, now)
@@ -136,7 +136,7 @@
 // Rented takes in a request's outcome. It reports whether the charter is
 // resolved, so that its record can be removed.
 func (f *Fleet) Rented(name string, res Result, names []string, now time.Time) bool {
-	c := f.charters[name]
+	c := f.charters.At(name)
 	if c == nil {
 		return true
 	}
@@ -144,7 +144,7 @@
 	switch res {
 	case Granted:
 		for _, m := range names {
-			f.booting[m] = &rented{source: src, since: now}
+			f.booting.Put(m, &rented{source: src, since: now})
 		}
 		f.market.granted(src, len(names), c.Count, now)
 	case Refused:
@@ -153,12 +153,12 @@
 		c.to(Stored, now)
 		return false
 	}
-	delete(f.charters, name)
+	f.charters.Drop(name)
 	return true
 }
 
 // Up takes in that a machine has been heard of.
-func (f *Fleet) Up(name string) { delete(f.booting, name) }
+func (f *Fleet) Up(name string) { f.booting.Drop(name) }
 
 // List takes in a list of the cloud's. Machines that nobody here rented are
 // unexpected: they are watched like the others until they report. Absence
@@ -166,7 +166,7 @@
 //
 // Guard: presence proves nothing either. Machines that were just returned are
 // listed for a while; counted as booting, they kept others from being rented.
-func (f *Fleet) List(all []Listed, known map[string]*placement.Machine, now time.Time) (failed []string) {
+func (f *Fleet) List(all []Listed, known *model.Table[string, *placement.Machine], now time.Time) (failed []string) {
 	listed := make(map[string]bool, len(all))
 	for _, l := range all {
 		listed[l.Name] = true
@@ -179,13 +179,13 @@
 			}
 			continue
 		}
-		if known[l.Name] != nil || f.leaving[l.Name] || !f.gone[l.Name].IsZero() {
+		if known.At(l.Name) != nil || f.leaving[l.Name] || !f.gone[l.Name].IsZero() {
 			continue
 		}
-		r := f.booting[l.Name]
+		r := f.booting.At(l.Name)
 		if r == nil {
 			r = &rented{source: Source{l.Kind, l.Spot}, since: now.Add(-l.Age)}
-			f.booting[l.Name] = r
+			f.booting.Put(l.Name, r)
 		}
 		r.listed = true
 	}
@@ -209,7 +209,7 @@
 	for _, n := range names {
 		delete(f.leaving, n)
 		if ok {
-			delete(f.booting, n)
+			f.booting.Drop(n)
 			f.gone[n] = now
 		}
 	}
@@ -228,13 +228,13 @@
 const goneMemory = 2 * time.Minute
 
 // Booting counts rented machines that have not reported yet.
-func (f *Fleet) Booting() int { return len(f.booting) }
+func (f *Fleet) Booting() int { return f.booting.Len() }
 
 // Tick decides what to rent and what to return.
-func (f *Fleet) Tick(now time.Time, needs []placement.Need, machines map[string]*placement.Machine,
+func (f *Fleet) Tick(now time.Time, needs []placement.Need, machines *model.Table[string, *placement.Machine],
 	types map[string]model.MachineType, settled bool) []Action {
 	var out []Action
-	for _, c := range f.charters {
+	for _, c := range f.charters.All() {
 		if c.state == Stored && (c.since.IsZero() || now.Sub(c.since) >= time.Second) {
 			c.to(Sent, now)
 			out = append(out, Action{Rent: c})
@@ -251,7 +251,7 @@
 }
 
 // returns names the machines to give back: idle, lost, suspect, or never up.
-func (f *Fleet) returns(now time.Time, machines map[string]*placement.Machine,
+func (f *Fleet) returns(now time.Time, machines *model.Table[string, *placement.Machine],
 	types map[string]model.MachineType, settled bool) []string {
 	var names []string
 	give := func(name string) {
@@ -260,13 +260,13 @@
 			names = append(names, name)
 		}
 	}
-	for name, r := range f.booting {
+	for name, r := range f.booting.All() {
 		boot := types[r.source.Kind.Type].Boot
 		if now.Sub(r.since) > time.Duration(f.opt.BootFactor*float64(boot))+10*time.Second {
 			give(name)
 		}
 	}
-	for name, m := range machines {
+	for name, m := range machines.All() {
 		switch {
 		case m.Phase == placement.Expired && now.Sub(m.Silent) > f.opt.SilentWait:
 			give(name)
@@ -292,7 +292,7 @@
 		bins = append(bins, b)
 		return b
 	}
-	for name, r := range f.booting {
+	for name, r := range f.booting.All() {
 		// Guard: machines that were rented in a zone which then fell silent
 		// stand in nobody's way.
 		if !f.leaving[name] && !f.market.silent(r.source.Kind.Zone) &&
@@ -301,7 +301,7 @@
 		}
 	}
 	flying := map[Source]int{}
-	for _, c := range f.charters {
+	for _, c := range f.charters.All() {
 		flying[Source{c.Kind, c.Spot}] += c.Count
 		for range c.Count {
 			add(Source{c.Kind, c.Spot})
@@ -351,7 +351,7 @@
 		f.n++
 		c := &Charter{Name: fmt.Sprintf("c-%d-%d", f.token, f.n), Kind: src.Kind, Spot: src.Spot, Count: order[src], since: now}
 		f.market.asked(src, now)
-		f.charters[c.Name] = c
+		f.charters.Put(c.Name, c)
 		out = append(out, Action{Store: c})
 	}
 	return out
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -73,20 +73,20 @@
 		{"no more while these boot", func(f *Fleet) {
 			f.market.heard["b"] = true
 			for _, name := range []string{"m1", "m2", "m3"} {
-				f.booting[name] = &rented{source: Source{small, false}, since: at(0)}
+				f.booting.Put(name, &rented{source: Source{small, false}, since: at(0)})
 			}
 		}, need(64, false, 0), map[Source]int{}},
 		{"what boots in a silent zone does not count", func(f *Fleet) {
-			f.booting["m"] = &rented{source: Source{model.Kind{Type: "large", Zone: "b"}, false}, since: at(0)}
+			f.booting.Put("m", &rented{source: Source{model.Kind{Type: "large", Zone: "b"}, false}, since: at(0)})
 			f.market.dark["b"] = at(0)
 		}, placement.Need{Job: "x", Size: model.Size{CPUs: 2}, Tasks: 8, Kinds: []model.Kind{{Type: "large", Zone: "b"}, large}},
 			map[Source]int{{large, false}: 1}},
 		{"one zone for a job that must stay in one", nil,
 			placement.Need{Job: "x", Size: model.Size{CPUs: 16}, Tasks: 60, Whole: true, OneZone: true,
 				Kinds: []model.Kind{large, {Type: "large", Zone: "b"}}}, map[Source]int{{large, false}: 50}},
-		{"what is booting counts", func(f *Fleet) { f.booting["m"] = &rented{source: Source{large, false}, since: at(0)} }, need(8, false, 0),
+		{"what is booting counts", func(f *Fleet) { f.booting.Put("m", &rented{source: Source{large, false}, since: at(0)}) }, need(8, false, 0),
 			map[Source]int{}},
-		{"a spot machine on its way is no use to others", func(f *Fleet) { f.booting["m"] = &rented{source: Source{large, true}, since: at(0)} },
+		{"a spot machine on its way is no use to others", func(f *Fleet) { f.booting.Put("m", &rented{source: Source{large, true}, since: at(0)}) },
 			need(8, false, 0), map[Source]int{{large, false}: 1}},
 	} {
 		f := newFleet()
@@ -99,12 +99,18 @@
 	}
 }
 
+func drop(machines *model.Table[string, *placement.Machine], names ...string) {
+	for _, name := range names {
+		machines.Drop(name)
+	}
+}
+
 // A zone whose machines fell silent is dark until one of them is heard of.
 func TestSilentZone(t *testing.T) {
 	k := newMarket(20 * time.Second)
-	machines := map[string]*placement.Machine{}
+	machines := model.NewTable[string, *placement.Machine]()
 	for _, n := range []string{"m1", "m2", "m3"} {
-		machines[n] = &placement.Machine{Name: n, Kind: small, Phase: placement.Current}
+		machines.Put(n, &placement.Machine{Name: n, Kind: small, Phase: placement.Current})
 	}
 	for _, c := range []struct {
 		name   string
@@ -112,13 +118,13 @@
 		dark   bool
 	}{
 		{"all are heard", func() {}, false},
-		{"one is quiet", func() { machines["m1"].Quiet = true }, false},
-		{"most are silent", func() { machines["m2"].Phase = placement.Expired }, true},
-		{"they were returned", func() { clear(machines) }, true},
-		{"a new one is heard", func() { machines["m4"] = &placement.Machine{Name: "m4", Kind: small, Phase: placement.Current} }, false},
+		{"one is quiet", func() { machines.At("m1").Quiet = true }, false},
+		{"most are silent", func() { machines.At("m2").Phase = placement.Expired }, true},
+		{"they were returned", func() { drop(machines, "m1", "m2", "m3") }, true},
+		{"a new one is heard", func() { machines.Put("m4", &placement.Machine{Name: "m4", Kind: small, Phase: placement.Current}) }, false},
 	} {
 		c.change()
-		k.count(machines, nil, at(1))
+		k.count(machines, model.NewTable[string, *rented](), at(1))
 		if k.silent("a") != c.dark {
 			t.Errorf("%s: dark is %v", c.name, k.silent("a"))
 		}
@@ -175,7 +181,8 @@
 
 func TestReturns(t *testing.T) {
 	f := newFleet()
-	machines := map[string]*placement.Machine{
+	machines := model.NewTable[string, *placement.Machine]()
+	for name, m := range map[string]*placement.Machine{
 		"idle":     {Phase: placement.Current, Idle: at(0)},
 		"fresh":    {Phase: placement.Current, Idle: at(80)},
 		"young":    {Phase: placement.Current, Idle: at(60), Seen: at(90)},
@@ -183,6 +190,8 @@
 		"silent":   {Phase: placement.Expired, Silent: at(70)},
 		"quiet":    {Phase: placement.Expired, Silent: at(90)},
 		"unseen":   {Phase: placement.Unseen, Idle: at(0)},
+	} {
+		machines.Put(name, m)
 	}
 	// Unexpected machines are in the list only; one of them never comes up.
 	f.List([]Listed{{Name: "dead", Kind: small, Booting: true, Age: 30 * time.Second},
--- a/internal/fleet/market.go
+++ b/internal/fleet/market.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/marlwood/marlwood/internal/model"
 	"github.com/marlwood/marlwood/internal/placement"
 )
 
@@ -33,18 +34,18 @@
 //
 // Guard: without this, the machines lost with a zone were rented again in the
 // same zone, and, booting for ever, kept others from being rented elsewhere.
-func (k *market) count(machines map[string]*placement.Machine, booting map[string]*rented, now time.Time) {
+func (k *market) count(machines *model.Table[string, *placement.Machine], booting *model.Table[string, *rented], now time.Time) {
 	clear(k.held)
 	known, heard := map[string]int{}, map[string]int{}
-	for _, m := range machines {
+	for _, m := range machines.All() {
 		k.held[Source{m.Kind, m.Spot}]++
 		known[m.Kind.Zone]++
 		if m.Phase == placement.Current && !m.Quiet {
 			heard[m.Kind.Zone]++
 		}
 	}
-	for name, r := range booting {
-		if machines[name] == nil {
+	for name, r := range booting.All() {
+		if machines.At(name) == nil {
 			k.held[r.source]++
 		}
 	}
--- /dev/null
+++ b/internal/model/table.go
@@ -0,0 +1,97 @@
+package model
+
+import (
+	"cmp"
+	"iter"
+	"slices"
+)
+
+// Table is a map that is walked in the order of its keys, so that nothing which is
+// decided on the way hangs on chance: the same events lead to the same decisions.
+// Like a map, a nil table is empty and cannot be put into. It is not safe for
+// concurrent use.
+type Table[K comparable, V any] struct {
+	values  map[K]V
+	compare func(x, y K) int
+	changes uint64      // counts them
+	rows    []row[K, V] // in order, as of the change laid
+	laid    uint64
+}
+
+type row[K comparable, V any] struct {
+	key   K
+	value V
+}
+
+// NewTable makes an empty table with keys in their natural order.
+func NewTable[K cmp.Ordered, V any]() *Table[K, V] { return NewTableBy[K, V](cmp.Compare[K]) }
+
+// NewTableBy makes an empty table whose keys are ordered by compare, which tells
+// like cmp.Compare which of two comes first and returns 0 for equal keys only.
+func NewTableBy[K comparable, V any](compare func(x, y K) int) *Table[K, V] {
+	return &Table[K, V]{values: map[K]V{}, compare: compare}
+}
+
+// At returns the value of a key, or the zero value.
+func (t *Table[K, V]) At(key K) (value V) {
+	if t != nil {
+		value = t.values[key]
+	}
+	return value
+}
+
+// Put sets the value of a key.
+func (t *Table[K, V]) Put(key K, value V) {
+	t.values[key] = value
+	t.changes++
+}
+
+// Drop removes a key.
+func (t *Table[K, V]) Drop(key K) {
+	if t == nil {
+		return
+	}
+	if _, ok := t.values[key]; ok {
+		delete(t.values, key)
+		t.changes++
+	}
+}
+
+// Len counts the keys.
+func (t *Table[K, V]) Len() int {
+	if t == nil {
+		return 0
+	}
+	return len(t.values)
+}
+
+// All walks the table in the order of its keys. The table may be changed
+// meanwhile: what is dropped is not met any more, what is put may be or not.
+func (t *Table[K, V]) All() iter.Seq2[K, V] {
+	return func(yield func(K, V) bool) {
+		if t == nil {
+			return
+		}
+		if t.laid != t.changes {
+			t.rows = make([]row[K, V], 0, len(t.values)) // a walk under way keeps the old one
+			for k, v := range t.values {
+				t.rows = append(t.rows, row[K, V]{k, v})
+			}
+			slices.SortFunc(t.rows, func(x, y row[K, V]) int { return t.compare(x.key, y.key) })
+			t.laid = t.changes
+		}
+		rows, laid := t.rows, t.laid
+		for _, r := range rows {
+			if t.changes != laid {
+				v, ok := t.values[r.key]
+				if !ok {
+					continue
+				}
+				r.value = v
+			}
+			if !yield(r.key, r.value) {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/model/table_test.go
@@ -0,0 +1,49 @@
+package model
+
+import (
+	"fmt"
+	"testing"
+)
+
+// A table is walked in order, whatever is put and dropped on the way: what is
+// dropped is not met any more, and what is replaced is met as it is now.
+func TestTable(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		on   func(t *Table[string, int]) // done when "b" is met
+		want string
+	}{
+		{"unchanged", func(*Table[string, int]) {}, "a1 b2 c3 d4 "},
+		{"the next is dropped", func(t *Table[string, int]) { t.Drop("c") }, "a1 b2 d4 "},
+		{"itself is dropped", func(t *Table[string, int]) { t.Drop("b") }, "a1 b2 c3 d4 "},
+		{"the next is replaced", func(t *Table[string, int]) { t.Put("c", 9) }, "a1 b2 c9 d4 "},
+		{"walked within", func(t *Table[string, int]) {
+			t.Drop("d")
+			for range t.All() {
+			}
+		}, "a1 b2 c3 "},
+	} {
+		x := NewTable[string, int]()
+		for i, k := range []string{"d", "b", "a", "c"} {
+			x.Put(k, []int{4, 2, 1, 3}[i])
+		}
+		got := ""
+		for k, v := range x.All() {
+			got += fmt.Sprintf("%s%d ", k, v)
+			if k == "b" {
+				c.on(x)
+			}
+		}
+		if got != c.want {
+			t.Errorf("%s: %s, want %s", c.name, got, c.want)
+		}
+	}
+	var none *Table[string, int]
+	none.Drop("a")
+	for range none.All() {
+		t.Error("a nil table is not empty")
+	}
+	if none.Len() != 0 || none.At("a") != 0 {
+		t.Error("a nil table is not empty")
+	}
+}
--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -45,7 +45,7 @@
 	kindsGen uint64       // owners and types that kinds were made for
 	finished *model.TaskSet
 	stored   *model.TaskSet // what the state service has
-	bound    map[int]*Task
+	bound    *model.Table[int, *Task]
 	next     int   // tasks from here on were never tried
 	again    []int // tasks to be tried again
 	retryAt  time.Time
@@ -74,7 +74,7 @@
 	if j.Cancelled {
 		return 0
 	}
-	return j.Spec.Tasks - j.finished.Len() - len(j.bound)
+	return j.Spec.Tasks - j.finished.Len() - j.bound.Len()
 }
 
 // Book is the leader's whole knowledge.
@@ -84,8 +84,8 @@
 	complete  bool
 	types     map[string]model.MachineType
 	teams     map[string]model.Team
-	jobs      map[string]*Job
-	machines  map[string]*Machine
+	jobs      *model.Table[string, *Job]
+	machines  *model.Table[string, *Machine]
 	owners    map[model.Kind]string
 	out       map[string][]*peerspb.Order
 	orderID   uint64
@@ -93,7 +93,7 @@
 	room      uint64 // counts events that may have made room
 	gone      map[string]time.Time
 	plan      []*planned
-	classes   map[string]*class
+	classes   *model.Table[string, *class]
 	holders   map[string]map[*Machine]bool // by image: the machines that have it
 	use       map[string]*teamUse
 	kindsGen  uint64 // counts changes of owners and types
@@ -111,9 +111,9 @@
 	if opt.Rand == nil {
 		opt.Rand = rand.New(rand.NewPCG(token, 0))
 	}
-	return &Book{opt: opt, token: token, teams: teams, types: types, jobs: map[string]*Job{},
-		machines: map[string]*Machine{}, owners: map[model.Kind]string{}, out: map[string][]*peerspb.Order{},
-		gone: map[string]time.Time{}, classes: map[string]*class{}, holders: map[string]map[*Machine]bool{},
+	return &Book{opt: opt, token: token, teams: teams, types: types, jobs: model.NewTable[string, *Job](),
+		machines: model.NewTable[string, *Machine](), owners: map[model.Kind]string{}, out: map[string][]*peerspb.Order{},
+		gone: map[string]time.Time{}, classes: model.NewTable[string, *class](), holders: map[string]map[*Machine]bool{},
 		use: map[string]*teamUse{}}
 }
 
@@ -132,7 +132,7 @@
 func (b *Book) Renewed(token uint64, now time.Time) {
 	b.token = token
 	b.out = map[string][]*peerspb.Order{}
-	for _, m := range b.machines {
+	for _, m := range b.machines.All() {
 		if m.Phase != Expired {
 			b.setPhase(m, Unseen, now)
 		}
@@ -151,10 +151,10 @@
 func (b *Book) Owners() map[model.Kind]string { return b.owners }
 
 // Machines returns the machines by name.
-func (b *Book) Machines() map[string]*Machine { return b.machines }
+func (b *Book) Machines() *model.Table[string, *Machine] { return b.machines }
 
 // Jobs returns the jobs that are not over.
-func (b *Book) Jobs() map[string]*Job { return b.jobs }
+func (b *Book) Jobs() *model.Table[string, *Job] { return b.jobs }
 
 // Orders returns the orders for a member that it has not acknowledged.
 func (b *Book) Orders(member string) []*peerspb.Order { return b.out[member] }
@@ -181,4 +181,4 @@
 }
 
 // Bound counts the job's bound tasks.
-func (j *Job) Bound() int { return len(j.bound) }
+func (j *Job) Bound() int { return j.bound.Len() }
--- a/internal/placement/book_test.go
+++ b/internal/placement/book_test.go
@@ -46,7 +46,7 @@
 // says is a later report of a machine whose owner has taken in and settled the
 // orders up to one.
 func (b bench) says(s float64, name, phase string, settled uint64, tasks ...*peerspb.Task) {
-	m := b.machines[name]
+	m := b.machines.At(name)
 	b.Machine(at(s), "n0", &peerspb.Machine{Name: name, Kind: &peerspb.Kind{Type: m.Kind.Type, Zone: m.Kind.Zone}, Phase: phase,
 		NoticeMs: -1, Tasks: tasks}, settled, false)
 }
@@ -73,7 +73,7 @@
 	for _, w := range b.Wants(at(s)) {
 		for _, k := range w.Kinds {
 			var names []string
-			for name, m := range b.machines {
+			for name, m := range b.machines.All() {
 				if m.Kind.Type == k.Type && m.Kind.Zone == k.Zone {
 					names = append(names, name)
 				}
@@ -92,7 +92,7 @@
 }
 
 func (b bench) where(id string, index int) string {
-	if t := b.jobs[id].bound[index]; t != nil {
+	if t := b.jobs.At(id).bound.At(index); t != nil {
 		return t.machine.Name
 	}
 	return ""
@@ -126,8 +126,8 @@
 		}
 		b.machine("small", "small", "a", s...)
 		b.machine("big", "big", "a", g...)
-		delete(b.jobs, "x")
-		b.jobs["load"].retryAt = at(100)
+		b.jobs.Drop("x")
+		b.jobs.At("load").retryAt = at(100)
 		b.job("x", nil)
 		if b.round(1); b.where("x", 0) != c.want {
 			t.Errorf("%s: on %q", c.name, b.where("x", 0))
@@ -144,11 +144,11 @@
 		want    string
 	}{
 		{"the one that has it, though it is fuller", func(bench) {}, "b"},
-		{"not while it fetches", func(b bench) { b.dropImages(b.machines["b"]) }, "a"},
-		{"not when it is full", func(b bench) { b.machines["b"].load = model.Size{CPUs: 3} }, "a"},
+		{"not while it fetches", func(b bench) { b.dropImages(b.machines.At("b")) }, "a"},
+		{"not when it is full", func(b bench) { b.machines.At("b").load = model.Size{CPUs: 3} }, "a"},
 		{"not after others filled the cache", func(b bench) {
 			for i := range 3 {
-				b.hasImage(b.machines["b"], &model.Job{Image: fmt.Sprint(i), ImageGB: 2})
+				b.hasImage(b.machines.At("b"), &model.Job{Image: fmt.Sprint(i), ImageGB: 2})
 			}
 		}, "a"},
 		{"not when it is gone", func(b bench) { b.Gone("b", at(1)) }, "a"},
@@ -192,10 +192,10 @@
 		b.job("load", func(j *model.Job) { j.Tasks, j.Size, j.Image = 3, model.Size{CPUs: 1}, "other" })
 		b.machine("empty", "small", "a")
 		b.machine("spot", "small", "b", task("load", 0, 1, model.TaskRunning, ""))
-		b.machines["spot"].Spot = true
+		b.machines.At("spot").Spot = true
 		b.machine("fast", "big", "b", task("load", 1, 1, model.TaskRunning, ""))
-		b.machines["fast"].load = model.Size{CPUs: 20}
-		b.jobs["load"].retryAt = at(100)
+		b.machines.At("fast").load = model.Size{CPUs: 20}
+		b.jobs.At("load").retryAt = at(100)
 		b.job("x", c.job)
 		if b.round(1); b.where("x", 0) != c.want {
 			t.Errorf("%s: on %q, want %q", c.name, b.where("x", 0), c.want)
@@ -222,27 +222,27 @@
 		{"team limit", func(j *model.Job) { j.Tasks, j.Team = 8, "tight" }, nil, 2},
 		{"gang over the limit waits", func(j *model.Job) { j.Tasks, j.Team, j.Shape = 3, "tight", model.Gang }, nil, 0},
 		{"no spot", nil, func(b bench) {
-			for _, m := range b.machines {
+			for _, m := range b.machines.All() {
 				m.Spot = true
 			}
 		}, 0},
 		{"spot allowed", func(j *model.Job) { j.Spot = true }, func(b bench) {
-			for _, m := range b.machines {
+			for _, m := range b.machines.All() {
 				m.Spot = true
 			}
 		}, 1},
 		{"no host record yet", nil, func(b bench) {
-			for _, m := range b.machines {
+			for _, m := range b.machines.All() {
 				m.Hosted = false
 			}
 		}, 0},
 		{"cordoned", nil, func(b bench) {
-			for _, m := range b.machines {
+			for _, m := range b.machines.All() {
 				b.Cordon(m)
 			}
 		}, 0},
 		{"to be taken away", nil, func(b bench) {
-			for _, m := range b.machines {
+			for _, m := range b.machines.All() {
 				m.Notice = time.Second
 			}
 		}, 0},
@@ -280,7 +280,7 @@
 		if b.round(1) != 1 {
 			b.Fatal("not placed")
 		}
-		x := b.jobs["x"].bound[0]
+		x := b.jobs.At("x").bound.At(0)
 		return x.order, x.attempt
 	}
 	for _, c := range []struct {
@@ -332,7 +332,7 @@
 			if got := b.where("x", 0) != ""; got != c.bound {
 				t.Errorf("bound: %v", got)
 			}
-			if !c.bound && b.jobs["x"].Unplaced() != 1 {
+			if !c.bound && b.jobs.At("x").Unplaced() != 1 {
 				t.Error("the task is not queued again")
 			}
 		})
@@ -400,8 +400,8 @@
 	}
 	b.HostStored("old", 8)
 	b.HostDropped("old", 4) // what was sent before the fresh record
-	if got := b.round(6); got != 1 || b.machines["old"].Stamp != 8 {
-		t.Errorf("with a record: %d placed, stamp %d", got, b.machines["old"].Stamp)
+	if got := b.round(6); got != 1 || b.machines.At("old").Stamp != 8 {
+		t.Errorf("with a record: %d placed, stamp %d", got, b.machines.At("old").Stamp)
 	}
 }
 
@@ -415,7 +415,7 @@
 	}{{"still expired", 0, 0}, {"back meanwhile", 2, 1}} {
 		b := newBench(t)
 		b.machine("m", "small", "a")
-		b.machines["m"].Hosted = false // its record is being written
+		b.machines.At("m").Hosted = false // its record is being written
 		b.job("x", nil)
 		b.says(1, "m", "expired", 0)
 		b.Expire(at(1.5), at(1.5))
@@ -448,7 +448,7 @@
 	b.machine("m", "small", "a")
 	b.job("x", func(j *model.Job) { j.Tasks = 2 })
 	b.round(1)
-	attempts := []uint64{b.jobs["x"].bound[0].attempt, b.jobs["x"].bound[1].attempt}
+	attempts := []uint64{b.jobs.At("x").bound.At(0).attempt, b.jobs.At("x").bound.At(1).attempt}
 	first := task("x", 0, attempts[0], model.TaskExited, model.CauseDone)
 	b.says(2, "m", "current", 2, first, task("x", 1, attempts[1], model.TaskRunning, ""))
 	if b.orders(peerspb.Op_OP_FORGET) != 0 {
@@ -473,7 +473,7 @@
 		t.Fatalf("saves: %+v", saves)
 	}
 	b.Saved(saves[0], true, 12)
-	if len(b.jobs) != 0 || b.orders(peerspb.Op_OP_FORGET) != 2 {
+	if b.jobs.Len() != 0 || b.orders(peerspb.Op_OP_FORGET) != 2 {
 		t.Error("the job is not over")
 	}
 }
@@ -486,11 +486,11 @@
 	b.machine("m", "small", "a")
 	b.job("x", nil)
 	b.round(1)
-	b.says(2, "m", "current", 9, task("x", 0, b.jobs["x"].bound[0].attempt, model.TaskExited, model.CauseDone))
+	b.says(2, "m", "current", 9, task("x", 0, b.jobs.At("x").bound.At(0).attempt, model.TaskExited, model.CauseDone))
 	saves := b.Saves(at(2), time.Second, 4)
 	b.Cancel("x")
 	b.Saved(saves[0], true, 12)
-	if b.orders(peerspb.Op_OP_FORGET) != 1 || b.jobs["x"] != nil {
+	if b.orders(peerspb.Op_OP_FORGET) != 1 || b.jobs.At("x") != nil {
 		t.Error("the exited task is not forgotten")
 	}
 }
@@ -503,7 +503,7 @@
 	b.job("x", func(j *model.Job) { j.Team = "tight"; j.Tasks = 3 })
 	b.job("y", func(j *model.Job) { j.Team = "tight" })
 	b.round(1)
-	attempt := b.jobs["x"].bound[0].attempt
+	attempt := b.jobs.At("x").bound.At(0).attempt
 	b.Cancel("x")
 	if b.orders(peerspb.Op_OP_STOP) != 2 {
 		t.Error("not stopped")
@@ -518,7 +518,7 @@
 		t.Error("a late start of a cancelled job goes on")
 	}
 	b.says(4, "m", "current", 9)
-	if b.jobs["x"] != nil || b.round(5) != 1 || b.where("y", 0) != "m" {
+	if b.jobs.At("x") != nil || b.round(5) != 1 || b.where("y", 0) != "m" {
 		t.Error("its place is not free")
 	}
 }
@@ -532,8 +532,8 @@
 	if b.round(1) != 2 {
 		t.Fatal("not started")
 	}
-	attempt := b.jobs["g"].bound[0].attempt
-	if b.jobs["g"].bound[1].attempt != attempt {
+	attempt := b.jobs.At("g").bound.At(0).attempt
+	if b.jobs.At("g").bound.At(1).attempt != attempt {
 		t.Error("a gang's tasks share an attempt")
 	}
 	other := map[string]string{"m1": "m2", "m2": "m1"}[b.where("g", 0)]
@@ -548,12 +548,12 @@
 		t.Error("the rest is not stopped")
 	}
 	b.says(5, other, "current", 9, task("g", 1, attempt, model.TaskExited, model.CausePeers))
-	if b.round(6) != 2 || b.jobs["g"].bound[0].attempt == attempt {
+	if b.round(6) != 2 || b.jobs.At("g").bound.At(0).attempt == attempt {
 		t.Error("not restarted as a whole with a new attempt")
 	}
 	// One task's result is everybody's.
-	b.says(7, b.where("g", 0), "current", 99, task("g", 0, b.jobs["g"].bound[0].attempt, model.TaskExited, model.CauseDone))
-	if b.jobs["g"].Finished() != 2 {
+	b.says(7, b.where("g", 0), "current", 99, task("g", 0, b.jobs.At("g").bound.At(0).attempt, model.TaskExited, model.CauseDone))
+	if b.jobs.At("g").Finished() != 2 {
 		t.Error("a gang is done as one")
 	}
 }
@@ -570,11 +570,11 @@
 		b.machine("m", "small", "a")
 		b.job("x", func(j *model.Job) { j.Tasks = 2 })
 		b.round(1)
-		b.says(2, "m", "current", 9, task("x", 0, b.jobs["x"].bound[0].attempt, model.TaskRunning, ""))
-		b.says(9, "m", "current", 9, task("x", 0, b.jobs["x"].bound[0].attempt, model.TaskRunning, ""))
+		b.says(2, "m", "current", 9, task("x", 0, b.jobs.At("x").bound.At(0).attempt, model.TaskRunning, ""))
+		b.says(9, "m", "current", 9, task("x", 0, b.jobs.At("x").bound.At(0).attempt, model.TaskRunning, ""))
 		b.round(9) // the other one again
-		x1 := b.jobs["x"].bound[1]
-		b.says(10, "m", "current", 99, task("x", 0, b.jobs["x"].bound[0].attempt, model.TaskRunning, ""),
+		x1 := b.jobs.At("x").bound.At(1)
+		b.says(10, "m", "current", 99, task("x", 0, b.jobs.At("x").bound.At(0).attempt, model.TaskRunning, ""),
 			task("x", 1, x1.attempt, model.TaskRunning, ""))
 		b.job("y", func(j *model.Job) { j.Priority = c.prio })
 		for i := range 4 {
@@ -589,7 +589,7 @@
 			if !x1.stopping {
 				t.Errorf("%s: the longer-running task was stopped", c.name)
 			}
-			b.says(21, "m", "current", 99, task("x", 0, b.jobs["x"].bound[0].attempt, model.TaskRunning, ""),
+			b.says(21, "m", "current", 99, task("x", 0, b.jobs.At("x").bound.At(0).attempt, model.TaskRunning, ""),
 				task("x", 1, x1.attempt, model.TaskExited, model.CauseStopped))
 			b.round(22)
 			if b.where("y", 0) != "m" || b.where("x", 1) != "" {
@@ -618,18 +618,18 @@
 			id := fmt.Sprintf("low%d", i)
 			b.job(id, func(j *model.Job) { j.Priority, j.Size, j.Image = model.Low, model.Size{CPUs: 4}, "k"+name })
 			if name == "b2" {
-				b.jobs[id].Spec.Image = "i"
+				b.jobs.At(id).Spec.Image = "i"
 			}
 			// b1 loses least, then a1, then b2.
 			b.machine(name, "small", name[:1], task(id, 0, 1, model.TaskRunning, ""))
-			b.jobs[id].bound[0].since = at([]float64{5, 8, 2}[i])
+			b.jobs.At(id).bound.At(0).since = at([]float64{5, 8, 2}[i])
 		}
 		b.machine("a2", "small", "a")
 		b.job("g", func(j *model.Job) {
 			j.Shape, j.Priority, j.Size, j.Image = model.Gang, model.High, model.Size{CPUs: 4}, "new"
 			c.job(j)
 		})
-		b.jobs["g"].empty, b.jobs["g"].waiting = 3, at(5)
+		b.jobs.At("g").empty, b.jobs.At("g").waiting = 3, at(5)
 		b.Settle()
 		b.Preempt(at(10))
 		b.Preempt(at(10.5))
@@ -662,7 +662,7 @@
 		b.job("low", func(j *model.Job) { j.Priority, j.Size = model.Low, model.Size{CPUs: 4} })
 		b.machine("has", "small", "a", task("low", 0, 1, model.TaskRunning, ""))
 		b.machine("free", "small", "a")
-		b.jobs["low"].bound[0].since = at(40 - c.ran)
+		b.jobs.At("low").bound.At(0).since = at(40 - c.ran)
 		b.job("g", func(j *model.Job) {
 			j.Shape, j.Priority, j.Size, j.ImageGB = model.Gang, model.High, model.Size{CPUs: 4}, 4
 		})
@@ -704,7 +704,7 @@
 func TestLargeArray(t *testing.T) {
 	b := newBench(t)
 	b.job("x", func(j *model.Job) { j.Tasks = 300 })
-	j := b.jobs["x"]
+	j := b.jobs.At("x")
 	for i := 0; i < 300; i += 2 {
 		b.finish(j, i)
 	}
@@ -730,7 +730,7 @@
 	if err := again.PutJob(at(0), "x", v, 30, parts); err != nil {
 		t.Fatal(err)
 	}
-	if got := again.jobs["x"]; got.Finished() != 150 || !got.finished.Has(298) || got.finished.Has(299) {
+	if got := again.jobs.At("x"); got.Finished() != 150 || !got.finished.Has(298) || got.finished.Has(299) {
 		t.Errorf("%d marks came back", got.Finished())
 	}
 }
@@ -775,7 +775,7 @@
 		t.Errorf("%d slots are asked for to restore it, want 2", short)
 	}
 	b.StandingRoom(at(500))
-	if b.classes["urgent"].short != 0 || b.machines["m1"].KeepsRoom() || b.machines["m2"].KeepsRoom() {
+	if b.classes.At("urgent").short != 0 || b.machines.At("m1").KeepsRoom() || b.machines.At("m2").KeepsRoom() {
 		t.Error("room is kept although nothing arrives any more")
 	}
 }
@@ -807,7 +807,7 @@
 			}
 			b.machine(fmt.Sprintf("m%02d", i), "small", "a", tasks...)
 		}
-		b.jobs["load"].retryAt = at(100)
+		b.jobs.At("load").retryAt = at(100)
 		b.Settle()
 		b.Consolidate(at(1))
 		if c.waiting != nil {
@@ -815,7 +815,7 @@
 			b.Consolidate(at(2))
 		}
 		got := 0
-		for _, m := range b.machines {
+		for _, m := range b.machines.All() {
 			if m.Retiring {
 				got++
 			}
--- a/internal/placement/faults.go
+++ b/internal/placement/faults.go
@@ -65,7 +65,7 @@
 		return
 	}
 	for name := range j.failedOn {
-		if m := b.machines[name]; m != nil {
+		if m := b.machines.At(name); m != nil {
 			delete(m.blame, j.Spec.ID)
 		}
 	}
@@ -74,10 +74,10 @@
 // Suspects lists the machines that fail tasks of jobs which are not to blame
 // themselves: every failure of a proven job counts, of others the waves.
 func (b *Book) Suspects(errors int) (out []*Machine) {
-	for _, m := range b.machines {
+	for _, m := range b.machines.All() {
 		n := 0
 		for id, x := range m.blame {
-			switch j := b.jobs[id]; {
+			switch j := b.jobs.At(id); {
 			case j == nil || j.proven():
 				n += x.fails
 			case !j.Suspect():
@@ -95,7 +95,7 @@
 // Knocked takes in that a machine reported to a controller that does not own its
 // kind.
 func (b *Book) Knocked(name, member string, now time.Time) {
-	if m := b.machines[name]; m != nil && b.owners[m.Kind] != member {
+	if m := b.machines.At(name); m != nil && b.owners[m.Kind] != member {
 		m.knocked = now
 	}
 }
@@ -113,7 +113,7 @@
 // for longer than late.
 func (b *Book) Silent(now time.Time, late time.Duration) map[model.Kind]bool {
 	all, silent := map[model.Kind]int{}, map[model.Kind]int{}
-	for _, m := range b.machines {
+	for _, m := range b.machines.All() {
 		all[m.Kind]++
 		if m.silent(now, late) {
 			silent[m.Kind]++
@@ -130,7 +130,7 @@
 // longer than late, while they report elsewhere: they work, and cannot reach it.
 func (b *Book) Deaf(now time.Time, late time.Duration) (out []model.Kind) {
 	all, knocking := map[model.Kind]int{}, map[model.Kind]int{}
-	for _, m := range b.machines {
+	for _, m := range b.machines.All() {
 		all[m.Kind]++
 		if m.silent(now, late) && now.Sub(m.knocked) < knockedLately {
 			knocking[m.Kind]++
--- a/internal/placement/faults_test.go
+++ b/internal/placement/faults_test.go
@@ -49,8 +49,8 @@
 		for _, m := range b.Suspects(3) {
 			got = append(got, m.Name)
 		}
-		if fmt.Sprint(got) != fmt.Sprint(c.machines) || b.jobs["x"].Suspect() != c.job {
-			t.Errorf("%s: suspects %v and %v, want %v and %v", c.name, got, b.jobs["x"].Suspect(), c.machines, c.job)
+		if fmt.Sprint(got) != fmt.Sprint(c.machines) || b.jobs.At("x").Suspect() != c.job {
+			t.Errorf("%s: suspects %v and %v, want %v and %v", c.name, got, b.jobs.At("x").Suspect(), c.machines, c.job)
 		}
 	}
 }
@@ -72,13 +72,13 @@
 				cause = model.CauseError
 			}
 			var said []*peerspb.Task
-			for key, u := range b.machines[name].tasks {
+			for key, u := range b.machines.At(name).tasks.All() {
 				said = append(said, task("x", key.index, u.attempt, state, cause))
 			}
 			b.says(2, name, "current", 999, said...)
 		}
 	}
-	j := b.jobs["x"]
+	j := b.jobs.At("x")
 	if !j.Suspect() || len(b.Suspects(3)) > 0 || j.fails != 1 {
 		t.Errorf("job suspect: %v, machines %d, failures %d", j.Suspect(), len(b.Suspects(3)), j.fails)
 	}
@@ -92,14 +92,14 @@
 				t.Fatal("never tried again")
 			}
 		}
-		if len(j.bound) != 1 || len(b.Needs(at(now))) > 0 {
-			t.Errorf("%d tasks under way, %d needs", len(j.bound), len(b.Needs(at(now))))
+		if j.bound.Len() != 1 || len(b.Needs(at(now))) > 0 {
+			t.Errorf("%d tasks under way, %d needs", j.bound.Len(), len(b.Needs(at(now))))
 		}
 		if now-from < pauses {
 			t.Errorf("a pause of %v after one of %v", now-from, pauses)
 		}
 		pauses = now - from
-		for _, u := range j.bound {
+		for _, u := range j.bound.All() {
 			b.says(now, u.machine.Name, "current", 999, task("x", u.index, u.attempt, model.TaskExited, model.CauseError))
 		}
 	}
@@ -133,7 +133,7 @@
 			b.machine(fmt.Sprintf("m%d", i), "small", "a")
 		}
 		for i := range c.quiet {
-			b.machines[fmt.Sprintf("m%d", i)].Quiet = true
+			b.machines.At(fmt.Sprintf("m%d", i)).Quiet = true
 		}
 		for _, name := range c.knock {
 			b.Knocked(name, c.from, at(10))
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -41,7 +41,7 @@
 // PutJob takes in a job's record as stored with a stamp. parts are the marks
 // kept beside it by the names of their parts, if any are known.
 func (b *Book) PutJob(now time.Time, id string, value json.RawMessage, stamp uint64, parts map[string]string) error {
-	if j := b.jobs[id]; j != nil {
+	if j := b.jobs.At(id); j != nil {
 		j.Stamp = max(j.Stamp, stamp)
 		return nil
 	}
@@ -54,7 +54,7 @@
 	}
 	j := &Job{Spec: r.Job, Accepted: time.UnixMilli(r.AcceptedMS), Stamp: stamp, seen: now, Started: r.Started,
 		use:      b.useOf(r.Job.Team),
-		finished: model.NewTaskSet(r.Job.Tasks), stored: model.NewTaskSet(r.Job.Tasks), bound: map[int]*Task{},
+		finished: model.NewTaskSet(r.Job.Tasks), stored: model.NewTaskSet(r.Job.Tasks), bound: model.NewTable[int, *Task](),
 		per: b.opt.SplitTasks}
 	for _, set := range []*model.TaskSet{j.finished, j.stored} {
 		if err := set.Merge(0, r.Finished); err != nil {
@@ -71,7 +71,7 @@
 	if b.split {
 		b.splitMarks(j)
 	}
-	b.jobs[id] = j
+	b.jobs.Put(id, j)
 	b.arrived(j)
 	b.opt.Log.Debug("job", "job", id, "class", r.Job.Class, "team", r.Job.Team, "shape", r.Job.Shape, "priority", r.Job.Priority,
 		"tasks", r.Job.Tasks, "cpus", r.Job.Size.CPUs, "estimate", r.Job.Estimate, "checkpoint", r.Job.CheckpointEvery,
@@ -84,7 +84,7 @@
 // once and none is started any more. The record also goes when the job is
 // done, and the watch may tell of it before the write's own answer does.
 func (b *Book) Cancel(id string) {
-	if j := b.jobs[id]; j != nil && !j.Cancelled {
+	if j := b.jobs.At(id); j != nil && !j.Cancelled {
 		b.close(j)
 	}
 }
@@ -97,8 +97,8 @@
 
 // Views returns the counts of the open jobs.
 func (b *Book) Views() map[string]View {
-	out := make(map[string]View, len(b.jobs))
-	for id, j := range b.jobs {
+	out := make(map[string]View, b.jobs.Len())
+	for id, j := range b.jobs.All() {
 		out[id] = View{Done: j.finished.Len(), Running: j.running()}
 	}
 	return out
@@ -106,7 +106,7 @@
 
 func (j *Job) running() int {
 	n := 0
-	for _, t := range j.bound {
+	for _, t := range j.bound.All() {
 		if t.state == model.TaskRunning || t.state == model.TaskSaving {
 			n++
 		}
@@ -116,7 +116,7 @@
 
 // Over takes in that a job's final record is stored.
 func (b *Book) Over(id string) {
-	if j := b.jobs[id]; j != nil {
+	if j := b.jobs.At(id); j != nil {
 		b.close(j)
 	}
 }
@@ -126,22 +126,22 @@
 func (b *Book) close(j *Job) {
 	j.Cancelled = true
 	b.acquit(j)
-	for _, t := range j.bound {
+	for _, t := range j.bound.All() {
 		b.stopOne(t, 0)
 	}
 	for i := range j.Spec.Tasks {
 		j.stored.Add(i)
 	}
-	if len(j.bound) == 0 {
-		delete(b.jobs, j.Spec.ID)
+	if j.bound.Len() == 0 {
+		b.jobs.Drop(j.Spec.ID)
 	}
 	b.settleJob(j.Spec.ID)
 }
 
 // settleJob forgets a job's exited tasks after its marks were stored.
 func (b *Book) settleJob(id string) {
-	j := b.jobs[id]
-	for _, m := range b.machines {
+	j := b.jobs.At(id)
+	for _, m := range b.machines.All() {
 		if m.Phase != Current {
 			continue
 		}
--- a/internal/placement/large_test.go
+++ b/internal/placement/large_test.go
@@ -25,7 +25,7 @@
 	old := newBench(t)
 	old.opt.PartTasks = model.PartTasks(valueBytes - 2048)
 	old.job("x", huge)
-	j := old.jobs["x"]
+	j := old.jobs.At("x")
 	for _, i := range done {
 		old.finish(j, i)
 	}
@@ -54,7 +54,7 @@
 	for i := 1; i < 100; i++ {
 		b.machine(fmt.Sprintf("m%d", i), "big", "a")
 	}
-	if got := b.jobs["x"].Finished(); got != len(done)+len(unstored) {
+	if got := b.jobs.At("x").Finished(); got != len(done)+len(unstored) {
 		t.Errorf("%d tasks are done after the takeover, want %d", got, len(done)+len(unstored))
 	}
 	never := map[int]bool{}
@@ -73,7 +73,7 @@
 				t.Fatalf("task %d is started again", i)
 			}
 			started[i] = true
-			b.exited(at(s), b.jobs["x"].bound[i], task("x", i, o.Attempt, model.TaskExited, model.CauseDone))
+			b.exited(at(s), b.jobs.At("x").bound.At(i), task("x", i, o.Attempt, model.TaskExited, model.CauseDone))
 		}
 		b.out = map[string][]*peerspb.Order{}
 	}
--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -51,13 +51,13 @@
 
 	session, seq uint64
 	current      uint64 // token under which it was last current
-	tasks        map[taskKey]*Task
+	tasks        *model.Table[taskKey, *Task]
 	load         model.Size // what the bound tasks take
 	images       []held     // in its cache, the last used one last
 	reported     []*peerspb.Task
 	blame        map[string]blame // by job: its tasks that failed here since one was done here
 	strays       int              // running tasks of jobs the book does not know
-	reserved     map[string]reservation
+	reserved     *model.Table[string, reservation]
 	log          *slog.Logger
 }
 
@@ -68,6 +68,14 @@
 	until time.Time
 }
 
+// reserve keeps room on a machine under the name of a job or a class.
+func (m *Machine) reserve(name string, r reservation) {
+	if m.reserved == nil {
+		m.reserved = model.NewTable[string, reservation]()
+	}
+	m.reserved.Put(name, r)
+}
+
 // recordon tells an owner anew which machines are to get no tasks: a fresh
 // token voided what it was told before.
 func (b *Book) recordon(m *Machine) {
@@ -78,9 +86,9 @@
 
 // AddHost takes in a host record: a machine on which tasks may run.
 func (b *Book) AddHost(name, addr string, kind model.Kind, spot bool, stamp uint64, now time.Time) {
-	if b.machines[name] == nil {
-		b.machines[name] = &Machine{Name: name, Addr: addr, Kind: kind, Spot: spot, Hosted: true, Stamp: stamp, Notice: -1,
-			Seen: now, Idle: now, Since: now, Listed: true, tasks: map[taskKey]*Task{}, log: b.opt.Log}
+	if b.machines.At(name) == nil {
+		b.machines.Put(name, &Machine{Name: name, Addr: addr, Kind: kind, Spot: spot, Hosted: true, Stamp: stamp, Notice: -1,
+			Seen: now, Idle: now, Since: now, Listed: true, tasks: newTasks(), log: b.opt.Log})
 	}
 }
 
@@ -91,7 +99,7 @@
 // and get tasks while the removal is under way, and the next leader would not wait
 // for it.
 func (b *Book) HostStored(name string, stamp uint64) {
-	if m := b.machines[name]; m != nil {
+	if m := b.machines.At(name); m != nil {
 		m.Hosted, m.Stamp, m.dropping = m.Phase != Expired, stamp, false
 		b.room++
 	}
@@ -106,7 +114,7 @@
 // stamp: a machine may be back and have a fresh record when it is carried out.
 func (b *Book) ExpiredHosts(n int) map[string]uint64 {
 	out := map[string]uint64{}
-	for name, m := range b.machines {
+	for name, m := range b.machines.All() {
 		if len(out) < n && m.Phase == Expired && m.Stamp != 0 && !m.dropping {
 			m.dropping = true
 			out[name] = m.Stamp
@@ -117,7 +125,7 @@
 
 // HostDropped marks a machine's host record with a stamp as removed.
 func (b *Book) HostDropped(name string, stamp uint64) {
-	if m := b.machines[name]; m != nil && m.Stamp == stamp {
+	if m := b.machines.At(name); m != nil && m.Stamp == stamp {
 		m.Stamp = 0
 	}
 }
@@ -125,7 +133,7 @@
 // Greet has the owners call the machines that have not been heard of under
 // our token, rather than wait for their reports.
 func (b *Book) Greet() {
-	for _, m := range b.machines {
+	for _, m := range b.machines.All() {
 		if m.Phase == Unseen && m.Addr != "" {
 			b.give(m, &peerspb.Order{Op: peerspb.Op_OP_GREET, Addr: m.Addr, Kind: &peerspb.Kind{Type: m.Kind.Type, Zone: m.Kind.Zone}})
 		}
@@ -137,7 +145,7 @@
 // is, for a returned machine is gone for sure.
 func (b *Book) Missing(listed map[string]bool, heardBy time.Time) []string {
 	var out []string
-	for name, m := range b.machines {
+	for name, m := range b.machines.All() {
 		silent := m.Quiet || m.Phase == Lapsed || m.Phase == Expired || (m.Phase == Unseen && m.Since.Before(heardBy))
 		if listed[name] {
 			m.Listed = true
@@ -175,19 +183,19 @@
 
 // Gone takes in that a machine no longer exists.
 func (b *Book) Gone(name string, now time.Time) {
-	m := b.machines[name]
+	m := b.machines.At(name)
 	if m == nil {
 		return
 	}
 	b.releaseAll(m, now)
 	b.give(m, &peerspb.Order{Op: peerspb.Op_OP_DROP})
 	b.dropImages(m)
-	delete(b.machines, name)
+	b.machines.Drop(name)
 	b.gone[name] = now
 }
 
 func (b *Book) releaseAll(m *Machine, now time.Time) {
-	for _, t := range m.tasks {
+	for _, t := range m.tasks.All() {
 		b.release(t, now)
 	}
 	m.reported, m.strays = nil, 0
@@ -200,7 +208,7 @@
 	if _, lost := b.gone[pm.Name]; lost {
 		return
 	}
-	m := b.machines[pm.Name]
+	m := b.machines.At(pm.Name)
 	kind := model.Kind{Type: pm.Kind.GetType(), Zone: pm.Kind.GetZone()}
 	if m != nil {
 		kind = m.Kind
@@ -215,8 +223,8 @@
 			return
 		}
 		m = &Machine{Name: pm.Name, Kind: kind, Notice: -1,
-			Seen: now, Idle: now, tasks: map[taskKey]*Task{}, log: b.opt.Log}
-		b.machines[pm.Name] = m
+			Seen: now, Idle: now, tasks: newTasks(), log: b.opt.Log}
+		b.machines.Put(pm.Name, m)
 	}
 	m.Quiet = pm.Quiet
 	switch pm.Phase {
@@ -271,7 +279,7 @@
 // mentioned have surely run out of the leases that it or anybody before it
 // extended.
 func (b *Book) UnseenLapsed(member string, now time.Time) {
-	for _, m := range b.machines {
+	for _, m := range b.machines.All() {
 		if m.Phase == Unseen && b.owners[m.Kind] == member {
 			b.setPhase(m, Lapsed, now)
 		}
@@ -286,7 +294,7 @@
 // lease ran out, while its tasks go on. Only a look at the key that is younger
 // than the lapse shows that nobody else can have extended the lease.
 func (b *Book) Expire(checked, now time.Time) (names []string) {
-	for _, m := range b.machines {
+	for _, m := range b.machines.All() {
 		if m.Phase == Lapsed && m.Since.Before(checked) {
 			b.releaseAll(m, now)
 			b.setPhase(m, Expired, now)
@@ -304,7 +312,7 @@
 	if b.complete {
 		return true
 	}
-	for _, m := range b.machines {
+	for _, m := range b.machines.All() {
 		if m.Hosted && (m.Phase == Unseen || m.Phase == Joining || m.Phase == Lapsed) {
 			return false
 		}
@@ -316,13 +324,13 @@
 
 // Busy tells whether anything is bound to the machine or still to be settled
 // on it.
-func (m *Machine) Busy() bool { return len(m.tasks) > 0 || m.strays > 0 || len(m.reported) > 0 }
+func (m *Machine) Busy() bool { return m.tasks.Len() > 0 || m.strays > 0 || len(m.reported) > 0 }
 
 // strays counts running tasks that belong to no open job. While there are
 // any, nothing starts: their team and size are not known.
 func (b *Book) strays() int {
 	n := 0
-	for _, m := range b.machines {
+	for _, m := range b.machines.All() {
 		n += m.strays
 	}
 	return n
--- a/internal/placement/needs.go
+++ b/internal/placement/needs.go
@@ -94,7 +94,7 @@
 		longest = max(longest, b.horizon(j, now))
 	}
 	p := &pool{b: b, now: now, slack: map[model.Kind][]*slack{}}
-	for _, m := range b.machines {
+	for _, m := range b.machines.All() {
 		// Guard: a machine that has yet to show a fresh token, or whose record
 		// is being stored, is about to be used; it must not be rented again.
 		if m.Phase == Lapsed || m.Phase == Expired || m.Cordoned || m.Retiring || m.Notice >= 0 {
@@ -102,7 +102,7 @@
 		}
 		s := &slack{m: m, size: b.types[m.Kind.Type].Size}
 		s.open = s.size.Sub(m.load)
-		for _, t := range m.tasks {
+		for _, t := range m.tasks.All() {
 			spec := t.job.Spec
 			switch {
 			case t.stopping:
@@ -158,7 +158,7 @@
 	if !j.Spec.Size.Fits(s.open) {
 		return 0
 	}
-	if len(s.m.reserved) == 0 {
+	if s.m.reserved.Len() == 0 {
 		return j.Spec.Size.Slots(s.open)
 	}
 	return j.Spec.Size.Slots(s.open.Sub(p.b.keptFrom(s.m, j, p.now)))
@@ -260,7 +260,7 @@
 			out = append(out, need)
 		}
 	}
-	for name, c := range b.classes {
+	for name, c := range b.classes.All() {
 		if c.short > 0 {
 			j := c.last
 			out = append(out, Need{Job: name, Size: j.Spec.Size, Tasks: c.short, Kinds: b.kindsFor(j), Spot: j.Spec.Spot, Whole: true,
--- a/internal/placement/patient_test.go
+++ b/internal/placement/patient_test.go
@@ -82,12 +82,12 @@
 			}
 		})
 		b.machine("m", "small", "a", task("x", 0, 1, model.TaskRunning, ""))
-		b.machines["m"].Spot = c.spot
+		b.machines.At("m").Spot = c.spot
 		b.Settle()
 		b.Consolidate(at(1))
 		b.Consolidate(at(2))
-		if b.machines["m"].Retiring != c.retired || b.orders(peerspb.Op_OP_STOP) != c.stops {
-			t.Errorf("%s: retiring %v, %d stops", c.name, b.machines["m"].Retiring, b.orders(peerspb.Op_OP_STOP))
+		if b.machines.At("m").Retiring != c.retired || b.orders(peerspb.Op_OP_STOP) != c.stops {
+			t.Errorf("%s: retiring %v, %d stops", c.name, b.machines.At("m").Retiring, b.orders(peerspb.Op_OP_STOP))
 		}
 	}
 }
@@ -121,7 +121,7 @@
 		b.machine("m", "small", "a", task("x", 0, 1, model.TaskRunning, ""))
 		b.job("y", func(j *model.Job) { j.Team, j.Priority = c.team, model.Low })
 		b.Settle()
-		b.jobs["y"].empty, b.jobs["y"].waiting = 3, at(5)
+		b.jobs.At("y").empty, b.jobs.At("y").waiting = 3, at(5)
 		b.Preempt(at(10))
 		if got := b.orders(peerspb.Op_OP_STOP); got != c.stops {
 			t.Errorf("%s: %d stops", c.name, got)
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -87,11 +87,8 @@
 func (b *Book) clear(now time.Time, j *Job, c *clearing) {
 	j.cleared = now
 	for _, p := range c.places {
-		if p.machine.reserved == nil {
-			p.machine.reserved = map[string]reservation{}
-		}
-		p.machine.reserved[j.Spec.ID] = reservation{size: j.Spec.Size.Times(p.tasks), rank: j.power(now),
-			until: now.Add(15 * time.Second)}
+		p.machine.reserve(j.Spec.ID, reservation{size: j.Spec.Size.Times(p.tasks), rank: j.power(now),
+			until: now.Add(15 * time.Second)})
 	}
 	for _, t := range c.victims {
 		b.stop(t, graceFor(t.job.Spec))
@@ -189,13 +186,13 @@
 
 func (b *Book) clearingIn(now time.Time, j *Job, n int, zone string) *clearing {
 	var all []*candidate
-	for _, m := range b.machines {
+	for _, m := range b.machines.All() {
 		if !m.usable() || !j.takes(m.Spot) || (zone != "" && m.Kind.Zone != zone) ||
 			!j.Spec.Allows(b.types[m.Kind.Type], m.Kind.Zone) || !j.zoneAllows(m.Kind.Zone) {
 			continue
 		}
 		c := &candidate{machine: m, room: b.free(m, j, now), fetch: b.fetchLoss(j, m)}
-		for _, t := range m.tasks {
+		for _, t := range m.tasks.All() {
 			if t.stopping {
 				c.room = c.room.Add(t.job.Spec.Size)
 			} else if t.state != model.TaskOrdered && (t.job.rank < j.power(now) || b.borrowed(j, t)) {
@@ -244,11 +241,11 @@
 // Drain stops tasks that can save on machines that the cloud will take away,
 // while there is still time to save.
 func (b *Book) Drain(now time.Time) {
-	for _, m := range b.machines {
+	for _, m := range b.machines.All() {
 		if m.Notice < 0 || m.Phase != Current {
 			continue
 		}
-		for _, t := range m.tasks {
+		for _, t := range m.tasks.All() {
 			if t.stopping || t.job.Spec.CheckpointEvery == 0 || t.state != model.TaskRunning {
 				continue
 			}
@@ -260,11 +257,11 @@
 // Mend stops what is left of a gang that lost tasks while waiting, so that it
 // can start anew as a whole.
 func (b *Book) Mend(now time.Time) {
-	for _, j := range b.jobs {
-		if j.Spec.Shape != model.Gang || j.Cancelled || len(j.bound) == 0 || j.Unplaced() <= 0 {
+	for _, j := range b.jobs.All() {
+		if j.Spec.Shape != model.Gang || j.Cancelled || j.bound.Len() == 0 || j.Unplaced() <= 0 {
 			continue
 		}
-		for _, t := range j.bound {
+		for _, t := range j.bound.All() {
 			if !t.stopping && t.state != model.TaskOrdered {
 				b.stopOne(t, 0)
 			}
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -29,17 +29,17 @@
 	var capacity float64
 	var candidates []*Machine
 	patient := map[*Job]bool{}
-	for _, j := range b.jobs {
+	for _, j := range b.jobs.All() {
 		patient[j] = j.Spec.CheckpointEvery > 0 && b.patient(j, now)
 	}
-	for _, m := range b.machines {
+	for _, m := range b.machines.All() {
 		if m.Phase != Current {
 			continue
 		}
 		// Tasks on retiring machines count: others will follow them.
 		size := b.types[m.Kind.Type].Size
 		load := m.load
-		for _, t := range m.tasks {
+		for _, t := range m.tasks.All() {
 			if !m.Spot && patient[t.job] {
 				load = load.Sub(t.job.Spec.Size)
 				b.moveOff(t)
@@ -132,7 +132,7 @@
 // cheapest first.
 func (b *Book) retiring() []*Machine {
 	var out []*Machine
-	for _, m := range b.machines {
+	for _, m := range b.machines.All() {
 		if m.Retiring && !m.Cordoned && m.Phase == Current && m.Notice < 0 {
 			out = append(out, m)
 		}
@@ -166,10 +166,10 @@
 	if b.opt.Aims[j.Spec.Class].Wait == 0 {
 		return
 	}
-	c := b.classes[j.Spec.Class]
+	c := b.classes.At(j.Spec.Class)
 	if c == nil {
 		c = &class{}
-		b.classes[j.Spec.Class] = c
+		b.classes.Put(j.Spec.Class, c)
 	}
 	c.last = j
 	c.arrivals = append(c.arrivals, arrival{j.Accepted, j.Spec.Tasks})
@@ -180,10 +180,10 @@
 // kept on machines that are not let go. Work of lower priority may not take it,
 // for stopping that work would cost time too.
 func (b *Book) StandingRoom(now time.Time) {
-	for name, c := range b.classes {
+	for name, c := range b.classes.All() {
 		c.short = 0
-		for _, m := range b.machines {
-			delete(m.reserved, name)
+		for _, m := range b.machines.All() {
+			m.reserved.Drop(name)
 		}
 		c.arrivals = slices.DeleteFunc(c.arrivals, func(a arrival) bool { return now.Sub(a.at) >= rateWindow })
 		if len(c.arrivals) == 0 || !b.complete {
@@ -199,11 +199,8 @@
 			if n <= 0 {
 				break
 			}
-			if m.reserved == nil {
-				m.reserved = map[string]reservation{}
-			}
-			m.reserved[name] = reservation{size: c.last.Spec.Size.Times(n), class: name,
-				rank: c.last.Spec.Priority.Rank(), until: now.Add(3 * time.Second)}
+			m.reserve(name, reservation{size: c.last.Spec.Size.Times(n), class: name,
+				rank: c.last.Spec.Priority.Rank(), until: now.Add(3 * time.Second)})
 			slots -= n
 		}
 		c.short = slots
@@ -237,7 +234,7 @@
 func (b *Book) standing(j *Job, now time.Time) []*Machine {
 	var out []*Machine
 	zones := map[string]int{}
-	for _, m := range b.machines {
+	for _, m := range b.machines.All() {
 		if !m.usable() || !j.takes(m.Spot) || !j.Spec.Allows(b.types[m.Kind.Type], m.Kind.Zone) {
 			continue
 		}
@@ -257,7 +254,7 @@
 
 // KeepsRoom tells that a machine has standing room.
 func (m *Machine) KeepsRoom() bool {
-	for _, r := range m.reserved {
+	for _, r := range m.reserved.All() {
 		if r.class != "" {
 			return true
 		}
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -47,11 +47,11 @@
 // deadline, age.
 func (b *Book) queue(now time.Time) []*Job {
 	var out []*Job
-	for _, j := range b.jobs {
+	for _, j := range b.jobs.All() {
 		if j.Unplaced() <= 0 || now.Before(j.retryAt) {
 			continue
 		}
-		if (j.Spec.Shape == model.Gang || j.Suspect()) && len(j.bound) > 0 {
+		if (j.Spec.Shape == model.Gang || j.Suspect()) && j.bound.Len() > 0 {
 			continue // a gang's old tasks keep their places until they exit
 		}
 		out = append(out, j)
@@ -107,7 +107,7 @@
 // heldBack tells which teams want more than their limits allow.
 func (b *Book) heldBack() map[string]bool {
 	wanted := map[string]model.Size{}
-	for _, j := range b.jobs {
+	for _, j := range b.jobs.All() {
 		if !j.Cancelled && !j.Suspect() {
 			wanted[j.Spec.Team] = wanted[j.Spec.Team].Add(j.Spec.Size.Times(j.Spec.Tasks - j.finished.Len()))
 		}
@@ -170,20 +170,20 @@
 	var out []int
 	taken := map[int]bool{}
 	use := func(i int) {
-		if len(out) < n && !taken[i] && !j.finished.Has(i) && j.bound[i] == nil {
+		if len(out) < n && !taken[i] && !j.finished.Has(i) && j.bound.At(i) == nil {
 			taken[i] = true
 			out = append(out, i)
 		}
 	}
 	keep := j.again[:0]
 	for _, i := range j.again {
-		if !j.finished.Has(i) && j.bound[i] == nil && !taken[i] {
+		if !j.finished.Has(i) && j.bound.At(i) == nil && !taken[i] {
 			keep = append(keep, i)
 			use(i)
 		}
 	}
 	j.again = keep
-	for j.next < j.Spec.Tasks && (j.finished.Has(j.next) || j.bound[j.next] != nil) {
+	for j.next < j.Spec.Tasks && (j.finished.Has(j.next) || j.bound.At(j.next) != nil) {
 		j.next++
 	}
 	for i := j.next; i < j.Spec.Tasks && len(out) < n; i++ {
@@ -251,7 +251,7 @@
 // free is the room that a job may use on a machine.
 func (b *Book) free(m *Machine, j *Job, now time.Time) model.Size {
 	room := b.types[m.Kind.Type].Size.Sub(m.load)
-	if len(m.reserved) > 0 {
+	if m.reserved.Len() > 0 {
 		room = room.Sub(b.keptFrom(m, j, now))
 	}
 	return room
@@ -260,10 +260,10 @@
 // keptFrom is the room on a machine that is reserved against a job.
 func (b *Book) keptFrom(m *Machine, j *Job, now time.Time) model.Size {
 	var kept model.Size
-	for id, r := range m.reserved {
+	for id, r := range m.reserved.All() {
 		switch {
-		case now.After(r.until) || (r.class == "" && (b.jobs[id] == nil || b.jobs[id].Unplaced() == 0)):
-			delete(m.reserved, id)
+		case now.After(r.until) || (r.class == "" && (b.jobs.At(id) == nil || b.jobs.At(id).Unplaced() == 0)):
+			m.reserved.Drop(id)
 		case id != j.Spec.ID && r.class != j.Spec.Class && r.rank >= j.rank:
 			kept = kept.Add(r.size)
 		}
@@ -290,7 +290,7 @@
 		return true
 	}
 	inZone := 0
-	for _, t := range j.bound {
+	for _, t := range j.bound.All() {
 		if t.machine.Kind.Zone == zone {
 			inZone++
 		} else if j.Spec.OneZone {
@@ -361,7 +361,7 @@
 	total := 0
 	for _, p := range b.plan {
 		j := p.job
-		if b.jobs[j.Spec.ID] != j || j.Cancelled || !b.complete {
+		if b.jobs.At(j.Spec.ID) != j || j.Cancelled || !b.complete {
 			continue
 		}
 		n := 0
@@ -401,7 +401,7 @@
 			names = names[from:min(from+b.opt.Draws, len(names))]
 		}
 		for _, name := range names {
-			if m := b.machines[name]; m != nil {
+			if m := b.machines.At(name); m != nil {
 				out = append(out, m)
 			}
 		}
@@ -412,7 +412,7 @@
 func (b *Book) placeEach(now time.Time, p *planned, samples []*peerspb.Sample) int {
 	j, n := p.job, 0
 	for k, index := range p.tasks {
-		if j.bound[index] != nil || j.finished.Has(index) || b.headroom(j) == 0 {
+		if j.bound.At(index) != nil || j.finished.Has(index) || b.headroom(j) == 0 {
 			continue
 		}
 		m := b.choose(j, b.drawn(p, samples, k, ""), now)
@@ -430,7 +430,7 @@
 // tried zone by zone.
 func (b *Book) placeGang(now time.Time, p *planned, samples []*peerspb.Sample) int {
 	j := p.job
-	if len(j.bound) > 0 || len(p.tasks) < j.Spec.Tasks-j.finished.Len() || b.headroom(j) < len(p.tasks) {
+	if j.bound.Len() > 0 || len(p.tasks) < j.Spec.Tasks-j.finished.Len() || b.headroom(j) < len(p.tasks) {
 		return 0
 	}
 	zones := []string{""}
--- a/internal/placement/saves.go
+++ b/internal/placement/saves.go
@@ -45,7 +45,7 @@
 		return
 	}
 	b.split = true
-	for _, j := range b.jobs {
+	for _, j := range b.jobs.All() {
 		b.splitMarks(j)
 	}
 }
@@ -68,7 +68,7 @@
 	if b.fewParts > 0 {
 		maxParts = min(maxParts, b.fewParts)
 	}
-	for id, j := range b.jobs {
+	for id, j := range b.jobs.All() {
 		if !j.dirty || j.writing || j.Cancelled {
 			continue
 		}
@@ -130,7 +130,7 @@
 // Saved takes in the outcome of a save. Only an answered success counts; a
 // failure is tried again with the job's then stamp.
 func (b *Book) Saved(s *Save, ok bool, stamp uint64) {
-	j := b.jobs[s.ID]
+	j := b.jobs.At(s.ID)
 	if j == nil {
 		return
 	}
@@ -153,7 +153,7 @@
 // TooLarge takes in that the state service refused a save as too large. It comes
 // again with fewer or smaller parts, not as it was.
 func (b *Book) TooLarge(s *Save) {
-	j := b.jobs[s.ID]
+	j := b.jobs.At(s.ID)
 	if j == nil {
 		return
 	}
--- a/internal/placement/saves_test.go
+++ b/internal/placement/saves_test.go
@@ -101,7 +101,7 @@
 	if err := again.PutJob(at(0), "req-000412", l.record, 30, l.parts); err != nil {
 		t.Fatal(err)
 	}
-	return again.jobs["req-000412"]
+	return again.jobs.At("req-000412")
 }
 
 // A record that the version in production wrote is read, and shrinks at its next
@@ -114,7 +114,7 @@
 	if err := b.PutJob(at(0), "req-000412", p.Record, 30, p.Parts); err != nil {
 		t.Fatal(err)
 	}
-	j := b.jobs["req-000412"]
+	j := b.jobs.At("req-000412")
 	if j.Finished() != 15000 || !j.Started || j.Spec.Deadline != 90*time.Second {
 		t.Fatalf("read %d marks, %+v", j.Finished(), j.Spec)
 	}
@@ -148,9 +148,9 @@
 	b.job("req-000412", func(j *model.Job) { j.Tasks, j.Image = 5000, strings.Repeat("i", 1900) })
 	b.Split()
 	l := &limited{value: 300, ops: 5, parts: map[string]string{}}
-	l.record, _ = json.Marshal(Record{Job: b.jobs["req-000412"].Spec})
+	l.record, _ = json.Marshal(Record{Job: b.jobs.At("req-000412").Spec})
 	for i := 0; i < 5000; i += 3 {
-		b.finish(b.jobs["req-000412"], i)
+		b.finish(b.jobs.At("req-000412"), i)
 	}
 	if refused := l.save(t, b, 4, 0); refused == 0 || refused > 10 {
 		t.Errorf("%d saves refused", refused)
@@ -161,13 +161,13 @@
 	// Fewer changes in a transaction than the settings say.
 	l.ops = 2
 	for i := 1; i < 5000; i += 3 {
-		b.finish(b.jobs["req-000412"], i)
+		b.finish(b.jobs.At("req-000412"), i)
 	}
 	if refused := l.save(t, b, 4, 1667); refused > 3 || l.load(t, b.opt).Finished() != 3334 {
 		t.Errorf("%d saves refused, %d marks", refused, l.load(t, b.opt).Finished())
 	}
 	l.value = 0
-	b.finish(b.jobs["req-000412"], 2)
+	b.finish(b.jobs.At("req-000412"), 2)
 	if refused := l.save(t, b, 4, 3334); refused > 10 {
 		t.Errorf("%d saves refused by a store that takes nothing", refused)
 	}
--- a/internal/placement/summary.go
+++ b/internal/placement/summary.go
@@ -13,8 +13,8 @@
 
 // Summary counts what there is.
 func (b *Book) Summary(now time.Time) Summary {
-	s := Summary{Machines: len(b.machines), Jobs: len(b.jobs)}
-	for _, m := range b.machines {
+	s := Summary{Machines: b.machines.Len(), Jobs: b.jobs.Len()}
+	for _, m := range b.machines.All() {
 		if m.Phase != Current {
 			continue
 		}
@@ -23,12 +23,12 @@
 		}
 		s.CPUs += b.types[m.Kind.Type].Size.CPUs
 		s.Used += m.load.CPUs
-		if len(m.tasks) > 0 {
+		if m.tasks.Len() > 0 {
 			s.Busy++
 		}
 	}
-	for _, j := range b.jobs {
-		s.Bound += len(j.bound)
+	for _, j := range b.jobs.All() {
+		s.Bound += j.bound.Len()
 		s.Unplaced += max(0, j.Unplaced())
 	}
 	for _, n := range b.Needs(now) {
--- a/internal/placement/tasks.go
+++ b/internal/placement/tasks.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/marlwood/marlwood/internal/model"
@@ -12,6 +13,12 @@
 	index int
 }
 
+func newTasks() *model.Table[taskKey, *Task] {
+	return model.NewTableBy[taskKey, *Task](func(x, y taskKey) int {
+		return cmp.Or(cmp.Compare(x.job, y.job), cmp.Compare(x.index, y.index))
+	})
+}
+
 // Task is a task bound to a machine: ordered there, there, or possibly there.
 type Task struct {
 	job      *Job
@@ -43,14 +50,14 @@
 	m, j := t.machine, t.job
 	t.unbind()
 	b.room++
-	if len(m.tasks) == 0 {
+	if m.tasks.Len() == 0 {
 		m.Idle = now
 	}
 	if !j.finished.Has(t.index) {
 		j.again = append(j.again, t.index)
 	}
-	if j.Cancelled && len(j.bound) == 0 {
-		delete(b.jobs, j.Spec.ID)
+	if j.Cancelled && j.bound.Len() == 0 {
+		b.jobs.Drop(j.Spec.ID)
 	}
 }
 
@@ -61,7 +68,7 @@
 	for _, r := range m.reported {
 		key := taskKey{r.Job, int(r.Index)}
 		state := model.TaskState(r.State)
-		j := b.jobs[r.Job]
+		j := b.jobs.At(r.Job)
 		if j == nil || int(r.Index) >= j.Spec.Tasks {
 			// No such job is open: it is done, cancelled or unknown.
 			if state == model.TaskExited {
@@ -72,7 +79,7 @@
 			}
 			continue
 		}
-		t := j.bound[key.index]
+		t := j.bound.At(key.index)
 		if t != nil && t.machine == m && t.attempt == r.Attempt {
 			seen[key] = true
 			if state == model.TaskExited {
@@ -101,7 +108,7 @@
 		}
 	}
 	m.strays = strays
-	for key, t := range m.tasks {
+	for key, t := range m.tasks.All() {
 		if seen[key] {
 			continue
 		}
@@ -116,8 +123,8 @@
 
 func (b *Book) bind(t *Task) {
 	t.bornAt = t.since
-	t.job.bound[t.index] = t
-	t.machine.tasks[taskKey{t.job.Spec.ID, t.index}] = t
+	t.job.bound.Put(t.index, t)
+	t.machine.tasks.Put(taskKey{t.job.Spec.ID, t.index}, t)
 	t.machine.load = t.machine.load.Add(t.job.Spec.Size)
 	t.job.use.add(t.job.Spec.Size)
 }
@@ -125,11 +132,11 @@
 // unbind undoes bind.
 func (t *Task) unbind() {
 	m := t.machine
-	delete(t.job.bound, t.index)
-	delete(m.tasks, taskKey{t.job.Spec.ID, t.index})
+	t.job.bound.Drop(t.index)
+	m.tasks.Drop(taskKey{t.job.Spec.ID, t.index})
 	m.load = m.load.Sub(t.job.Spec.Size)
 	t.job.use.remove(t.job.Spec.Size)
-	if len(m.tasks) == 0 {
+	if m.tasks.Len() == 0 {
 		m.load = model.Size{} // rounding must not add up
 	}
 }
@@ -166,7 +173,7 @@
 // stop stops a bound task; of a gang, all of its tasks.
 func (b *Book) stop(t *Task, grace time.Duration) {
 	if t.job.Spec.Shape == model.Gang {
-		for _, o := range t.job.bound {
+		for _, o := range t.job.bound.All() {
 			b.stopOne(o, grace)
 		}
 		return
--- a/internal/placement/urgency.go
+++ b/internal/placement/urgency.go
@@ -15,7 +15,7 @@
 // Hasten replaces what waiting jobs ask of the open ones.
 func (b *Book) Hasten(urgencies map[string]Urgency) {
 	b.urgencies = urgencies
-	for id, j := range b.jobs {
+	for id, j := range b.jobs.All() {
 		j.hurry(urgencies[id])
 	}
 }
@@ -35,7 +35,7 @@
 		boot := b.boot(j)
 		soon := true
 		for _, id := range c.Needs {
-			soon = soon && b.endsWithin(b.jobs[id], boot, now)
+			soon = soon && b.endsWithin(b.jobs.At(id), boot, now)
 		}
 		if soon {
 			b.coming = append(b.coming, j)
@@ -48,7 +48,7 @@
 	if j == nil || j.Unplaced() > 0 {
 		return false
 	}
-	for _, t := range j.bound {
+	for _, t := range j.bound.All() {
 		if t.left(now) > within {
 			return false
 		}
--- a/internal/placement/urgency_test.go
+++ b/internal/placement/urgency_test.go
@@ -25,10 +25,10 @@
 	if got := order(); got != "early dated plain" {
 		t.Errorf("hastened: %s", got)
 	}
-	if j := b.jobs["early"]; j.within != 50*time.Second {
+	if j := b.jobs.At("early"); j.within != 50*time.Second {
 		t.Errorf("due within %v", j.within)
 	}
-	if j := b.jobs["plain"]; j.rank != model.Normal.Rank() {
+	if j := b.jobs.At("plain"); j.rank != model.Normal.Rank() {
 		t.Error("a job was made less urgent than it is")
 	}
 	b.Hasten(nil)
@@ -49,12 +49,12 @@
 		now  float64
 		want model.Priority
 	}{{"early", 10, model.Low}, {"early", 25, model.High}, {"early", 60, model.High}, {"own", 1, model.High}} {
-		if got := b.jobs[c.id].power(at(c.now)); got != c.want.Rank() {
+		if got := b.jobs.At(c.id).power(at(c.now)); got != c.want.Rank() {
 			t.Errorf("%s at %v: %d", c.id, c.now, got)
 		}
 	}
 	b.Hasten(map[string]Urgency{"early": {Rank: model.High.Rank()}})
-	if b.jobs["early"].power(at(99)) != model.Low.Rank() {
+	if b.jobs.At("early").power(at(99)) != model.Low.Rank() {
 		t.Error("nothing is asked of it, but it stops others")
 	}
 }
@@ -100,7 +100,7 @@
 				got += n.Tasks
 			}
 		}
-		if got != c.want || b.jobs["second"] != nil || len(b.queue(at(c.now))) > 1 {
+		if got != c.want || b.jobs.At("second") != nil || len(b.queue(at(c.now))) > 1 {
 			t.Errorf("%s: machines for %d tasks, want %d", c.name, got, c.want)
 		}
 	}
--- a/internal/workers/calls.go
+++ b/internal/workers/calls.go
@@ -27,7 +27,7 @@
 		return nil
 	}
 	var out []Call
-	for _, m := range d.machines {
+	for _, m := range d.machines.All() {
 		if m.call != 0 || m.failed || m.phase == Expired || m.addr == "" || m.notice >= 0 || d.owners[m.kind] != d.opt.Member {
 			continue
 		}
@@ -72,7 +72,7 @@
 // Called takes in the outcome of a direct call. r is the worker's report, if
 // one came with it.
 func (d *Desk) Called(now time.Time, c Call, outcome CallOutcome, r *model.Report) {
-	m := d.machines[c.Machine]
+	m := d.machines.At(c.Machine)
 	if m == nil || m.call != c.id {
 		return
 	}
--- a/internal/workers/desk.go
+++ b/internal/workers/desk.go
@@ -70,7 +70,7 @@
 	grant    time.Time
 	owners   map[model.Kind]string
 	silent   map[model.Kind][]string // kinds that their owner hears nothing from, and where to send them instead
-	machines map[string]*machine
+	machines *model.Table[string, *machine]
 	sizes    map[string]model.Size
 	change   uint64
 	applied  uint64
@@ -85,7 +85,7 @@
 // zero of the clock that grants are given in.
 func NewDesk(opt Options, boot string, start time.Time, draw *rand.Rand) *Desk {
 	return &Desk{opt: opt, boot: boot, start: start, owners: map[model.Kind]string{},
-		machines: map[string]*machine{}, sizes: map[string]model.Size{}, knocks: map[string]time.Time{}, draw: draw}
+		machines: model.NewTable[string, *machine](), sizes: map[string]model.Size{}, knocks: map[string]time.Time{}, draw: draw}
 }
 
 // SetTypes tells the desk what machines hold.
@@ -170,10 +170,10 @@
 		d.knock(now, r.Machine)
 		return d.pointTo(owner, kind)
 	}
-	m := d.machines[r.Machine]
+	m := d.machines.At(r.Machine)
 	if m == nil {
 		m = &machine{name: r.Machine, kind: kind, notice: -1}
-		d.machines[r.Machine] = m
+		d.machines.Put(r.Machine, m)
 	} else if m.ended > 0 && r.Session <= m.ended {
 		// Guard: the leader was told that this session is over. An answer must
 		// not bring it back to life.
@@ -276,7 +276,7 @@
 // run slower than ours.
 func (d *Desk) expire(now time.Time) {
 	limit := d.opt.Lease + d.opt.Lease/500 + d.opt.Margin
-	for _, m := range d.machines {
+	for _, m := range d.machines.All() {
 		if m.phase != Expired && now.Sub(m.answered) > limit {
 			d.setPhase(m, Expired)
 		}
--- a/internal/workers/desk_test.go
+++ b/internal/workers/desk_test.go
@@ -287,7 +287,7 @@
 	}
 	d.Round(at(8), grant(6, 10, ord(1, peerspb.Op_OP_DROP, 0)))
 	d.Called(at(9), call, Executed, report(1, 3, 6))
-	if len(d.machines) != 0 {
+	if d.machines.Len() != 0 {
 		t.Error("a call brings a machine back")
 	}
 }
@@ -489,7 +489,7 @@
 			t.Errorf("%s: status %d, want %d", c.name, v.Status, c.status)
 		}
 		d.expire(at(12.5))
-		if got := d.machines["m1"].phase == Expired; got != c.expired {
+		if got := d.machines.At("m1").phase == Expired; got != c.expired {
 			t.Errorf("%s: expired is %v", c.name, got)
 		}
 	}
--- a/internal/workers/orders.go
+++ b/internal/workers/orders.go
@@ -144,12 +144,12 @@
 }
 
 func (d *Desk) apply(now time.Time, o *peerspb.Order) {
-	m := d.machines[o.Machine]
+	m := d.machines.At(o.Machine)
 	if m == nil {
 		if o.Op == peerspb.Op_OP_GREET {
 			// Its lease may have been extended until now, for all we know.
-			d.machines[o.Machine] = &machine{name: o.Machine, addr: o.Addr, notice: -1, phase: Joining, answered: now,
-				kind: model.Kind{Type: o.Kind.GetType(), Zone: o.Kind.GetZone()}}
+			d.machines.Put(o.Machine, &machine{name: o.Machine, addr: o.Addr, notice: -1, phase: Joining, answered: now,
+				kind: model.Kind{Type: o.Kind.GetType(), Zone: o.Kind.GetZone()}})
 			return
 		}
 		if o.Op != peerspb.Op_OP_START {
@@ -157,7 +157,7 @@
 		}
 		// Never heard of here: the start is not taken in, and the leader is told.
 		m = &machine{name: o.Machine, phase: Expired, notice: -1}
-		d.machines[o.Machine] = m
+		d.machines.Put(o.Machine, m)
 	}
 	switch o.Op {
 	case peerspb.Op_OP_GREET:
@@ -166,7 +166,7 @@
 	case peerspb.Op_OP_UNCORDON:
 		m.cordon = false
 	case peerspb.Op_OP_DROP:
-		delete(d.machines, o.Machine)
+		d.machines.Drop(o.Machine)
 	default:
 		next := &order{id: o.Id, op: o.Op, job: o.Job, index: int(o.Index), attempt: o.Attempt,
 			grace: time.Duration(o.GraceMs) * time.Millisecond}
--- a/internal/workers/rounds.go
+++ b/internal/workers/rounds.go
@@ -38,7 +38,7 @@
 		return out
 	}
 	out.Knocks = d.takeKnocks(now)
-	for _, m := range d.machines {
+	for _, m := range d.machines.All() {
 		if m.change > r.Seen {
 			out.Machines = append(out.Machines, m.message())
 		}
@@ -62,7 +62,7 @@
 func (d *Desk) newToken(now time.Time, token uint64) {
 	d.token, d.grant, d.applied = token, time.Time{}, 0
 	d.owners, d.sizes = map[model.Kind]string{}, map[string]model.Size{}
-	for _, m := range d.machines {
+	for _, m := range d.machines.All() {
 		// Guard: another owner may have kept the machine's session alive
 		// meanwhile. Counted from what this desk last heard, the machine was
 		// called expired although it lived, and its reports were refused.
@@ -86,9 +86,9 @@
 				d.silent[kind] = o.Elsewhere
 			}
 		}
-		for name, m := range d.machines { // those that went to another owner
+		for name, m := range d.machines.All() { // those that went to another owner
 			if d.owners[m.kind] != d.opt.Member && m.kind != (model.Kind{}) {
-				delete(d.machines, name)
+				d.machines.Drop(name)
 			}
 		}
 	}
--- a/internal/workers/samples.go
+++ b/internal/workers/samples.go
@@ -40,7 +40,7 @@
 			continue
 		}
 		room := map[bool][]string{} // by whether it is a spot machine
-		for _, m := range d.machines {
+		for _, m := range d.machines.All() {
 			if m.kind != kind || m.phase != Current || m.cordon || m.notice >= 0 || (m.spot && !w.Spot) {
 				continue
 			}
