A node reaches clocks, chance and other processes through its World only

Change: controller.World holds the clocks, random numbers, the loop, what runs beside it, the state service, the cloud, siblings and workers. New makes the live one; NewIn takes another. Tick, Round and Report are what drives a node. The board's waiting goes through the same. No behaviour changes.

--- a/internal/controller/links_test.go
+++ b/internal/controller/links_test.go
@@ -140,7 +140,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		n.ctx = ctx
 		go func() {
-			for f := range n.events {
+			for f := range n.world.(*live).events {
 				f()
 			}
 		}()
@@ -154,6 +154,6 @@
 			t.Errorf("%s: %v", c.name, out)
 		}
 		cancel()
-		close(n.events)
+		close(n.world.(*live).events)
 	}
 }
--- /dev/null
+++ b/internal/controller/live.go
@@ -0,0 +1,108 @@
+package controller
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/fleet"
+	"github.com/marlwood/marlwood/internal/httpwire"
+	"github.com/marlwood/marlwood/internal/intake"
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/peers"
+	"github.com/marlwood/marlwood/internal/settings"
+	"github.com/marlwood/marlwood/internal/store"
+)
+
+// live is the world of sockets, goroutines and the machine's clocks.
+type live struct {
+	events chan func()
+	ended  chan struct{} // closed when the loop has ended
+	end    sync.Once
+	store  *store.Client
+	cloud  *fleet.Cloud
+	dial   time.Duration // deadline of a message to a sibling
+
+	mu    sync.Mutex
+	calls map[string]*httpwire.Client // to workers, by address
+	most  int                         // such clients
+}
+
+func newLive(cfg *settings.Platform, op *settings.Operator) *live {
+	return &live{events: make(chan func(), 1024), ended: make(chan struct{}),
+		store: store.New(cfg.StateAddr, op.Service.Call),
+		cloud: fleet.NewCloud(cfg.CloudAddr, cfg.CloudRPS*0.85, op.Service.CloudCall),
+		dial:  op.Service.PeerCall, calls: map[string]*httpwire.Client{}, most: cfg.MaxConns / 4}
+}
+
+func (w *live) Now() time.Time       { return time.Now() }
+func (w *live) Wall() time.Time      { return time.Now() }
+func (w *live) Random() uint64       { return rand.Uint64() }
+func (w *live) Store() Store         { return w.store }
+func (w *live) Cloud() Cloud         { return w.cloud }
+func (w *live) Go(f func())          { go f() }
+func (w *live) NewGate() intake.Gate { return intake.NewGate() }
+
+func (w *live) Dial(addr string) (Peer, error) { return peers.Dial(addr, w.dial) }
+
+// stop tells those who wait for the loop that it has ended.
+func (w *live) stop() { w.end.Do(func() { close(w.ended) }) }
+
+func (w *live) Post(f func()) {
+	select {
+	case w.events <- f:
+	case <-w.ended:
+	}
+}
+
+func (w *live) Sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// bootID names a process; no two ever have the same.
+func bootID() (uint64, error) {
+	var id [8]byte
+	_, err := crand.Read(id[:])
+	return binary.BigEndian.Uint64(id[:]), err
+}
+
+// worker returns the client for a worker's address.
+func (w *live) worker(addr string) *httpwire.Client {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	h := w.calls[addr]
+	if h == nil {
+		if len(w.calls) >= w.most {
+			for other, old := range w.calls { // machines come and go
+				old.CloseIdle()
+				delete(w.calls, other)
+			}
+		}
+		h = httpwire.NewClient(addr, 1, httpwire.Limits{Head: 8 << 10, Body: 4 << 20})
+		w.calls[addr] = h
+	}
+	return h
+}
+
+func (w *live) Orders(ctx context.Context, addr string, o model.DirectOrders) (int, *model.Report, error) {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return 400, nil, nil
+	}
+	resp, err := w.worker(addr).Do(ctx, "POST", "/orders", body)
+	if err != nil {
+		return 0, nil, err
+	}
+	var r model.Report
+	if err := json.Unmarshal(resp.Body, &r); err != nil {
+		return resp.Status, nil, nil
+	}
+	return resp.Status, &r, nil
+}
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	crand "crypto/rand"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -15,7 +13,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/marlwood/marlwood/internal/fleet"
 	"github.com/marlwood/marlwood/internal/httpwire"
 	"github.com/marlwood/marlwood/internal/intake"
 	"github.com/marlwood/marlwood/internal/leadership"
@@ -48,12 +45,11 @@
 	boot  string
 	terms settings.Terms
 	start time.Time
+	world World
+	ctx   context.Context
 
-	events chan func()
-	ctx    context.Context
-
-	store  *store.Client
-	cloud  *fleet.Cloud
+	store  Store
+	cloud  Cloud
 	intake *intake.Intake
 	desk   *workers.Desk
 	lead   *leadership.Machine
@@ -66,43 +62,44 @@
 	views     atomic.Pointer[map[string]placement.View] // counts of open jobs, while leading
 	changes   chan struct{}                             // submissions and cancellations under way
 	questions chan struct{}                             // questions under way
-	dials     map[string]*httpwire.Client               // to workers, by address
 	lastState leadership.State
 	waiting   []waitingReport
 }
 
-// New makes a node from checked settings.
+// New makes a node from checked settings, in the live world.
 func New(cfg *settings.Platform, op *settings.Operator, log *slog.Logger) (*Node, error) {
+	id, err := bootID()
+	if err != nil {
+		return nil, fmt.Errorf("boot id: %w", err)
+	}
+	return NewIn(newLive(cfg, op), id, cfg, op, log)
+}
+
+// NewIn makes a node in a world of its own. No other process ever has the same id.
+func NewIn(world World, id uint64, cfg *settings.Platform, op *settings.Operator, log *slog.Logger) (*Node, error) {
 	terms, err := cfg.Terms(op)
 	if err != nil {
 		return nil, err
 	}
-	var id [8]byte
-	if _, err := crand.Read(id[:]); err != nil {
-		return nil, fmt.Errorf("boot id: %w", err)
-	}
-	n := &Node{cfg: cfg, op: op, log: log, boot: hex.EncodeToString(id[:]), terms: terms, start: time.Now(),
-		events:  make(chan func(), 1024),
-		changes: make(chan struct{}, maxChanges), questions: make(chan struct{}, maxQuestions),
-		dials: map[string]*httpwire.Client{}}
-	n.store = store.New(cfg.StateAddr, op.Service.Call)
-	n.cloud = fleet.NewCloud(cfg.CloudAddr, cfg.CloudRPS*0.85, op.Service.CloudCall)
+	n := &Node{cfg: cfg, op: op, log: log, boot: fmt.Sprintf("%016x", id), terms: terms, start: world.Now(), world: world,
+		store: world.Store(), cloud: world.Cloud(),
+		changes: make(chan struct{}, maxChanges), questions: make(chan struct{}, maxQuestions)}
 	n.desk = workers.NewDesk(workers.Options{Member: cfg.Member, Report: cfg.ReportEvery, Lease: cfg.Lease,
 		Margin: time.Second / 2},
-		n.boot, n.start, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+		n.boot, n.start, n.newRand())
 	n.lead = leadership.New(leadership.Options{Member: cfg.Member, Boot: n.boot, Poll: terms.Poll,
 		Hold: terms.Hold, Act: terms.Act})
 	n.intake, err = intake.New(intake.Options{Teams: cfg.Teams,
 		RecordBytes: cfg.ValueBytes - min(1024, cfg.ValueBytes/2), ValueBytes: cfg.ValueBytes - 64,
 		FinalCache: op.Service.FinalCache,
 		Glance:     op.Service.Glance, AskWait: op.Service.AskWait,
-		Types: n.knownTypes, View: n.view, Now: time.Now}, n.store)
+		Types: n.knownTypes, View: n.view, Now: world.Wall, Go: world.Go, Sleep: world.Sleep, NewGate: world.NewGate}, n.store)
 	if err != nil {
 		return nil, err
 	}
 	n.links = append(n.links, &link{member: cfg.Member, zone: cfg.Zone, local: true})
 	for _, s := range cfg.Siblings {
-		l, err := peers.Dial(s.Addr, op.Service.PeerCall)
+		l, err := world.Dial(s.Addr)
 		if err != nil {
 			return nil, err
 		}
@@ -124,11 +121,26 @@
 	n.store.SetBudgets(b)
 }
 
-// Run serves until ctx ends or a listener fails.
+// newRand makes a source of random numbers.
+func (n *Node) newRand() *rand.Rand { return rand.New(rand.NewPCG(n.world.Random(), n.world.Random())) }
+
+// Begin begins the work that a node does by itself, until ctx ends. It is called
+// once, before Tick and all that is asked of the node.
+func (n *Node) Begin(ctx context.Context) {
+	n.ctx = ctx
+	n.world.Go(n.learnTypes)
+}
+
+// Run serves in the live world until ctx ends or a listener fails.
 func (n *Node) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	n.ctx = ctx
+	w, ok := n.world.(*live)
+	if !ok {
+		return errors.New("controller: only a node in the live world listens")
+	}
+	defer w.stop()
+	n.Begin(ctx)
 	stopPeers, err := peers.Serve(n.cfg.PeerListen, n.serveRound)
 	if err != nil {
 		return err
@@ -141,7 +153,6 @@
 	}, n.handle)
 	failed := make(chan error, 1)
 	go func() { failed <- server.Run(n.cfg.Listen) }()
-	go n.learnTypes()
 	n.log.Info("started", "member", n.cfg.Member, "boot", n.boot, "act", n.terms.Act)
 
 	ticker := time.NewTicker(tick)
@@ -154,21 +165,16 @@
 			return server.Stop(stop)
 		case err := <-failed:
 			return fmt.Errorf("listener: %w", err)
-		case f := <-n.events:
+		case f := <-w.events:
 			f()
 		case <-ticker.C:
-			n.onTick(time.Now())
+			n.Tick(w.Now())
 		}
 	}
 }
 
 // post hands an event to the loop.
-func (n *Node) post(f func()) {
-	select {
-	case n.events <- f:
-	case <-n.ctx.Done():
-	}
-}
+func (n *Node) post(f func()) { n.world.Post(f) }
 
 func (n *Node) knownTypes() map[string]model.MachineType {
 	if p := n.types.Load(); p != nil {
@@ -181,7 +187,7 @@
 // knows the machine types.
 func (n *Node) learnTypes() {
 	wait := 200 * time.Millisecond
-	for {
+	for n.ctx.Err() == nil {
 		var cat model.Catalogue
 		it, err := n.store.Get(n.ctx, typesKey)
 		if err == nil {
@@ -198,11 +204,7 @@
 			n.log.Debug("machine types", "err", err)
 			wait = min(wait*2, 5*time.Second)
 		}
-		select {
-		case <-n.ctx.Done():
-			return
-		case <-time.After(wait/2 + rand.N(wait)):
-		}
+		n.world.Sleep(n.ctx, wait/2+time.Duration(n.world.Random()%uint64(wait)))
 	}
 }
 
@@ -229,7 +231,7 @@
 // Guard: a process may stand still between a decision and what follows from it,
 // longer than its right to act lasts. So the right is looked at again right
 // before a message goes out, wherever it waited until then.
-func (n *Node) mayAct() bool { return int64(time.Since(n.start)) < n.actsUntil.Load() }
+func (n *Node) mayAct() bool { return int64(n.world.Now().Sub(n.start)) < n.actsUntil.Load() }
 
 // noteRight lays out for mayAct how long the right to act lasts.
 func (n *Node) noteRight() {
@@ -255,7 +257,7 @@
 			reply(intake.Fail(405, "only GET is allowed here"))
 			return
 		}
-		n.enqueue(reply, func() { reply(n.up(time.Now())) })
+		n.enqueue(reply, func() { reply(n.up(n.world.Now())) })
 		return
 	}
 	call, ok := n.intake.Route(req)
@@ -277,19 +279,20 @@
 			reply(intake.Fail(429, "too many requests under way"))
 			return
 		}
-		go func() {
+		n.world.Go(func() {
 			defer func() { <-places }()
 			ctx, cancel := context.WithTimeout(n.ctx, 4*time.Second)
 			defer cancel()
 			reply(call.Do(ctx))
-		}()
+		})
 	}
 }
 
 // enqueue passes work to the loop without ever blocking the listener.
 func (n *Node) enqueue(reply httpwire.Reply, f func()) {
+	w, _ := n.world.(*live) // requests come from its listener
 	select {
-	case n.events <- f:
+	case w.events <- f:
 	default:
 		reply(intake.Fail(503, "overloaded"))
 	}
@@ -306,15 +309,37 @@
 		return
 	}
 	n.enqueue(reply, func() {
-		now := time.Now()
-		n.decide(now, waitingReport{&r, reply, now.Add(n.op.Placement.ReportWait)})
+		n.Report(n.world.Now(), &r, func(v workers.Verdict) { reply(verdictAnswer(v)) })
 	})
 }
 
+// verdictAnswer is a verdict as workers are told it.
+func verdictAnswer(v workers.Verdict) httpwire.Answer {
+	a := httpwire.Answer{Status: v.Status}
+	switch v.Status {
+	case 200:
+		if v.Commands == nil {
+			v.Commands = []model.Command{}
+		}
+		a.Body, _ = json.Marshal(model.CheckInAnswer{Token: v.Token, Commands: v.Commands})
+	case 421:
+		a.Body, _ = json.Marshal(map[string]string{"foreman": v.Foreman})
+	default:
+		a = intake.Fail(v.Status, "not entitled to act")
+	}
+	return a
+}
+
+// Report takes a worker's checked report in, on the loop. The verdict may be given
+// later, and is always given.
+func (n *Node) Report(now time.Time, r *model.Report, reply func(workers.Verdict)) {
+	n.decide(now, waitingReport{r, reply, now.Add(n.op.Placement.ReportWait)})
+}
+
 // waitingReport is a worker's report that is kept until there is a grant.
 type waitingReport struct {
 	report *model.Report
-	reply  httpwire.Reply
+	reply  func(workers.Verdict)
 	until  time.Time
 }
 
@@ -338,19 +363,7 @@
 			v.Status, v.Foreman = 421, n.siblingBesides(leader)
 		}
 	}
-	a := httpwire.Answer{Status: v.Status}
-	switch v.Status {
-	case 200:
-		if v.Commands == nil {
-			v.Commands = []model.Command{}
-		}
-		a.Body, _ = json.Marshal(model.CheckInAnswer{Token: v.Token, Commands: v.Commands})
-	case 421:
-		a.Body, _ = json.Marshal(map[string]string{"foreman": v.Foreman})
-	default:
-		a = intake.Fail(v.Status, "not entitled to act")
-	}
-	w.reply(a)
+	w.reply(v)
 	if v.Changed && n.term != nil {
 		n.term.beatSoon()
 	}
@@ -389,22 +402,24 @@
 	return httpwire.Answer{Status: 200, Body: []byte(`{"status":"ok"}`)}
 }
 
-// serveRound answers a leader, or nil before this process has looked at the leader
-// key; it runs on gRPC's goroutines.
+// Round takes a leader's message in, on the loop, and answers it; with nil before
+// this process has looked at the leader key.
+func (n *Node) Round(now time.Time, r *peerspb.RoundRequest, reply func(*peerspb.RoundResponse)) {
+	if n.lead.Least() == 0 { // see workers.Desk.NoneBelow
+		reply(nil)
+		return
+	}
+	n.lead.Heard(now, r.Token)
+	reply(n.desk.Round(now, r))
+	n.follow(now)
+	n.decideWaiting(n.world.Now())
+	n.direct(n.world.Now())
+}
+
+// serveRound answers a leader; it runs on gRPC's goroutines.
 func (n *Node) serveRound(r *peerspb.RoundRequest) *peerspb.RoundResponse {
 	ch := make(chan *peerspb.RoundResponse, 1)
-	n.post(func() {
-		now := time.Now()
-		if n.lead.Least() == 0 { // see workers.Desk.NoneBelow
-			ch <- nil
-			return
-		}
-		n.lead.Heard(now, r.Token)
-		ch <- n.desk.Round(now, r)
-		n.follow(now)
-		n.decideWaiting(time.Now())
-		n.direct(time.Now())
-	})
+	n.post(func() { n.Round(n.world.Now(), r, func(out *peerspb.RoundResponse) { ch <- out }) })
 	select {
 	case out := <-ch:
 		return out
@@ -416,11 +431,10 @@
 // direct makes the direct calls that are due.
 func (n *Node) direct(now time.Time) {
 	for _, c := range n.desk.Calls(now) {
-		h := n.client(c.Addr)
-		go func() {
-			outcome, r := n.call(h, c)
+		n.world.Go(func() {
+			outcome, r := n.call(c)
 			n.post(func() {
-				at := time.Now()
+				at := n.world.Now()
 				n.log.Debug("direct", "machine", c.Machine, "orders", len(c.Commands), "outcome", outcome.String(), "took", at.Sub(now))
 				n.desk.Called(at, c, outcome, r)
 				n.direct(at)
@@ -428,60 +442,31 @@
 					n.term.beatSoon()
 				}
 			})
-		}()
-	}
-}
-
-// client returns the client for a worker's address.
-func (n *Node) client(addr string) *httpwire.Client {
-	h := n.dials[addr]
-	if h == nil {
-		if len(n.dials) >= n.cfg.MaxConns/4 {
-			for other, old := range n.dials { // machines come and go
-				old.CloseIdle()
-				delete(n.dials, other)
-			}
-		}
-		h = httpwire.NewClient(addr, 1, httpwire.Limits{Head: 8 << 10, Body: 4 << 20})
-		n.dials[addr] = h
+		})
 	}
-	return h
 }
 
 // call sends one direct call and judges its outcome.
-func (n *Node) call(h *httpwire.Client, c workers.Call) (workers.CallOutcome, *model.Report) {
+func (n *Node) call(c workers.Call) (workers.CallOutcome, *model.Report) {
 	ctx, cancel := context.WithTimeout(n.ctx, n.op.Service.DirectCall)
 	defer cancel()
-	if !time.Now().Before(c.Until) { // the node stood still meanwhile
+	if !n.world.Now().Before(c.Until) { // the node stood still meanwhile
 		return workers.Refused, nil
 	}
-	body, err := json.Marshal(model.DirectOrders{Token: c.Token, Session: c.Session, Commands: c.Commands})
-	if err != nil {
-		return workers.Refused, nil
-	}
-	resp, err := h.Do(ctx, "POST", "/orders", body)
+	status, r, err := n.world.Orders(ctx, c.Addr, model.DirectOrders{Token: c.Token, Session: c.Session, Commands: c.Commands})
 	switch {
-	case errors.Is(err, httpwire.ErrNotSent):
-		return workers.Refused, nil
-	case err != nil:
-		return workers.Unanswered, nil
-	case resp.Status == 400:
+	case errors.Is(err, httpwire.ErrNotSent), status == 400:
 		return workers.Refused, nil
-	case resp.Status != 200 && resp.Status != 409:
+	case err != nil, r == nil, status != 200 && status != 409:
 		return workers.Unanswered, nil
+	case status == 409:
+		return workers.Refused, r
 	}
-	var r model.Report
-	if err := json.Unmarshal(resp.Body, &r); err != nil {
-		return workers.Unanswered, nil
-	}
-	if resp.Status == 409 {
-		return workers.Refused, &r
-	}
-	return workers.Executed, &r
+	return workers.Executed, r
 }
 
-// onTick does what is due.
-func (n *Node) onTick(now time.Time) {
+// Tick does what is due, on the loop. It is called every 50 ms or so.
+func (n *Node) Tick(now time.Time) {
 	n.perform(n.lead.Tick(now))
 	n.follow(now)
 	n.decideWaiting(now)
@@ -514,12 +499,12 @@
 // perform carries out the actions of the leadership machine.
 func (n *Node) perform(actions []leadership.Action) {
 	for _, a := range actions {
-		go n.performOne(a)
+		n.world.Go(func() { n.performOne(a) })
 	}
 }
 
 func (n *Node) performOne(a leadership.Action) {
-	sent := time.Now()
+	sent := n.world.Now()
 	switch a.Op {
 	case leadership.ReadKey:
 		it, err := n.store.Get(n.ctx, leadership.Key)
@@ -530,7 +515,7 @@
 			}
 		}
 		n.post(func() {
-			now := time.Now()
+			now := n.world.Now()
 			switch {
 			case err == nil:
 				n.sawStore(now)
@@ -548,10 +533,10 @@
 		hold, err := n.store.Hold(n.ctx, n.terms.Hold)
 		n.post(func() {
 			if err != nil {
-				n.lead.HoldFailed(time.Now())
+				n.lead.HoldFailed(n.world.Now())
 				return
 			}
-			n.perform(n.lead.HoldMade(time.Now(), hold))
+			n.perform(n.lead.HoldMade(n.world.Now(), hold))
 		})
 	case leadership.Write:
 		w := store.Put(leadership.Key, a.Claim)
@@ -559,13 +544,13 @@
 		out, err := n.store.Do(n.ctx, store.Txn{Guards: []store.Guard{{Key: leadership.Key, Stamp: a.Guard}},
 			Writes: []store.Write{w}})
 		n.post(func() {
-			now := time.Now()
+			now := n.world.Now()
 			n.lead.Written(now, sent, err == nil, out.OK(), out.Revision)
 			n.follow(now)
 		})
 	case leadership.Touch:
 		err := n.store.Touch(n.ctx, a.Hold)
-		n.post(func() { n.lead.Touched(time.Now(), errors.Is(err, store.ErrNoHold)) })
+		n.post(func() { n.lead.Touched(n.world.Now(), errors.Is(err, store.ErrNoHold)) })
 	}
 }
 
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -32,7 +32,7 @@
 		}
 		if err != nil {
 			n.log.Warn("cannot read the records", "err", err)
-			sleep(t.ctx, 300*time.Millisecond)
+			t.n.world.Sleep(t.ctx, 300*time.Millisecond)
 			continue
 		}
 		n.post(func() {
@@ -52,7 +52,7 @@
 }
 
 func (t *term) take(hosts, charters, jobs, parts []store.Item, rev uint64) {
-	now := time.Now()
+	now := t.n.world.Now()
 	for _, it := range hosts {
 		var h host
 		if err := json.Unmarshal(it.Value, &h); err != nil {
@@ -73,7 +73,7 @@
 	t.assign(now)
 	t.nextBeat = now
 	t.n.log.Info("records read", "hosts", len(hosts), "charters", len(charters), "jobs", len(jobs), "revision", rev)
-	go t.watch(rev)
+	t.n.world.Go(func() { t.watch(rev) })
 }
 
 // takeJobs takes the records of open and of waiting jobs in. Waiting ones are
@@ -102,7 +102,7 @@
 	if id, waits := strings.CutPrefix(key, placement.WaitPrefix); waits {
 		t.putWaiting(id, value, stamp)
 	} else if id, open := strings.CutPrefix(key, placement.JobPrefix); open {
-		if err := t.book.PutJob(time.Now(), id, value, stamp, marks[id]); err != nil {
+		if err := t.book.PutJob(t.n.world.Now(), id, value, stamp, marks[id]); err != nil {
 			t.n.log.Error("job record", "err", err)
 		}
 		t.graph.Gone(id) // it was released
@@ -117,19 +117,19 @@
 		case errors.Is(err, store.ErrCompacted):
 			jobs, at, lerr := t.n.store.List(t.ctx, placement.OpenPrefix)
 			if lerr != nil {
-				sleep(t.ctx, 300*time.Millisecond)
+				t.n.world.Sleep(t.ctx, 300*time.Millisecond)
 				continue
 			}
 			rev = at
 			t.n.post(func() { t.resync(jobs) })
 		case err != nil:
-			sleep(t.ctx, 300*time.Millisecond)
+			t.n.world.Sleep(t.ctx, 300*time.Millisecond)
 		default:
 			rev = next
 			if len(events) > 0 {
 				t.n.post(func() { t.changes(events) })
 			}
-			sleep(t.ctx, 60*time.Millisecond) // several changes come with one answer
+			t.n.world.Sleep(t.ctx, 60*time.Millisecond) // several changes come with one answer
 		}
 	}
 }
@@ -212,7 +212,7 @@
 			t.book.Saved(s, true, 0)
 			continue
 		}
-		go func() {
+		t.n.world.Go(func() {
 			out, err := t.do(txn)
 			ok := err == nil && out.OK()
 			over := false
@@ -221,7 +221,7 @@
 				over, fresh = t.lookAgain(s.ID)
 			}
 			if !ok {
-				sleep(t.ctx, 200*time.Millisecond)
+				t.n.world.Sleep(t.ctx, 200*time.Millisecond)
 			}
 			t.n.post(func() {
 				if t.ctx.Err() != nil {
@@ -236,7 +236,7 @@
 					t.n.log.Debug("job was over already", "job", s.ID)
 					t.book.Over(s.ID)
 				case fresh != nil:
-					if perr := t.book.PutJob(time.Now(), s.ID, fresh.Value, fresh.Stamp, nil); perr != nil {
+					if perr := t.book.PutJob(t.n.world.Now(), s.ID, fresh.Value, fresh.Stamp, nil); perr != nil {
 						t.n.log.Error("job record", "err", perr)
 					}
 				}
@@ -246,7 +246,7 @@
 				}
 				t.book.Saved(s, ok, out.Revision)
 			})
-		}()
+		})
 	}
 }
 
@@ -287,11 +287,11 @@
 	}
 	t.hosting = true
 	dropped := len(drop)
-	go func() {
+	t.n.world.Go(func() {
 		out, err := t.do(txn)
 		ok := err == nil && out.OK()
 		if !ok {
-			sleep(t.ctx, 300*time.Millisecond)
+			t.n.world.Sleep(t.ctx, 300*time.Millisecond)
 		}
 		t.n.post(func() {
 			t.hosting = false
@@ -308,7 +308,7 @@
 			}
 			t.beatSoon()
 		})
-	}()
+	})
 }
 
 // dropExpired removes the host records of expired machines. What fails is left to
@@ -324,7 +324,7 @@
 		txn.Writes = append(txn.Writes, store.Del(placement.HostPrefix+name))
 	}
 	t.hosting = true
-	go func() {
+	t.n.world.Go(func() {
 		out, err := t.do(txn)
 		t.n.post(func() {
 			t.hosting = false
@@ -335,5 +335,5 @@
 				t.book.HostDropped(name, stamp)
 			}
 		})
-	}()
+	})
 }
--- a/internal/controller/renting.go
+++ b/internal/controller/renting.go
@@ -53,18 +53,18 @@
 	f := t.cloudJobs[0]
 	t.cloudJobs = t.cloudJobs[1:]
 	t.cloudBusy = true
-	go func() {
+	t.n.world.Go(func() {
 		f()
 		t.n.post(func() { t.cloudBusy = false })
-	}()
+	})
 }
 
 func (t *term) storeCharter(c fleet.Charter) {
 	txn := t.txn(store.Put(fleet.CharterPrefix+c.Name, c))
-	go func() {
+	t.n.world.Go(func() {
 		out, err := t.do(txn)
-		t.n.post(func() { t.fleet.IntentStored(c.Name, err == nil && out.OK(), time.Now()) })
-	}()
+		t.n.post(func() { t.fleet.IntentStored(c.Name, err == nil && out.OK(), t.n.world.Now()) })
+	})
 }
 
 func (t *term) rent(c fleet.Charter) {
@@ -78,16 +78,16 @@
 		}
 		t.n.log.Info("rent", "type", c.Kind.Type, "zone", c.Kind.Zone, "spot", c.Spot,
 			"wanted", c.Count, "got", len(names), "result", res.String())
-		if !t.fleet.Rented(c.Name, res, names, time.Now()) {
+		if !t.fleet.Rented(c.Name, res, names, t.n.world.Now()) {
 			return
 		}
 		txn := t.txn(store.Del(fleet.CharterPrefix + c.Name))
-		go func() {
+		t.n.world.Go(func() {
 			// A record left behind is resolved again by the next leader.
 			if _, err := t.do(txn); err != nil {
 				t.n.log.Debug("charter record", "charter", c.Name, "err", err)
 			}
-		}()
+		})
 	})
 }
 
@@ -100,7 +100,7 @@
 		if t.ctx.Err() != nil {
 			return
 		}
-		now := time.Now()
+		now := t.n.world.Now()
 		t.n.log.Info("returned", "machines", names, "err", err)
 		t.fleet.Released(names, err == nil, now)
 		if err != nil {
@@ -122,7 +122,7 @@
 		if err != nil || t.ctx.Err() != nil {
 			return
 		}
-		now := time.Now()
+		now := t.n.world.Now()
 		leave := t.fleet.List(all, t.book.Machines(), now)
 		listed := make(map[string]bool, len(all))
 		for _, l := range all {
@@ -148,7 +148,7 @@
 			return
 		}
 		txn := t.txn(store.Put(typesKey, cat))
-		go func() {
+		t.n.world.Go(func() {
 			out, err := t.do(txn)
 			t.n.post(func() {
 				t.typesSet = err == nil && out.OK()
@@ -157,6 +157,6 @@
 					t.n.log.Warn("machine types are too large to be stored", "err", err)
 				}
 			})
-		}()
+		})
 	})
 }
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -17,7 +17,7 @@
 	zone   string
 	addr   string
 	local  bool
-	peer   *peers.Link
+	peer   Peer
 
 	boot     string
 	clock    int64     // owner's clock in its last answer
@@ -144,14 +144,14 @@
 	token := t.token
 	if l.local {
 		resp := n.desk.Round(now, r)
-		n.decideWaiting(time.Now())
-		n.direct(time.Now())
+		n.decideWaiting(t.n.world.Now())
+		n.direct(t.n.world.Now())
 		t.receive(l, token, now, resp, nil)
 		return
 	}
 	l.busy = true
 	peer := l.peer
-	go func() {
+	t.n.world.Go(func() {
 		resp, err := (*peerspb.RoundResponse)(nil), errNoRight
 		if n.mayAct() {
 			resp, err = peer.Round(t.ctx, r)
@@ -164,7 +164,7 @@
 				t.receive(l, token, now, resp, err)
 			}
 		})
-	}()
+	})
 }
 
 // others names the controllers that answer, besides one.
@@ -204,7 +204,7 @@
 
 // receive takes in an owner's answer to a message sent at sent.
 func (t *term) receive(l *link, token uint64, sent time.Time, resp *peerspb.RoundResponse, err error) {
-	now := time.Now()
+	now := t.n.world.Now()
 	if t.round != nil {
 		delete(t.round.waiting, l)
 		defer t.roundDone(now)
@@ -212,7 +212,7 @@
 	if err != nil {
 		l.failures++
 		if l.failures%5 == 0 && !l.local { // a connection that a cut left hanging is given up
-			if fresh, derr := peers.Dial(l.addr, t.n.op.Service.PeerCall); derr == nil {
+			if fresh, derr := t.n.world.Dial(l.addr); derr == nil {
 				_ = l.peer.Close()
 				l.peer = fresh
 			}
--- a/internal/controller/standstill_test.go
+++ b/internal/controller/standstill_test.go
@@ -7,13 +7,11 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/marlwood/marlwood/internal/fleet"
-	"github.com/marlwood/marlwood/internal/httpwire"
 	"github.com/marlwood/marlwood/internal/leadership"
 	"github.com/marlwood/marlwood/internal/model"
 	"github.com/marlwood/marlwood/internal/peers/peerspb"
@@ -61,7 +59,7 @@
 		{"rent", func() bool { term.rent(fleet.Charter{Name: "c", Count: 1}); return true }},
 		{"return", func() bool { term.release([]string{"m1"}); return true }},
 		{"direct call", func() bool {
-			outcome, _ := n.call(n.client(addr), call)
+			outcome, _ := n.call(call)
 			return outcome != workers.Refused
 		}},
 	} {
@@ -114,7 +112,7 @@
 				Owners: []*peerspb.KindOwner{{Kind: &peerspb.Kind{Type: "big", Zone: "a"}, Member: "n0"}}})
 		}
 		grant(0)
-		var answers []httpwire.Answer
+		var answers []workers.Verdict
 		r := &model.Report{Machine: "m1", Addr: "x:1", Type: "big", Zone: "a", Session: 1, Seq: 1, Token: c.token}
 		for i, at := range c.at {
 			if c.granted > 0 && at >= c.granted {
@@ -125,12 +123,12 @@
 			}
 			now := n.start.Add(at)
 			if i == 0 {
-				n.decide(now, waitingReport{r, func(a httpwire.Answer) { answers = append(answers, a) }, now.Add(op.Placement.ReportWait)})
+				n.decide(now, waitingReport{r, func(v workers.Verdict) { answers = append(answers, v) }, now.Add(op.Placement.ReportWait)})
 			} else {
 				n.decideWaiting(now)
 			}
 		}
-		if len(answers) != 1 || answers[0].Status != c.status || !strings.Contains(string(answers[0].Body), c.foreman) {
+		if len(answers) != 1 || answers[0].Status != c.status || answers[0].Foreman != c.foreman {
 			t.Errorf("%s: %+v", c.name, answers)
 		}
 	}
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sort"
 	"time"
@@ -66,7 +65,7 @@
 		ShortFirst: n.op.Placement.ShortFirst,
 		Unhurried:  n.op.Placement.Unhurried, Standing: n.op.Placement.Standing, Spare: n.op.Placement.Spare,
 		PartTasks: model.PartTasks(max(256, n.cfg.WideValueBytes-2048)), SplitTasks: model.PartTasks(n.cfg.ValueBytes/2 - 128),
-		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: n.log,
+		Rand: n.newRand(), Log: n.log,
 	}, token, n.cfg.Teams, n.knownTypes())
 	t.graph = pipelines.New(n.log)
 	t.fleet = fleet.New(fleet.Options{Idle: n.op.Fleet.Idle, Keep: n.op.Fleet.Keep, RefusedWait: n.op.Fleet.RefusedWait,
@@ -78,7 +77,7 @@
 		l.bound = now.Add(drift(n.terms.Act + n.terms.Grant))
 		l.grantEnd = l.bound
 	}
-	go t.load()
+	n.world.Go(t.load)
 	return t
 }
 
@@ -101,13 +100,6 @@
 	t.nextBeat = now
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // assign decides which controller owns each kind: one in the kind's zone
 // first, the others in turn.
 func (t *term) assign(now time.Time) {
--- a/internal/controller/waiting.go
+++ b/internal/controller/waiting.go
@@ -24,7 +24,7 @@
 // finished takes in that a job's last task is done and its final record stored.
 func (t *term) finished(id string) {
 	if j := t.book.Jobs().At(id); j != nil {
-		t.graph.Observe(j.Spec.Class, j.Spec.Estimate, time.Since(j.Accepted))
+		t.graph.Observe(j.Spec.Class, j.Spec.Estimate, t.n.world.Wall().Sub(j.Accepted))
 	}
 	t.graph.Ended(id, model.Done)
 }
@@ -44,9 +44,9 @@
 	}
 	for _, a := range t.graph.Actions(now) {
 		if a.Op == pipelines.Look {
-			go t.lookAtEnd(a.ID)
+			t.n.world.Go(func() { t.lookAtEnd(a.ID) })
 		} else {
-			go t.move(a)
+			t.n.world.Go(func() { t.move(a) })
 		}
 	}
 	if urgencies, changed := t.graph.Urgencies(); changed {
@@ -63,7 +63,7 @@
 	}
 	t.n.post(func() {
 		if t.ctx.Err() == nil {
-			t.graph.Seen(id, err == nil, f.Stage, time.Now())
+			t.graph.Seen(id, err == nil, f.Stage, t.n.world.Now())
 		}
 	})
 }
@@ -91,7 +91,7 @@
 		if t.ctx.Err() != nil {
 			return
 		}
-		t.graph.Wrote(a, ok, stamp, time.Now())
+		t.graph.Wrote(a, ok, stamp, t.n.world.Now())
 		if gone {
 			t.graph.Gone(a.ID)
 			t.nextCheck = time.Time{}
--- /dev/null
+++ b/internal/controller/world.go
@@ -0,0 +1,68 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/fleet"
+	"github.com/marlwood/marlwood/internal/intake"
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/peers/peerspb"
+	"github.com/marlwood/marlwood/internal/store"
+)
+
+// World is all that a node reaches outside itself: clocks, chance, a loop, and the
+// other processes. New makes the live one, of sockets and goroutines; another can
+// drive nodes in virtual time.
+//
+// A node's state belongs to its loop: what Post takes runs there, one at a time.
+// What Go takes runs beside the loop, may wait in any call that has a context, and
+// comes back with Post.
+type World interface {
+	// Now is the steady clock of this process.
+	Now() time.Time
+	// Wall is the time of day.
+	Wall() time.Time
+	// Random returns 64 random bits; it may be called from anywhere.
+	Random() uint64
+	// Post has f run on the loop. It must not be called there.
+	Post(f func())
+	// Go runs f beside the loop. It may be called from anywhere.
+	Go(f func())
+	// Sleep waits for d, or until ctx ends.
+	Sleep(ctx context.Context, d time.Duration)
+	// NewGate makes a gate for those who wait beside the loop.
+	NewGate() intake.Gate
+
+	Store() Store
+	Cloud() Cloud
+	// Dial makes a link to a sibling. Nothing is sent before the first message.
+	Dial(addr string) (Peer, error)
+	// Orders sends a direct call to a worker's address. The status is that of the
+	// answer, whose report is nil if it made no sense. An error tells that there was
+	// no answer: the call may be carried out all the same, unless the error is
+	// httpwire.ErrNotSent.
+	Orders(ctx context.Context, addr string, o model.DirectOrders) (status int, r *model.Report, err error)
+}
+
+// Store is the state service; its errors are those of package store.
+type Store interface {
+	intake.Store
+	Hold(ctx context.Context, ttl time.Duration) (hold uint64, err error)
+	Touch(ctx context.Context, hold uint64) error
+	SetBudgets(b store.Budgets)
+}
+
+// Cloud is the cloud's interface.
+type Cloud interface {
+	Types(ctx context.Context) (model.Catalogue, error)
+	Rent(ctx context.Context, c fleet.Charter) (fleet.Result, []string)
+	Release(ctx context.Context, names []string) error
+	List(ctx context.Context) ([]fleet.Listed, error)
+}
+
+// Peer is a link to a sibling.
+type Peer interface {
+	Round(ctx context.Context, r *peerspb.RoundRequest) (*peerspb.RoundResponse, error)
+	Close() error
+}
--- a/internal/intake/board.go
+++ b/internal/intake/board.go
@@ -30,8 +30,7 @@
 // their jobs counted as forgotten.
 type board struct {
 	store Store
-	pause time.Duration // between two looks
-	wait  time.Duration // how long a question waits for its look
+	opt   Options
 
 	mu      sync.Mutex
 	state   boardState
@@ -54,7 +53,7 @@
 
 // glance is one look at the changes, shared by the questions that wait for it.
 type glance struct {
-	done chan struct{}
+	done Gate
 	err  error
 }
 
@@ -70,8 +69,8 @@
 	garbled bool // its record cannot be read
 }
 
-func newBoard(s Store, pause, wait time.Duration) *board {
-	return &board{store: s, jobs: map[string]posted{}, pause: pause, wait: wait}
+func newBoard(s Store, opt Options) *board {
+	return &board{store: s, opt: opt, jobs: map[string]posted{}}
 }
 
 // refresh returns after a look that was sent after the call. While looks fail,
@@ -79,24 +78,19 @@
 func (b *board) refresh(ctx context.Context) error {
 	b.mu.Lock()
 	if b.next == nil {
-		b.next = &glance{done: make(chan struct{})}
+		b.next = &glance{done: b.opt.NewGate()}
 	}
-	g, wait := b.next, b.wait
+	g, wait := b.next, b.opt.AskWait
 	if b.failing {
 		wait /= 10
 	}
 	if b.state == boardResting {
 		b.to(boardLooking)
-		go b.look()
+		b.opt.Go(b.look)
 	}
 	b.mu.Unlock()
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-g.done:
+	if g.done.Wait(ctx, wait) {
 		return g.err
-	case <-timer.C:
-	case <-ctx.Done():
 	}
 	return errUnsure
 }
@@ -117,19 +111,19 @@
 		b.mu.Lock()
 		b.failing = g.err != nil
 		b.mu.Unlock()
-		close(g.done)
-		time.Sleep(b.pause)
+		g.done.Open()
+		b.opt.Sleep(context.Background(), b.opt.Glance)
 	}
 }
 
 // take takes the changes since a revision in. If they cannot be had any more,
 // memory starts anew.
 func (b *board) take(rev uint64) error {
-	ctx, cancel := context.WithTimeout(context.Background(), b.wait)
+	ctx, cancel := context.WithTimeout(context.Background(), b.opt.AskWait)
 	defer cancel()
 	var events []store.Event
 	err := store.ErrCompacted
-	if rev > 0 && time.Since(b.looked) < longUnasked {
+	if rev > 0 && b.opt.Now().Sub(b.looked) < longUnasked {
 		events, rev, err = b.store.Watch(ctx, placement.OpenPrefix, rev, 0)
 	}
 	fresh := errors.Is(err, store.ErrCompacted)
@@ -151,7 +145,7 @@
 	for _, e := range events {
 		b.note(e)
 	}
-	b.rev, b.looked = rev, time.Now()
+	b.rev, b.looked = rev, b.opt.Now()
 	return nil
 }
 
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -41,6 +41,11 @@
 	View func(id string) (placement.View, bool)
 	// Now is the time of day.
 	Now func() time.Time
+	// Go runs a function beside its caller, Sleep waits there, and NewGate makes a
+	// gate for those who wait; nil: goroutines and the machine's clock.
+	Go      func(f func())
+	Sleep   func(ctx context.Context, d time.Duration)
+	NewGate func() Gate
 }
 
 // Intake answers users.
@@ -57,7 +62,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("intake: %w", err)
 	}
-	return &Intake{opt: opt, store: s, board: newBoard(s, opt.Glance, opt.AskWait), finals: finals}, nil
+	if opt.Go == nil {
+		opt.Go = func(f func()) { go f() }
+		opt.Sleep = func(_ context.Context, d time.Duration) { time.Sleep(d) }
+		opt.NewGate = NewGate
+	}
+	return &Intake{opt: opt, store: s, board: newBoard(s, opt), finals: finals}, nil
 }
 
 type stateAnswer struct {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -286,7 +286,7 @@
 func TestManyQuestions(t *testing.T) {
 	ctx := context.Background()
 	in, s := setup(t)
-	in.board.pause = 20 * time.Millisecond
+	in.board.opt.Glance = 20 * time.Millisecond
 	in.Submit(ctx, body())
 	in.Ask(ctx, "req-1")
 	s.looks, s.reads = 0, 0
