A doubt about a late start ends with the fresh token that it asked for

Cause: the explorer's first finding (not_served). A machine died with a start on it that might come late; its mark stayed over the fresh token, so another was asked for every two seconds, and under a token that young no lease is ever surely over. Its job was never served unless the cloud's list showed the machine gone. Change: Renewed clears the mark; machines count as unseen until they show the token anyway. The explorer's first form comes with it: three controllers in virtual time, the services, machines and users as models, faults drawn and shrunk by rapid.

--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -555,3 +555,6 @@
 }
 
 func (n *Node) sawStore(now time.Time) { n.storeSeen.Store(int64(now.Sub(n.start)) + 1) }
+
+// Users answers users' requests, beside the loop.
+func (n *Node) Users() *intake.Intake { return n.intake }
--- /dev/null
+++ b/internal/explore/cmd/main.go
@@ -0,0 +1,152 @@
+// Command cmd explores schedules of faults until it finds one that breaks a rule,
+// or its time is up, and prints that schedule, made as small as it gets.
+package main
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"log/slog"
+	"os"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"pgregory.net/rapid"
+
+	"github.com/marlwood/marlwood/internal/explore"
+)
+
+type cli struct {
+	Seed    uint64        `help:"First schedule; the next ones follow it." default:"1"`
+	For     time.Duration `help:"How long to explore." default:"1m"`
+	Most    uint64        `help:"Most schedules; 0: no bound."`
+	Workers int           `help:"Schedules at once; 0: one a processor."`
+	Repeat  bool          `help:"Play the schedule of --seed alone and tell its story."`
+	Log     slog.Level    `help:"What controllers log is told from this level on: debug, info, warn, error." default:"error"`
+	Shrink  time.Duration `help:"How long to make a finding smaller." default:"30s"`
+}
+
+// errFound ends the program with status 1.
+var errFound = errors.New("a rule was broken")
+
+func main() {
+	var c cli
+	ctx := kong.Parse(&c, kong.Name("explore"), kong.Description("Explore schedules of faults in virtual time."))
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "explore: "+err.Error())
+		os.Exit(1)
+	}
+}
+
+// Run explores.
+func (c *cli) Run() error {
+	if c.Repeat {
+		return c.tell(explore.Plans.Example(int(c.Seed)), c.Seed)
+	}
+	workers := c.Workers
+	if workers == 0 {
+		workers = runtime.NumCPU()
+	}
+	var next, played, starts, found atomic.Uint64
+	next.Store(c.Seed)
+	began := time.Now()
+	var group sync.WaitGroup
+	for range workers {
+		group.Go(func() {
+			for found.Load() == 0 && time.Since(began) < c.For {
+				seed := next.Add(1) - 1
+				if c.Most > 0 && seed >= c.Seed+c.Most {
+					return
+				}
+				out := explore.Run(explore.Plans.Example(int(seed)), nil, 0)
+				played.Add(1)
+				starts.Add(uint64(out.Starts))
+				if out.Broken != "" {
+					found.CompareAndSwap(0, seed)
+				}
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(10 * time.Second):
+				fmt.Fprintf(os.Stderr, "%v: %d schedules, %d starts\n", time.Since(began).Round(time.Second), played.Load(), starts.Load())
+			}
+		}
+	}()
+	group.Wait()
+	close(done)
+	took := time.Since(began)
+	fmt.Printf("%d schedules in %v on %d workers (%.0f a second), %d starts of tasks\n", played.Load(), took.Round(time.Millisecond), workers,
+		float64(played.Load())/took.Seconds(), starts.Load())
+	seed := found.Load()
+	if seed == 0 {
+		fmt.Println("no rule was broken")
+		return nil
+	}
+	fmt.Printf("seed %d breaks %s; making it smaller\n", seed, explore.Run(explore.Plans.Example(int(seed)), nil, 0).Broken)
+	return c.tell(shrink(seed, c.Shrink), seed)
+}
+
+// tell prints a schedule's story.
+func (c *cli) tell(p explore.Plan, seed uint64) error {
+	var story strings.Builder
+	out := explore.Run(p, &story, c.Log)
+	fmt.Printf("%d jobs, %d faults, at most %d machines:\n%s", len(p.Jobs), len(p.Faults), p.Machines, story.String())
+	if out.Broken == "" {
+		fmt.Println("no rule was broken")
+		return nil
+	}
+	return fmt.Errorf("%w: %s; --seed %d --repeat plays it as it was found", errFound, out.Broken, seed)
+}
+
+// shrink has rapid make a schedule smaller. It stays one that breaks a rule.
+func shrink(seed uint64, atMost time.Duration) explore.Plan {
+	testing.Init() // rapid looks at the flags of tests
+	if err := flag.CommandLine.Parse(nil); err != nil {
+		panic(err)
+	}
+	for name, value := range map[string]string{"rapid.seed": fmt.Sprint(seed), "rapid.checks": "1", "rapid.nofailfile": "true",
+		"rapid.shrinktime": atMost.String()} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err) // a flag of the library is gone
+		}
+	}
+	smallest := explore.Plans.Example(int(seed))
+	rule := explore.Run(smallest, nil, 0).Broken
+	rapid.Check(&recorder{}, func(t *rapid.T) {
+		p := explore.Plans.Draw(t, "plan")
+		if out := explore.Run(p, nil, 0); out.Broken == rule {
+			smallest = p
+			t.Fatalf("%s", out.Broken)
+		}
+	})
+	return smallest
+}
+
+// recorder is a test that nobody runs.
+type recorder struct{ failed bool }
+
+func (*recorder) Helper()                 {}
+func (*recorder) Name() string            { return "explore" }
+func (*recorder) Logf(string, ...any)     {}
+func (*recorder) Log(...any)              {}
+func (*recorder) Skipf(string, ...any)    {}
+func (*recorder) Skip(...any)             {}
+func (*recorder) SkipNow()                {}
+func (r *recorder) Errorf(string, ...any) { r.failed = true }
+func (r *recorder) Error(...any)          { r.failed = true }
+func (r *recorder) Fatalf(string, ...any) { r.failed = true }
+func (r *recorder) Fatal(...any)          { r.failed = true }
+func (r *recorder) FailNow()              { r.failed = true }
+func (r *recorder) Fail()                 { r.failed = true }
+func (r *recorder) Failed() bool          { return r.failed }
--- /dev/null
+++ b/internal/explore/machines.go
@@ -0,0 +1,518 @@
+package explore
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/fleet"
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/workers"
+)
+
+// The protocol's times, short, so that a schedule is short.
+const (
+	reportEvery = time.Second
+	lease       = 6 * time.Second
+	cancelWait  = 16 * time.Second
+	gangWait    = 8 * time.Second
+	gangPeer    = 2 * time.Second
+	listLag     = 2 * time.Second
+)
+
+// cloud rents machines, up to a number at once of each kind, ordinary and spot.
+type cloud struct {
+	world    *world
+	place    *place
+	machines []*worker // in order of their names
+	charters map[string][]string
+}
+
+func (c *cloud) rent(ch fleet.Charter) (fleet.Result, []string) {
+	if names, ok := c.charters[ch.Name]; ok {
+		return fleet.Granted, names
+	}
+	var names []string
+	up := 0
+	for _, m := range c.machines {
+		if !m.gone && m.kind == ch.Kind && m.spot == ch.Spot {
+			up++
+		}
+	}
+	for ; up < c.world.plan.Machines && len(names) < ch.Count; up++ {
+		m := newWorker(c.world, fmt.Sprintf("vm-%03d", len(c.machines)+1), ch.Kind, ch.Spot)
+		c.machines = append(c.machines, m)
+		names = append(names, m.name)
+		c.world.sim.after(c.world.sim.between(100*time.Millisecond, 2*time.Second), m.begin)
+	}
+	if len(names) == 0 {
+		return fleet.Refused, nil
+	}
+	c.charters[ch.Name] = names
+	return fleet.Granted, names
+}
+
+// cloudClient is a controller's client of the cloud.
+type cloudClient struct{ n *node }
+
+const cloudTimeout = 3 * time.Second
+
+func (c cloudClient) Types(context.Context) (model.Catalogue, error) { return catalogue, nil }
+
+func (c cloudClient) Rent(_ context.Context, ch fleet.Charter) (fleet.Result, []string) {
+	type answer struct {
+		res   fleet.Result
+		names []string
+	}
+	w := c.n.world
+	a, ok := ask(c.n.process, w.net, c.n.place, w.cloud.place, cloudTimeout, func(reply func(answer)) {
+		res, names := w.cloud.rent(ch)
+		reply(answer{res, names})
+	})
+	if !ok {
+		return fleet.Unknown, nil
+	}
+	return a.res, a.names
+}
+
+func (c cloudClient) Release(_ context.Context, names []string) error {
+	w := c.n.world
+	_, ok := ask(c.n.process, w.net, c.n.place, w.cloud.place, cloudTimeout, func(reply func(struct{})) {
+		for _, m := range w.cloud.machines {
+			for _, name := range names {
+				if m.name == name {
+					m.end("returned")
+				}
+			}
+		}
+		reply(struct{}{})
+	})
+	if !ok {
+		return context.DeadlineExceeded
+	}
+	return nil
+}
+
+func (c cloudClient) List(context.Context) ([]fleet.Listed, error) {
+	w := c.n.world
+	out, ok := ask(c.n.process, w.net, c.n.place, w.cloud.place, cloudTimeout, func(reply func([]fleet.Listed)) {
+		as := w.sim.now - w.sim.between(0, listLag)
+		var out []fleet.Listed
+		for _, m := range w.cloud.machines {
+			if m.rented <= as && (!m.gone || as < m.ended+m.shown) {
+				out = append(out, fleet.Listed{Name: m.name, Kind: m.kind, Spot: m.spot, Booting: !m.up, Age: as - m.rented})
+			}
+		}
+		reply(out)
+	})
+	if !ok {
+		return nil, context.DeadlineExceeded
+	}
+	return out, nil
+}
+
+// worker is one machine, which follows the protocol to the letter.
+type worker struct {
+	world  *world
+	place  *place
+	name   string
+	kind   model.Kind
+	spot   bool
+	rented time.Duration
+	ended  time.Duration
+	shown  time.Duration // how long it is listed after that
+	up     bool
+	gone   bool
+	hung   bool
+	queue  []func() // what came while it hung
+	drift  float64
+
+	session, seq, token uint64
+	leased              time.Duration // when the last answered report was sent, or the session began
+	tasks               []*copyOf
+	reportTo            int
+	sent                uint64 // number of the report that is awaited, 0: none
+	reports             uint64
+	due                 time.Duration // the next report
+	reported            time.Duration // the last one
+}
+
+// copyOf is one attempt of a task on a machine.
+type copyOf struct {
+	job     *job
+	index   int
+	attempt uint64
+	state   model.TaskState
+	cause   model.Cause
+	on      bool // has its image and has not ended: it is on its machine
+}
+
+func newWorker(w *world, name string, kind model.Kind, spot bool) *worker {
+	return &worker{world: w, place: &place{name: name, zone: kind.Zone, role: workerRole}, name: name, kind: kind, spot: spot,
+		rented: w.sim.now, drift: (w.sim.rand.Float64()*2 - 1) * 0.0005, reportTo: w.sim.rand.IntN(len(w.nodes))}
+}
+
+// enter has the machine do something now, or when it hangs no more.
+func (m *worker) enter(do func()) {
+	switch {
+	case m.gone:
+	case m.hung:
+		m.queue = append(m.queue, do)
+	default:
+		do()
+	}
+}
+
+func (m *worker) begin() {
+	if m.gone {
+		return
+	}
+	m.up = true
+	m.world.sim.tell("%s is up in zone %s, spot %v", m.name, m.kind.Zone, m.spot)
+	m.newSession()
+	m.report()
+}
+
+func (m *worker) leaseEnds() time.Duration {
+	return m.leased + time.Duration(float64(lease)*(1+m.drift))
+}
+
+func (m *worker) newSession() {
+	if len(m.tasks) > 0 {
+		m.world.sim.tell("%s kills its tasks: its lease is over", m.name)
+	}
+	for _, t := range m.tasks {
+		m.off(t)
+	}
+	m.tasks = nil
+	m.session++
+	m.seq, m.leased, m.sent = 0, m.world.sim.now, 0
+	m.watchLease(m.session)
+	m.kick()
+}
+
+// watchLease ends the session with its lease, hung or not: no machine resumes its
+// tasks after that.
+func (m *worker) watchLease(session uint64) {
+	m.world.sim.at(m.leaseEnds(), func() {
+		switch {
+		case m.gone || m.session != session:
+		case m.world.sim.now < m.leaseEnds():
+			m.watchLease(session)
+		default:
+			m.newSession()
+		}
+	})
+}
+
+// end takes the machine away with all that is on it.
+func (m *worker) end(why string) {
+	if m.gone {
+		return
+	}
+	m.world.sim.tell("%s is %s", m.name, why)
+	for _, t := range m.tasks {
+		m.off(t)
+	}
+	m.tasks, m.gone, m.ended = nil, true, m.world.sim.now
+	if why == "stopped" {
+		m.shown = 30 * time.Second
+	}
+}
+
+func (m *worker) hang(d time.Duration) {
+	m.hung = true
+	m.world.sim.after(d, func() {
+		m.hung = false
+		work := m.queue
+		m.queue = nil
+		for _, do := range work {
+			m.enter(do)
+		}
+	})
+}
+
+// message is the machine's report as of now.
+func (m *worker) message() *model.Report {
+	m.seq++
+	r := &model.Report{Machine: m.name, Addr: m.name, Type: m.kind.Type, Zone: m.kind.Zone, Spot: m.spot,
+		Session: m.session, Seq: m.seq, Token: m.token}
+	for _, t := range m.tasks {
+		r.Tasks = append(r.Tasks, model.WireTask{Task: model.TaskName(t.job.id, t.index), Attempt: t.attempt, State: t.state, Cause: t.cause})
+	}
+	return r
+}
+
+// kick has the next report come soon: something changed.
+func (m *worker) kick() { m.schedule(max(m.world.sim.now, m.reported+500*time.Millisecond)) }
+
+func (m *worker) schedule(at time.Duration) {
+	if m.due > m.world.sim.now && m.due <= at {
+		return
+	}
+	m.due = at
+	m.world.sim.at(at, func() {
+		if m.due == at {
+			m.enter(m.report)
+		}
+	})
+}
+
+// report sends a report, one at a time.
+func (m *worker) report() {
+	s := m.world.sim
+	if m.sent != 0 || !m.up {
+		return
+	}
+	m.reports++
+	id, session, sent := m.reports, m.session, s.now
+	m.sent, m.reported, m.due = id, s.now, 0
+	n := m.world.nodes[m.reportTo]
+	r := m.message()
+	m.world.net.send(m.place, n.place, func() {
+		n.process.enter(func() {
+			n.node.Report(n.Now(), r, func(v workers.Verdict) {
+				m.world.net.send(n.place, m.place, func() { m.enter(func() { m.answered(id, session, sent, v) }) }, nil)
+			})
+		})
+	}, nil)
+	s.after(4*time.Second, func() {
+		if m.sent == id {
+			m.enter(func() { m.next(id, time.Second) })
+		}
+	})
+	if n.process.dead {
+		s.after(5*time.Millisecond, func() { m.enter(func() { m.next(id, time.Second) }) })
+	}
+}
+
+// next goes to the next controller after a pause.
+func (m *worker) next(id uint64, pause time.Duration) {
+	if m.sent != id {
+		return
+	}
+	m.sent = 0
+	m.reportTo = (m.reportTo + 1) % len(m.world.nodes)
+	m.schedule(m.world.sim.now + pause)
+}
+
+func (m *worker) answered(id, session uint64, sent time.Duration, v workers.Verdict) {
+	s := m.world.sim
+	if m.sent != id || session != m.session || s.now > sent+4*time.Second {
+		return
+	}
+	if v.Status == 421 {
+		for i, n := range m.world.nodes {
+			if n.place.name == v.Foreman && i != m.reportTo {
+				m.sent, m.reportTo = 0, i
+				m.schedule(s.now + s.between(0, 500*time.Millisecond))
+				return
+			}
+		}
+	}
+	if v.Status != 200 {
+		m.next(id, time.Second)
+		return
+	}
+	m.sent = 0
+	m.schedule(sent + s.between(reportEvery*3/4, reportEvery*5/4))
+	if v.Token < m.token {
+		return // dropped: neither orders nor lease
+	}
+	m.leased = max(m.leased, sent)
+	m.sees(v.Token)
+	m.obey(v.Commands)
+}
+
+func (m *worker) sees(token uint64) {
+	if token > m.token {
+		m.token = token
+		m.kick()
+	}
+}
+
+// orders is a direct call.
+func (m *worker) orders(o model.DirectOrders) (int, *model.Report) {
+	if o.Token < m.token || o.Session != m.session {
+		return 409, m.message()
+	}
+	m.sees(o.Token)
+	m.obey(o.Commands)
+	return 200, m.message()
+}
+
+func (m *worker) find(job string, index int) (at *copyOf, same func(attempt uint64) *copyOf) {
+	for _, t := range m.tasks {
+		if t.job.id == job && t.index == index && t.state != model.TaskExited {
+			at = t
+		}
+	}
+	return at, func(attempt uint64) *copyOf {
+		for _, t := range m.tasks {
+			if t.job.id == job && t.index == index && t.attempt == attempt {
+				return t
+			}
+		}
+		return nil
+	}
+}
+
+func (m *worker) obey(commands []model.Command) {
+	for _, c := range commands {
+		id, index, _ := model.SplitTask(c.Task)
+		live, same := m.find(id, index)
+		t := same(c.Attempt)
+		switch c.Op {
+		case "start":
+			if t != nil {
+				continue
+			}
+			t = &copyOf{job: m.world.jobs[id], index: index, attempt: c.Attempt, state: model.TaskFetching}
+			if t.job == nil {
+				m.world.sim.breaks("invented", "%s is told to start %s, which nobody submitted", m.name, c.Task)
+				return
+			}
+			m.tasks = append(m.tasks, t)
+			m.world.sim.tell("%s is told to start %s, attempt %x", m.name, c.Task, c.Attempt)
+			switch {
+			case live != nil:
+				m.exit(t, model.CauseBusy)
+			case !t.job.spec.Size.Fits(m.room(t)):
+				m.exit(t, model.CauseNoRoom)
+			default:
+				m.world.sim.after(m.world.sim.between(50*time.Millisecond, time.Second), func() { m.enter(func() { m.fetched(t) }) })
+			}
+		case "stop":
+			if t != nil && t.state != model.TaskExited {
+				m.exit(t, model.CauseStopped)
+			}
+		case "forget":
+			for i, x := range m.tasks {
+				if x == t && t.state == model.TaskExited {
+					m.tasks = append(m.tasks[:i:i], m.tasks[i+1:]...)
+					break
+				}
+			}
+		}
+	}
+}
+
+// room is what is free for a task that is on the machine's list already.
+func (m *worker) room(but *copyOf) model.Size {
+	room := machineType.Size
+	for _, t := range m.tasks {
+		if t != but && t.state != model.TaskExited {
+			room = room.Sub(t.job.spec.Size)
+		}
+	}
+	return room
+}
+
+func (m *worker) has(t *copyOf) bool {
+	for _, x := range m.tasks {
+		if x == t {
+			return !m.gone && t.state != model.TaskExited
+		}
+	}
+	return false
+}
+
+// fetched begins a task that has its image.
+func (m *worker) fetched(t *copyOf) {
+	if !m.has(t) {
+		return
+	}
+	w := m.world
+	t.state, t.on = model.TaskWaiting, true
+	w.began(m, t)
+	if t.job.finished[t.index] {
+		m.exit(t, model.CauseDone)
+		return
+	}
+	m.kick()
+	if t.job.spec.Shape != model.Gang {
+		m.run(t)
+		return
+	}
+	if g := w.gang(t); len(g) == t.job.spec.Tasks {
+		for _, x := range g {
+			x.m.enter(func() { x.m.run(x.t) })
+		}
+		return
+	}
+	w.sim.after(gangWait, func() {
+		m.enter(func() {
+			if m.has(t) && t.state == model.TaskWaiting {
+				m.exit(t, model.CauseAlone)
+			}
+		})
+	})
+}
+
+func (m *worker) run(t *copyOf) {
+	t.state = model.TaskRunning
+	m.kick()
+	if t.job.spec.Shape == model.Service {
+		return
+	}
+	m.world.sim.after(t.job.takes, func() {
+		m.enter(func() {
+			if !m.has(t) || t.state != model.TaskRunning {
+				return
+			}
+			if t.job.spec.Shape != model.Gang {
+				m.done(t)
+				return
+			}
+			g := m.world.gang(t)
+			whole := len(g) == t.job.spec.Tasks
+			for _, x := range g {
+				whole = whole && !x.m.hung
+			}
+			if !whole {
+				m.exit(t, model.CausePeers)
+				return
+			}
+			for _, x := range g {
+				x.m.done(x.t)
+			}
+		})
+	})
+}
+
+func (m *worker) done(t *copyOf) {
+	t.job.finished[t.index] = true
+	m.world.sim.tell("%s is done on %s", model.TaskName(t.job.id, t.index), m.name)
+	m.exit(t, model.CauseDone)
+}
+
+func (m *worker) exit(t *copyOf, why model.Cause) {
+	if t.state == model.TaskExited {
+		return
+	}
+	t.state, t.cause = model.TaskExited, why
+	m.off(t)
+	m.kick()
+}
+
+// off takes a task off its machine. The rest of a running gang notices.
+func (m *worker) off(t *copyOf) {
+	if !t.on {
+		return
+	}
+	t.on = false
+	w := m.world
+	w.left(m, t)
+	if t.job.spec.Shape != model.Gang || t.cause == model.CauseDone {
+		return
+	}
+	for _, x := range w.gang(t) {
+		w.sim.after(w.sim.between(0, gangPeer), func() {
+			x.m.enter(func() {
+				if x.m.has(x.t) && x.t.state == model.TaskRunning {
+					x.m.exit(x.t, model.CausePeers)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/explore/net.go
@@ -0,0 +1,105 @@
+package explore
+
+import (
+	"time"
+)
+
+// place is an end of the network: a controller, a machine, or one of the services,
+// which belong to no zone.
+type place struct {
+	name string
+	zone string
+	role role
+}
+
+type role int
+
+const (
+	controllerRole role = iota
+	workerRole
+	storeRole
+	cloudRole
+	userRole
+)
+
+// cut is a fault of the network: from some places to others nothing passes.
+type cut struct {
+	until  time.Duration
+	hold   bool // packets are delivered when it ends; else their connections are found reset then
+	blocks func(from, to *place) bool
+}
+
+// network carries messages: late, out of order between connections, and not at all
+// through a cut.
+type network struct {
+	sim    *sim
+	cuts   []*cut
+	refuse time.Duration // controllers refuse each other's connections until then
+}
+
+func (n *network) cut(c *cut) { n.cuts = append(n.cuts, c) }
+
+// blocked tells until when nothing passes, and whether it is held.
+func (n *network) blocked(from, to *place) (until time.Duration, hold, blocked bool) {
+	hold = true
+	for _, c := range n.cuts {
+		if n.sim.now < c.until && c.blocks(from, to) {
+			until, blocked, hold = max(until, c.until), true, hold && c.hold
+		}
+	}
+	return until, hold, blocked
+}
+
+// send carries one message; lost, if not nil, is told when its connection is found
+// to be reset.
+func (n *network) send(from, to *place, deliver, lost func()) {
+	d := n.sim.between(time.Millisecond, 8*time.Millisecond)
+	if n.sim.rand.IntN(50) == 0 {
+		d = n.sim.between(8*time.Millisecond, 400*time.Millisecond)
+	}
+	n.sim.after(d, func() { n.arrive(from, to, deliver, lost) })
+}
+
+func (n *network) arrive(from, to *place, deliver, lost func()) {
+	until, hold, blocked := n.blocked(from, to)
+	switch {
+	case !blocked:
+		deliver()
+	case hold:
+		n.sim.at(until+n.sim.between(0, 50*time.Millisecond), func() { n.arrive(from, to, deliver, lost) })
+	case lost != nil:
+		n.sim.at(until+n.sim.between(0, 50*time.Millisecond), lost)
+	}
+}
+
+// refused tells that a connection is refused at once.
+func (n *network) refused(from, to *place) bool {
+	return from.role == controllerRole && to.role == controllerRole && n.sim.now < n.refuse
+}
+
+// ask sends a request from a fiber of p and waits for the answer at most until the
+// time is up; ok is false if none came. serve runs when the request arrives, maybe
+// long after the asker gave up.
+func ask[T any](p *process, n *network, from, to *place, atMost time.Duration, serve func(reply func(T))) (out T, ok bool) {
+	p.await(func(wake func()) {
+		done := false
+		fail := func() {
+			if !done {
+				done = true
+				wake()
+			}
+		}
+		n.send(from, to, func() {
+			serve(func(v T) {
+				n.send(to, from, func() {
+					if !done {
+						done, out, ok = true, v, true
+						wake()
+					}
+				}, fail)
+			})
+		}, fail)
+		n.sim.after(atMost, fail)
+	})
+	return out, ok
+}
--- /dev/null
+++ b/internal/explore/plan.go
@@ -0,0 +1,256 @@
+package explore
+
+import (
+	"fmt"
+	"log/slog"
+	"strings"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/marlwood/marlwood/internal/model"
+)
+
+// Plan is a schedule: what users ask for and what goes wrong. With its seed, which
+// draws delays and other small chances, it repeats exactly.
+type Plan struct {
+	Seed     uint64
+	Machines int // at most at once, of each kind, ordinary and spot
+	Jobs     []Submission
+	Faults   []Fault
+}
+
+// Submission is a user's job.
+type Submission struct {
+	At      time.Duration
+	Shape   model.Shape
+	Tasks   int
+	Team    int
+	OneZone bool
+	Spot    bool
+	Takes   time.Duration
+	Cancel  time.Duration // after its submission; 0: never
+	Needs   []int         // numbers of earlier jobs
+}
+
+// Fault is something that goes wrong for a time.
+type Fault struct {
+	Kind string
+	At   time.Duration
+	For  time.Duration
+	A, B int  // controllers or machines, counted round
+	Hold bool // a cut holds packets; else it loses them
+}
+
+// The faults. Those of the network are cuts between places.
+var kinds = []string{"cut node", "cut node from nodes", "cut node from store", "cut node from workers", "cut into node", "cut out of node",
+	"cut nodes", "cut zone", "cut machine", "refuse", "store refuses node", "outage", "crash", "crash all", "freeze", "hang machine",
+	"stop machine", "old records", "limits fall"}
+
+// quiet is when faults have ended, and bound is by when every accepted job must be
+// done then: a takeover that waits for unseen machines, machines booted, and the
+// jobs one after the other.
+const (
+	troubles = 40 * time.Second
+	bound    = 80 * time.Second
+)
+
+// Plans draws schedules.
+var Plans = rapid.Custom(func(t *rapid.T) Plan {
+	p := Plan{Seed: rapid.Uint64().Draw(t, "seed"), Machines: rapid.IntRange(2, 4).Draw(t, "machines")}
+	for i := range rapid.IntRange(1, 5).Draw(t, "jobs") {
+		p.Jobs = append(p.Jobs, drawJob(t, i))
+	}
+	for range rapid.IntRange(1, 7).Draw(t, "faults") {
+		p.Faults = append(p.Faults, Fault{
+			Kind: rapid.SampledFrom(kinds).Draw(t, "kind"),
+			At:   seconds(t, "at", 2, 30), For: seconds(t, "for", 1, 14),
+			A: rapid.IntRange(0, 7).Draw(t, "a"), B: rapid.IntRange(0, 7).Draw(t, "b"), Hold: rapid.Bool().Draw(t, "hold")})
+	}
+	return p
+})
+
+func seconds(t *rapid.T, label string, least, most int) time.Duration {
+	return time.Duration(rapid.IntRange(least*10, most*10).Draw(t, label)) * 100 * time.Millisecond
+}
+
+func drawJob(t *rapid.T, i int) Submission {
+	s := Submission{At: seconds(t, "at", 0, 25), Shape: rapid.SampledFrom([]model.Shape{model.Array, model.Gang, model.Service}).Draw(t, "shape"),
+		Tasks: rapid.IntRange(1, 3).Draw(t, "tasks"), Takes: seconds(t, "takes", 1, 20), Spot: rapid.Bool().Draw(t, "spot")}
+	s.OneZone = s.Shape == model.Gang && rapid.Bool().Draw(t, "together")
+	if s.Tasks < 3 && rapid.Bool().Draw(t, "tight") {
+		s.Team = 1
+	}
+	if s.Shape == model.Service || rapid.IntRange(0, 4).Draw(t, "cancelled") == 4 {
+		s.Cancel = seconds(t, "cancel", 1, 20)
+	}
+	if i > 0 && rapid.IntRange(0, 3).Draw(t, "needs") == 3 {
+		s.Needs = []int{rapid.IntRange(0, i-1).Draw(t, "need")}
+	}
+	return s
+}
+
+// Outcome is what a schedule led to.
+type Outcome struct {
+	Broken string // the rule, or ""
+	Events uint64
+	Starts int // tasks that were on a machine
+	Trace  uint64
+}
+
+// Run plays a schedule. story, if not nil, takes in what happens, and what the
+// controllers log at level or above.
+func Run(p Plan, story *strings.Builder, level slog.Level) Outcome {
+	w, err := newWorld(p, story, level)
+	if err != nil {
+		panic("explore: " + err.Error())
+	}
+	for i, s := range p.Jobs {
+		w.sim.at(s.At, func() { w.submit(i, s) })
+	}
+	for _, f := range p.Faults {
+		w.sim.at(f.At, func() { w.fault(f) })
+	}
+	w.sim.at(troubles+bound, func() {
+		for _, j := range w.all {
+			if !j.accepted || (!j.told.Final() && j.spec.Shape != model.Service) {
+				w.sim.breaks("not_served", "%s: accepted %v, told %q, finished %v", j.id, j.accepted, j.told, j.finished)
+			}
+		}
+	})
+	defer w.end()
+	out := Outcome{Trace: 14695981039346656037}
+	for len(w.sim.queue) > 0 && w.sim.broken == "" && w.sim.now <= troubles+bound && !w.served() {
+		w.sim.step()
+		out.Events++
+		out.Trace = (out.Trace ^ uint64(w.sim.now)) * 1099511628211
+	}
+	out.Broken, out.Starts = w.sim.broken, w.starts
+	return out
+}
+
+// served tells that faults have ended and every job is over for its user.
+func (w *world) served() bool {
+	if w.sim.now < troubles {
+		return false
+	}
+	for _, j := range w.all {
+		if !j.told.Final() || len(j.on) > 0 {
+			return false
+		}
+	}
+	return len(w.all) == len(w.plan.Jobs)
+}
+
+// end releases what the processes hold.
+func (w *world) end() {
+	for _, n := range w.nodes {
+		if n.process != nil && !n.process.dead {
+			n.cancel()
+			n.process.kill()
+		}
+	}
+	w.users.kill()
+}
+
+// fault begins a fault.
+func (w *world) fault(f Fault) {
+	s, a, b := w.sim, w.nodes[f.A%len(w.nodes)], w.nodes[f.B%len(w.nodes)]
+	s.tell("%s", f)
+	cut := func(blocks func(from, to *place) bool) {
+		w.net.cut(&cut{until: s.now + f.For, hold: f.Hold, blocks: blocks})
+	}
+	between := func(x *place, with func(*place) bool) {
+		cut(func(from, to *place) bool { return (from == x && with(to)) || (to == x && with(from)) })
+	}
+	m := w.machine(f.A)
+	switch f.Kind {
+	case "cut node":
+		between(a.place, func(*place) bool { return true })
+	case "cut node from nodes":
+		between(a.place, func(p *place) bool { return p.role == controllerRole })
+	case "cut node from store":
+		between(a.place, func(p *place) bool { return p.role == storeRole })
+	case "cut node from workers":
+		between(a.place, func(p *place) bool { return p.role == workerRole })
+	case "cut into node":
+		cut(func(_, to *place) bool { return to == a.place })
+	case "cut out of node":
+		cut(func(from, _ *place) bool { return from == a.place })
+	case "cut nodes":
+		between(a.place, func(p *place) bool { return p == b.place })
+	case "cut zone":
+		z := zones[f.A%len(zones)]
+		cut(func(from, to *place) bool { return (from.zone == z) != (to.zone == z) })
+	case "cut machine":
+		if m != nil {
+			between(m.place, func(*place) bool { return true })
+		}
+	case "refuse":
+		w.net.refuse = max(w.net.refuse, s.now+f.For)
+	case "store refuses node":
+		w.store.refuse[a.place.name] = max(w.store.refuse[a.place.name], s.now+f.For)
+	case "outage":
+		w.store.fail(f.For)
+	case "crash":
+		a.crash(f.For/4 + 500*time.Millisecond)
+	case "crash all":
+		for _, n := range w.nodes {
+			n.crash(f.For/4 + 500*time.Millisecond)
+		}
+	case "freeze":
+		a.process.freeze(f.For)
+	case "hang machine":
+		if m != nil && !m.hung {
+			m.hang(f.For)
+		}
+	case "stop machine":
+		if m != nil {
+			m.end("stopped")
+		}
+	case "old records":
+		w.old = max(w.old, s.now+f.For)
+	case "limits fall":
+		w.store.txnOps = 4
+	}
+}
+
+// machine is the i-th of those that there are, counted round.
+func (w *world) machine(i int) *worker {
+	var up []*worker
+	for _, m := range w.cloud.machines {
+		if m.up && !m.gone {
+			up = append(up, m)
+		}
+	}
+	if len(up) == 0 {
+		return nil
+	}
+	return up[i%len(up)]
+}
+
+func (f Fault) String() string {
+	how := "lost"
+	if f.Hold {
+		how = "held"
+	}
+	node := func(i int) string { return fmt.Sprintf("n%d", i%len(zones)) }
+	what := ""
+	switch f.Kind {
+	case "cut node", "cut node from nodes", "cut node from store", "cut node from workers", "cut into node", "cut out of node":
+		what = fmt.Sprintf("%s %s, packets are %s", f.Kind, node(f.A), how)
+	case "cut nodes":
+		what = fmt.Sprintf("cut nodes %s and %s, packets are %s", node(f.A), node(f.B), how)
+	case "cut zone":
+		what = fmt.Sprintf("cut zone %s, packets are %s", zones[f.A%len(zones)], how)
+	case "cut machine":
+		what = fmt.Sprintf("cut machine %d, packets are %s", f.A, how)
+	case "store refuses node", "crash", "freeze":
+		what = fmt.Sprintf("%s %s", f.Kind, node(f.A))
+	case "hang machine", "stop machine":
+		what = fmt.Sprintf("%s %d", f.Kind, f.A)
+	default:
+		what = f.Kind
+	}
+	return fmt.Sprintf("FAULT for %.1f s: %s", f.For.Seconds(), what)
+}
--- /dev/null
+++ b/internal/explore/users.go
@@ -0,0 +1,247 @@
+package explore
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/httpwire"
+	"github.com/marlwood/marlwood/internal/model"
+)
+
+// job is a job as its user and the world know it, whatever controllers think.
+type job struct {
+	id       string
+	spec     *model.Job
+	needs    []*job
+	takes    time.Duration
+	finished []bool
+	on       map[int]*worker // tasks that are on a machine
+
+	accepted   bool
+	told       model.Stage   // the last answer
+	toldAt     time.Duration // when
+	cancelled  time.Duration // when its user, or that of a job it needs, was told; -1: not
+	wantCancel bool
+}
+
+func (j *job) allDone() bool {
+	for i, done := range j.finished {
+		if !done && (j.spec.Shape != model.Gang || i == 0) {
+			return false
+		}
+	}
+	return true
+}
+
+// hopeless tells whether the job or one before it was asked to be cancelled.
+func (j *job) hopeless() bool {
+	for _, n := range j.needs {
+		if n.hopeless() {
+			return true
+		}
+	}
+	return j.wantCancel
+}
+
+// submit begins a user's job: submission, questions until it is over, and maybe a
+// cancellation.
+func (w *world) submit(i int, s Submission) {
+	id := fmt.Sprintf("req-%d", i)
+	spec := &model.Job{ID: id, Class: "class", Team: []string{"free", "tight"}[s.Team], Shape: s.Shape, Priority: model.Normal, Tasks: s.Tasks,
+		Size: model.Size{CPUs: 2, MemoryGB: 4}, Image: "img", ImageGB: 1, OneZone: s.OneZone, Spot: s.Spot, Estimate: s.Takes}
+	j := &job{id: id, spec: spec, takes: s.Takes, finished: make([]bool, s.Tasks), on: map[int]*worker{}, cancelled: -1}
+	for _, n := range s.Needs {
+		if need := w.jobs[fmt.Sprintf("req-%d", n)]; need != nil && need.accepted && need.spec.Shape != model.Service {
+			j.needs = append(j.needs, need)
+			spec.Needs = append(spec.Needs, need.id)
+		}
+	}
+	w.jobs[id] = j
+	w.all = append(w.all, j)
+	w.sim.tell("user submits %s: %s of %d, team %s, one zone %v, spot %v, after %v, takes %v, cancelled after %v", id, spec.Shape, spec.Tasks,
+		spec.Team, spec.OneZone, spec.Spot, spec.Needs, s.Takes, s.Cancel)
+	body, _ := json.Marshal(spec)
+	w.users.spawn(func() {
+		for !j.accepted {
+			w.ask(j, "submission", func(n *node) httpwire.Answer { return n.node.Users().Submit(context.Background(), body) })
+			if !j.accepted {
+				w.users.sleep(time.Second)
+			}
+		}
+		for !j.told.Final() {
+			w.users.sleep(w.sim.between(1500*time.Millisecond, 2500*time.Millisecond))
+			w.ask(j, "question", func(n *node) httpwire.Answer { return n.node.Users().Ask(context.Background(), id) })
+		}
+		w.users.sleep(3 * time.Second)
+		for range 3 { // later questions and a repeat, at any node
+			w.users.sleep(w.sim.between(0, 2*time.Second))
+			w.ask(j, "question", func(n *node) httpwire.Answer { return n.node.Users().Ask(context.Background(), id) })
+		}
+		w.ask(j, "submission", func(n *node) httpwire.Answer { return n.node.Users().Submit(context.Background(), body) })
+	})
+	if s.Cancel > 0 {
+		w.users.spawn(func() {
+			w.users.sleep(s.Cancel)
+			for !j.accepted {
+				w.users.sleep(time.Second)
+			}
+			for !j.told.Final() {
+				j.wantCancel = true
+				w.ask(j, "cancellation", func(n *node) httpwire.Answer { return n.node.Users().Cancel(context.Background(), id) })
+				if !j.told.Final() {
+					w.users.sleep(time.Second)
+				}
+			}
+		})
+	}
+}
+
+// ask has a user ask something. An answer to what was asked before the user was told
+// more is no news.
+func (w *world) ask(j *job, what string, do func(n *node) httpwire.Answer) {
+	sent := w.sim.now
+	if a := w.request(do); sent >= j.toldAt {
+		w.hear(j, what, a)
+	}
+}
+
+// request asks some controller and waits up to five seconds; status 0: no answer.
+func (w *world) request(do func(n *node) httpwire.Answer) httpwire.Answer {
+	n := w.nodes[w.sim.rand.IntN(len(w.nodes))]
+	if n.process.dead {
+		return httpwire.Answer{}
+	}
+	p := n.process
+	a, _ := ask(w.users, w.net, w.place, n.place, 5*time.Second, func(reply func(httpwire.Answer)) {
+		p.enter(func() { p.spawn(func() { reply(do(n)) }) })
+	})
+	return a
+}
+
+// hear takes in what a user was told, and checks it.
+func (w *world) hear(j *job, what string, a httpwire.Answer) {
+	s := w.sim
+	switch {
+	case a.Status == 404 || a.Status == 400 || a.Status == 422:
+		if j.accepted {
+			s.breaks("forgotten", "a %s of %s is answered %d", what, j.id, a.Status)
+		} else {
+			s.breaks("refused", "%s is answered %d: %s", j.id, a.Status, a.Body)
+		}
+		return
+	case a.Status != 200 && a.Status != 201:
+		return
+	}
+	var v struct {
+		Stage model.Stage `json:"stage"`
+	}
+	if err := json.Unmarshal(a.Body, &v); err != nil {
+		s.breaks("garbled", "%s", a.Body)
+		return
+	}
+	if v.Stage != j.told {
+		s.tell("user of %s is told: %s", j.id, v.Stage)
+	}
+	if !j.accepted {
+		j.accepted = true
+	}
+	switch {
+	case j.told.Final() && v.Stage != j.told:
+		s.breaks("went_back", "%s was called %s, now %s", j.id, j.told, v.Stage)
+	case v.Stage == model.Done && !j.allDone():
+		s.breaks("not_done", "%s is called done, its tasks %v", j.id, j.finished)
+	case v.Stage == model.Cancelled && !j.hopeless():
+		s.breaks("went_back", "%s is called cancelled; nobody asked for that", j.id)
+	case !v.Stage.Final() && j.cancelled >= 0 && s.now > j.cancelled+cancelWait:
+		s.breaks("orphaned", "%s is called %s, but one before it was cancelled", j.id, v.Stage)
+	}
+	j.told, j.toldAt = v.Stage, s.now
+	if v.Stage == model.Cancelled {
+		w.cancelled(j)
+	}
+}
+
+// cancelled takes in that a user was told that a job is cancelled; so are those
+// that need it.
+func (w *world) cancelled(j *job) {
+	if j.cancelled >= 0 {
+		return
+	}
+	j.cancelled = w.sim.now
+	w.sim.after(cancelWait, func() {
+		if len(j.on) > 0 {
+			w.sim.breaks("ran_cancelled", "%s has tasks on machines %v after it was cancelled", j.id, cancelWait)
+		}
+	})
+	for _, o := range w.all {
+		for _, n := range o.needs {
+			if n == j && !o.told.Final() {
+				w.cancelled(o)
+			}
+		}
+	}
+}
+
+// began checks the rules when a task begins to be on a machine.
+func (w *world) began(m *worker, t *copyOf) {
+	s, j := w.sim, t.job
+	name := model.TaskName(j.id, t.index)
+	w.starts++
+	s.tell("%s is on %s, attempt %x", name, m.name, t.attempt)
+	if other := j.on[t.index]; other != nil {
+		s.breaks("ran_twice", "%s starts on %s while it is on %s", name, m.name, other.name)
+	}
+	if j.cancelled >= 0 && s.now > j.cancelled+cancelWait {
+		s.breaks("ran_cancelled", "%s starts on %s after it was cancelled", name, m.name)
+	}
+	for _, n := range j.needs {
+		if !n.allDone() {
+			s.breaks("too_early", "%s starts before %s is done", name, n.id)
+		}
+	}
+	if m.spot && !j.spec.Spot {
+		s.breaks("wrong_place", "%s starts on spot machine %s", name, m.name)
+	}
+	for _, o := range j.on {
+		if j.spec.OneZone && o.kind.Zone != m.kind.Zone {
+			s.breaks("wrong_place", "%s starts in zone %s, another task of its job is in %s", name, m.kind.Zone, o.kind.Zone)
+		}
+	}
+	j.on[t.index] = m
+	var used model.Size
+	for _, o := range w.all {
+		if o.spec.Team == j.spec.Team {
+			used = used.Add(o.spec.Size.Times(len(o.on)))
+		}
+	}
+	if !teams[j.spec.Team].WithinLimit(used) {
+		s.breaks("quota", "%s starts: team %s uses %v CPUs", name, j.spec.Team, used.CPUs)
+	}
+}
+
+// left takes a task off the books of the world.
+func (w *world) left(m *worker, t *copyOf) {
+	if t.job.on[t.index] == m {
+		delete(t.job.on, t.index)
+	}
+}
+
+// member is a task of a gang on its machine.
+type member struct {
+	m *worker
+	t *copyOf
+}
+
+// gang lists the tasks of a task's attempt that are on machines.
+func (w *world) gang(t *copyOf) (out []member) {
+	for _, m := range w.cloud.machines {
+		for _, x := range m.tasks {
+			if x.job == t.job && x.attempt == t.attempt && x.on {
+				out = append(out, member{m, x})
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/explore/world.go
@@ -0,0 +1,221 @@
+package explore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/controller"
+	"github.com/marlwood/marlwood/internal/httpwire"
+	"github.com/marlwood/marlwood/internal/intake"
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/peers/peerspb"
+	"github.com/marlwood/marlwood/internal/settings"
+)
+
+var (
+	zones       = []string{"a", "b", "c"}
+	wireType    = model.WireType{Name: "box", CPUs: 4, MemoryGB: 16, CacheGB: 50, FetchGBPerS: 2, Price: 1, SpotPrice: 0.3, BootS: 1, Zones: zones}
+	catalogue   = model.Catalogue{Types: []model.WireType{wireType}}
+	machineType = catalogue.Table()[wireType.Name]
+	teams       = map[string]model.Team{"free": {Name: "free"}, "tight": {Name: "tight", Limit: model.Size{CPUs: 4}}}
+)
+
+// world is three controllers, the services, the machines and the users.
+type world struct {
+	sim    *sim
+	plan   Plan
+	net    *network
+	store  *service
+	cloud  *cloud
+	nodes  []*node
+	users  *process
+	place  *place // of users
+	jobs   map[string]*job
+	all    []*job // in the order of their submission
+	op     *settings.Operator
+	starts int
+	level  slog.Level
+	old    time.Duration // until then the first controller reads an earlier form of records
+}
+
+// node is a member, through all its processes.
+type node struct {
+	world   *world
+	member  int
+	place   *place
+	process *process
+	node    *controller.Node
+	cancel  context.CancelFunc
+}
+
+func newWorld(p Plan, story *strings.Builder, level slog.Level) (*world, error) {
+	op, err := settings.LoadOperator("")
+	if err != nil {
+		return nil, err
+	}
+	op.Placement.Heartbeat = 800 * time.Millisecond
+	op.Placement.OwnerBack = 5 * time.Second
+	op.Fleet.Idle, op.Fleet.Keep, op.Fleet.SilentWait = 4*time.Second, 5*time.Second, 8*time.Second
+	s := &sim{rand: rand.New(rand.NewPCG(p.Seed, 1)), story: story}
+	w := &world{sim: s, plan: p, net: &network{sim: s}, store: newService(s, 16), jobs: map[string]*job{}, op: op, level: level,
+		place: &place{name: "users", role: userRole}}
+	w.cloud = &cloud{world: w, place: &place{name: "cloud", role: cloudRole}, charters: map[string][]string{}}
+	w.users = s.newProcess("users")
+	for i, z := range zones {
+		n := &node{world: w, member: i, place: &place{name: fmt.Sprintf("n%d", i), zone: z, role: controllerRole}}
+		w.nodes = append(w.nodes, n)
+		defer n.boot() // once all are known
+	}
+	return w, nil
+}
+
+// tick is how often a controller looks at what is due: less often than in the live
+// world, which costs nothing but delay.
+const tick = 100 * time.Millisecond
+
+// boot begins a process of the member.
+func (n *node) boot() {
+	w := n.world
+	n.process = w.sim.newProcess(n.place.name)
+	cfg := &settings.Platform{Member: n.place.name, Zone: n.place.zone, Listen: "127.0.0.1:1", PeerListen: "127.0.0.1:1",
+		Teams: teams, ReportEvery: reportEvery, Lease: lease, CancelWait: cancelWait, StateRPS: 1000, StateWriteRPS: 1000,
+		ValueBytes: 8192, WideValueBytes: 8192, TxnOps: 16, CloudRPS: 100, MemoryMB: 100, MaxConns: 1000}
+	for _, o := range w.nodes {
+		if o != n {
+			cfg.Siblings = append(cfg.Siblings, settings.Sibling{Member: o.place.name, Zone: o.place.zone, Addr: o.place.name})
+		}
+	}
+	made, err := controller.NewIn(n, w.sim.rand.Uint64(), cfg, w.op, n.logger())
+	if err != nil {
+		panic("explore: the settings are wrong: " + err.Error())
+	}
+	n.node = made
+	var ctx context.Context
+	ctx, n.cancel = context.WithCancel(context.Background())
+	made.Begin(ctx)
+	p := n.process
+	var beat func()
+	beat = func() {
+		made.Tick(n.Now())
+		p.later(tick, beat)
+	}
+	p.later(w.sim.between(0, tick), beat)
+}
+
+// logger writes to the story, if there is one.
+func (n *node) logger() *slog.Logger {
+	if n.world.sim.story == nil {
+		return slog.New(slog.DiscardHandler)
+	}
+	return slog.New(slog.NewTextHandler(lines{n}, &slog.HandlerOptions{Level: n.world.level,
+		ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
+			if a.Key == slog.TimeKey || a.Key == slog.LevelKey {
+				return slog.Attr{}
+			}
+			return a
+		}}))
+}
+
+// lines turns a controller's log into lines of the story.
+type lines struct{ n *node }
+
+func (l lines) Write(b []byte) (int, error) {
+	l.n.world.sim.tell("    %s: %s", l.n.place.name, strings.TrimSpace(string(b)))
+	return len(b), nil
+}
+
+func (n *node) crash(back time.Duration) {
+	if n.process.dead {
+		return
+	}
+	n.cancel()
+	n.process.kill()
+	n.world.sim.after(back, n.boot)
+}
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// Now is the process's steady clock; a process keeps its origin.
+func (n *node) Now() time.Time       { return epoch.Add(n.process.local()) }
+func (n *node) Wall() time.Time      { return epoch.Add(n.world.sim.now) }
+func (n *node) Random() uint64       { return n.world.sim.rand.Uint64() }
+func (n *node) Post(f func())        { f() } // fibers run between the loop's events
+func (n *node) Go(f func())          { n.process.spawn(f) }
+func (n *node) NewGate() intake.Gate { return &gate{p: n.process} }
+
+func (n *node) Sleep(_ context.Context, d time.Duration) { n.process.sleep(d) }
+func (n *node) Store() controller.Store                  { return storeClient{n} }
+func (n *node) Cloud() controller.Cloud                  { return cloudClient{n} }
+
+func (n *node) Dial(addr string) (controller.Peer, error) {
+	for _, o := range n.world.nodes {
+		if o.place.name == addr {
+			return link{n, o}, nil
+		}
+	}
+	return nil, errors.New("no such sibling")
+}
+
+// link carries rounds to a sibling.
+type link struct{ from, to *node }
+
+var errNoAnswer = errors.New("no answer")
+
+func (l link) Round(_ context.Context, r *peerspb.RoundRequest) (*peerspb.RoundResponse, error) {
+	w := l.from.world
+	if w.net.refused(l.from.place, l.to.place) || l.to.process.dead {
+		return nil, errNoAnswer
+	}
+	p := l.to.process // the connection is to this process
+	out, ok := ask(l.from.process, w.net, l.from.place, l.to.place, time.Second, func(reply func(*peerspb.RoundResponse)) {
+		p.enter(func() {
+			l.to.node.Round(l.to.Now(), r, func(out *peerspb.RoundResponse) {
+				if out != nil && l.to.member == 0 && w.sim.now < w.old {
+					out.Records = 0
+				}
+				reply(out)
+			})
+		})
+	})
+	if !ok || out == nil {
+		return nil, errNoAnswer
+	}
+	return out, nil
+}
+
+func (l link) Close() error { return nil }
+
+// directCall is how long a controller waits for a worker's answer.
+const directCall = 1500 * time.Millisecond
+
+func (n *node) Orders(_ context.Context, addr string, o model.DirectOrders) (int, *model.Report, error) {
+	w := n.world
+	for _, m := range w.cloud.machines {
+		if m.name != addr {
+			continue
+		}
+		if m.gone && w.sim.rand.IntN(2) == 0 {
+			return 0, nil, httpwire.ErrNotSent
+		}
+		type answer struct {
+			status int
+			r      *model.Report
+		}
+		a, ok := ask(n.process, w.net, n.place, m.place, directCall, func(reply func(answer)) {
+			m.enter(func() {
+				status, r := m.orders(o)
+				reply(answer{status, r})
+			})
+		})
+		if !ok {
+			return 0, nil, errNoAnswer
+		}
+		return a.status, a.r, nil
+	}
+	return 0, nil, httpwire.ErrNotSent
+}
--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -138,6 +138,10 @@
 		}
 		// What an earlier owner heard says nothing of the next.
 		m.Retiring, m.Quiet, m.knocked = false, false, time.Time{}
+		// Guard: the fresh token voids the start that may come late. Kept, the doubt
+		// about a machine that had died asked for a fresh token every two seconds,
+		// and no lease is ever surely over under a token that young.
+		m.Unsure = false
 	}
 }
 
--- a/internal/placement/book_test.go
+++ b/internal/placement/book_test.go
@@ -405,6 +405,20 @@
 	}
 }
 
+// A start that may come late asks for a fresh token once: the token voids it, also
+// on a machine that is never heard of again.
+func TestDoubtEndsWithTheToken(t *testing.T) {
+	b := newBench(t)
+	b.Machine(at(0), "n0", &peerspb.Machine{Name: "m", Kind: &peerspb.Kind{Type: "small", Zone: "a"}, Phase: "current", NoticeMs: -1, Unsure: true}, 0, false)
+	if !b.machines.At("m").Unsure {
+		t.Fatal("no doubt")
+	}
+	b.Renewed(6, at(1))
+	if b.machines.At("m").Unsure {
+		t.Error("the doubt outlives the token")
+	}
+}
+
 // A machine that expired while its host record was being written gets no tasks
 // before another record is stored: that one is about to be removed.
 func TestHostStoredTooLate(t *testing.T) {
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -324,6 +324,14 @@
 	return nil
 }
 
+// InOrder puts changes into the order in which they were made. A transaction that
+// moves a record is told of as a loss and a gain: the loss comes first.
+func InOrder(events []Event) {
+	slices.SortStableFunc(events, func(x, y Event) int {
+		return cmp.Or(cmp.Compare(x.Stamp, y.Stamp), cmp.Compare(y.Delete, x.Delete))
+	})
+}
+
 // Watch waits for changes under a prefix after a revision.
 func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Event, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout)
@@ -343,10 +351,6 @@
 	if err := decode(resp, &out); err != nil {
 		return nil, 0, err
 	}
-	// A transaction that moves a record is told of as a loss and a gain: the loss
-	// comes first, and changes come in the order in which they were made.
-	slices.SortStableFunc(out.Events, func(x, y Event) int {
-		return cmp.Or(cmp.Compare(x.Stamp, y.Stamp), cmp.Compare(y.Delete, x.Delete))
-	})
+	InOrder(out.Events)
 	return out.Events, max(after, out.Revision), nil
 }
