--- a/internal/explore/cmd/main.go
+++ b/internal/explore/cmd/main.go
@@ -22,6 +22,11 @@
 )
 
 type cli struct {
+	Run     runCmd     `cmd:"" default:"withargs" help:"Explore until a rule is broken or the time is up."`
+	Mutants mutantsCmd `cmd:"" help:"Try the explorer on mistakes that weaken one guard each. Run in the project's root."`
+}
+
+type runCmd struct {
 	Seed    uint64        `help:"First schedule; the next ones follow it." default:"1"`
 	For     time.Duration `help:"How long to explore." default:"1m"`
 	Most    uint64        `help:"Most schedules; 0: no bound."`
@@ -44,7 +49,7 @@
 }
 
 // Run explores.
-func (c *cli) Run() error {
+func (c *runCmd) Run() error {
 	if c.Repeat {
 		return c.tell(explore.Plans.Example(int(c.Seed)), c.Seed)
 	}
@@ -98,7 +103,7 @@
 }
 
 // tell prints a schedule's story.
-func (c *cli) tell(p explore.Plan, seed uint64) error {
+func (c *runCmd) tell(p explore.Plan, seed uint64) error {
 	var story strings.Builder
 	out := explore.Run(p, &story, c.Log)
 	fmt.Printf("%d jobs, %d faults, at most %d machines:\n%s", len(p.Jobs), len(p.Faults), p.Machines, story.String())
--- /dev/null
+++ b/internal/explore/cmd/mutants.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"time"
+)
+
+// mutant is a mistake that weakens one guard.
+type mutant struct {
+	name  string
+	edits []edit
+}
+
+type edit struct{ file, old, with string }
+
+// mutants are the mistakes that the explorer is tried on. Their files are replaced
+// while a copy of it is built; the sources stay as they are.
+var mutants = []mutant{
+	{"a desk counts leases from its own last answer", []edit{
+		{"workers/desk.go", "had shown our token.\n\t\t\tm.answered = now\n", "had shown our token.\n"},
+		{"workers/rounds.go", "m.ended, m.answered, m.quiet = nil, false, false, 0, now, false", "m.ended, m.quiet = nil, false, false, 0, false"}}},
+	{"an expiry is believed at once", []edit{{"placement/machines.go", "m.Phase == Lapsed && m.Since.Before(checked)", "m.Phase == Lapsed"}}},
+	{"an expiry is trusted before every owner has the token", []edit{{"controller/rounds.go", "trusted := sent.After(t.expiry(now))", "trusted := true"}}},
+	{"a grant is not compared at answering", []edit{{"workers/desk.go", "if !d.Granted(now) || r.Token > d.token {", "if r.Token > d.token {"}}},
+	{"a task is forgotten before its mark is stored", []edit{{"placement/tasks.go", "model.Cause(r.Cause) == model.CauseDone && !j.stored.Has(int(r.Index))", "false"}}},
+	{"a leader's writes do not guard the token", []edit{{"controller/records.go", "{{Key: leadership.Key, Stamp: t.token}}, Writes", "{{Key: leadership.Key, Stamp: t.token}}[:0], Writes"}}},
+	{"a start that may come late is forgotten", []edit{{"workers/orders.go", "return kept || m.openStart(o.key()) != nil", "return kept && false"},
+		{"workers/orders.go", "ok && next.op == peerspb.Op_OP_FORGET", "ok && false && !wanted"}}},
+	{"a machine is used before its host record is stored", []edit{{"placement/round.go", "m.Phase == Current && m.Hosted && ", "m.Phase == Current && "}}},
+	{"a takeover does not wait for unseen machines", []edit{{"placement/machines.go", "m.Hosted && (m.Phase == Unseen || m.Phase == Joining || m.Phase == Lapsed)", "m.Hosted && m.Phase == Joining"}}},
+	{"an undecided start counts as refused", []edit{{"placement/tasks.go", "t.state == model.TaskOrdered && !decided(t.order)", "t.state == model.TaskOrdered && false"}}},
+	{"an unanswered direct call counts as refused", []edit{{"controller/node.go", "case err != nil, r == nil, status != 200 && status != 409:\n\t\treturn workers.Unanswered, nil", "case err != nil, r == nil, status != 200 && status != 409:\n\t\treturn workers.Refused, nil"}}},
+	{"what a restarted owner says is believed", []edit{{"controller/rounds.go", "if !t.loaded || l.lost {", "if !t.loaded {"}, {"controller/rounds.go", "if l.lost {\n\t\t\twants = nil", "if false {\n\t\t\twants = nil"}}},
+	{"a restarted process takes any token", []edit{{"workers/rounds.go", "{ d.token = max(d.token, token) }", "{}"}}},
+	{"the right to act does not end", []edit{{"leadership/leadership.go", "return now.Before(m.ActsUntil())", "return m.state == Leading"}}},
+	{"a deposed leader leads again under its old token", []edit{{"leadership/leadership.go", "if mine && stamp < m.highest {", "if false {"}}},
+	{"kinds change hands under the same token", []edit{{"workers/rounds.go", "if r.Token > d.token {\n\t\td.newToken", "if r.Token > d.token+1<<40 {\n\t\td.newToken"}}},
+	{"a job is released when a needed one is not done", []edit{{"pipelines/graph.go", "case len(j.unmet) == 0 && j.state == Waiting:", "case j.state == Waiting:"}}},
+	{"a machine that expired while its record was written is used", []edit{{"placement/machines.go", "m.Phase != Expired, stamp, false", "true, stamp, false"}}},
+}
+
+type mutantsCmd struct {
+	For  time.Duration `help:"How long to explore each." default:"1m"`
+	Only string        `help:"Only those whose names contain this."`
+}
+
+var foundAfter = regexp.MustCompile(`(?s)^(\d+) schedules in (\S+) .*seed \d+ breaks (\S+);.*?(\d+) jobs, (\d+) faults`)
+
+// Run builds the explorer with each mistake in turn and lets it look for it.
+func (c *mutantsCmd) Run() error {
+	dir, err := os.MkdirTemp("", "explore")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	missed := 0
+	for _, m := range mutants {
+		if !strings.Contains(m.name, c.Only) {
+			continue
+		}
+		program, err := m.build(dir)
+		if err != nil {
+			return fmt.Errorf("%s: %w", m.name, err)
+		}
+		out, err := exec.Command(program, "run", "--for", c.For.String(), "--shrink", "15s").Output()
+		var failed *exec.ExitError
+		if err != nil && !errors.As(err, &failed) {
+			return fmt.Errorf("%s: %w", m.name, err)
+		}
+		if f := foundAfter.FindStringSubmatch(string(out)); f != nil {
+			fmt.Printf("| %s | %s | %s | %s | %s jobs, %s faults |\n", m.name, f[3], f[1], f[2], f[4], f[5])
+		} else {
+			missed++
+			fmt.Printf("| %s | not found | %s | | |\n", m.name, strings.SplitN(string(out), " on ", 2)[0])
+		}
+	}
+	if missed > 0 {
+		return fmt.Errorf("%d mistakes were not found", missed)
+	}
+	return nil
+}
+
+// build makes an explorer with the mistake in it.
+func (m mutant) build(dir string) (string, error) {
+	root, err := os.Getwd()
+	if err != nil {
+		return "", err
+	}
+	replace := map[string]string{}
+	for _, e := range m.edits {
+		path := filepath.Join(root, "internal", e.file)
+		from := path
+		if done, ok := replace[path]; ok {
+			from = done
+		}
+		b, err := os.ReadFile(from)
+		if err != nil {
+			return "", err
+		}
+		if strings.Count(string(b), e.old) != 1 {
+			return "", fmt.Errorf("%s: the guard stands %d times, want 1: %q", e.file, strings.Count(string(b), e.old), e.old)
+		}
+		replace[path] = filepath.Join(dir, strings.ReplaceAll(e.file, "/", "-"))
+		if err := os.WriteFile(replace[path], []byte(strings.Replace(string(b), e.old, e.with, 1)), 0o600); err != nil {
+			return "", err
+		}
+	}
+	overlay, err := json.Marshal(map[string]any{"Replace": replace})
+	if err != nil {
+		return "", err
+	}
+	file, program := filepath.Join(dir, "overlay.json"), filepath.Join(dir, "explore")
+	if err := os.WriteFile(file, overlay, 0o600); err != nil {
+		return "", err
+	}
+	build := exec.Command("go", "build", "-overlay", file, "-o", program, "./internal/explore/cmd")
+	build.Stderr = os.Stderr
+	return program, build.Run()
+}
--- a/internal/explore/machines.go
+++ b/internal/explore/machines.go
@@ -14,7 +14,7 @@
 const (
 	reportEvery = time.Second
 	lease       = 6 * time.Second
-	cancelWait  = 16 * time.Second
+	cancelWait  = 20 * time.Second
 	gangWait    = 8 * time.Second
 	gangPeer    = 2 * time.Second
 	listLag     = 2 * time.Second
--- a/internal/explore/plan.go
+++ b/internal/explore/plan.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/marlwood/marlwood/internal/leadership"
 	"github.com/marlwood/marlwood/internal/model"
 )
 
@@ -38,7 +39,7 @@
 	Kind string
 	At   time.Duration
 	For  time.Duration
-	A, B int  // controllers or machines, counted round
+	A, B int  // controllers or machines, counted round; a controller above 2 is the leader
 	Hold bool // a cut holds packets; else it loses them
 }
 
@@ -51,8 +52,8 @@
 // done then: a takeover that waits for unseen machines, machines booted, and the
 // jobs one after the other.
 const (
-	troubles = 40 * time.Second
-	bound    = 80 * time.Second
+	troubles = 45 * time.Second
+	bound    = 90 * time.Second
 )
 
 // Plans draws schedules.
@@ -64,7 +65,7 @@
 	for range rapid.IntRange(1, 7).Draw(t, "faults") {
 		p.Faults = append(p.Faults, Fault{
 			Kind: rapid.SampledFrom(kinds).Draw(t, "kind"),
-			At:   seconds(t, "at", 2, 30), For: seconds(t, "for", 1, 14),
+			At:   seconds(t, "at", 3, 25), For: seconds(t, "for", 1, 20),
 			A: rapid.IntRange(0, 7).Draw(t, "a"), B: rapid.IntRange(0, 7).Draw(t, "b"), Hold: rapid.Bool().Draw(t, "hold")})
 	}
 	return p
@@ -84,8 +85,8 @@
 	if s.Shape == model.Service || rapid.IntRange(0, 4).Draw(t, "cancelled") == 4 {
 		s.Cancel = seconds(t, "cancel", 1, 20)
 	}
-	if i > 0 && rapid.IntRange(0, 3).Draw(t, "needs") == 3 {
-		s.Needs = []int{rapid.IntRange(0, i-1).Draw(t, "need")}
+	if i > 0 && rapid.IntRange(0, 2).Draw(t, "needs") == 2 {
+		s.Needs = rapid.SliceOfNDistinct(rapid.IntRange(0, i-1), 1, 2, rapid.ID).Draw(t, "need")
 	}
 	return s
 }
@@ -155,8 +156,8 @@
 
 // fault begins a fault.
 func (w *world) fault(f Fault) {
-	s, a, b := w.sim, w.nodes[f.A%len(w.nodes)], w.nodes[f.B%len(w.nodes)]
-	s.tell("%s", f)
+	s, a, b := w.sim, w.controller(f.A), w.controller(f.B)
+	s.tell("%s", f.story(a, b))
 	cut := func(blocks func(from, to *place) bool) {
 		w.net.cut(&cut{until: s.now + f.For, hold: f.Hold, blocks: blocks})
 	}
@@ -215,6 +216,21 @@
 	}
 }
 
+// controller is the i-th, or the one that has the leader key.
+func (w *world) controller(i int) *node {
+	if i < len(w.nodes) {
+		return w.nodes[i]
+	}
+	if e := w.store.keys[leadership.Key]; e != nil {
+		for _, n := range w.nodes {
+			if strings.Contains(string(e.value), n.place.name) {
+				return n
+			}
+		}
+	}
+	return w.nodes[0]
+}
+
 // machine is the i-th of those that there are, counted round.
 func (w *world) machine(i int) *worker {
 	var up []*worker
@@ -229,24 +245,23 @@
 	return up[i%len(up)]
 }
 
-func (f Fault) String() string {
+func (f Fault) story(a, b *node) string {
 	how := "lost"
 	if f.Hold {
 		how = "held"
 	}
-	node := func(i int) string { return fmt.Sprintf("n%d", i%len(zones)) }
 	what := ""
 	switch f.Kind {
 	case "cut node", "cut node from nodes", "cut node from store", "cut node from workers", "cut into node", "cut out of node":
-		what = fmt.Sprintf("%s %s, packets are %s", f.Kind, node(f.A), how)
+		what = fmt.Sprintf("%s %s, packets are %s", f.Kind, a.place.name, how)
 	case "cut nodes":
-		what = fmt.Sprintf("cut nodes %s and %s, packets are %s", node(f.A), node(f.B), how)
+		what = fmt.Sprintf("cut nodes %s and %s, packets are %s", a.place.name, b.place.name, how)
 	case "cut zone":
 		what = fmt.Sprintf("cut zone %s, packets are %s", zones[f.A%len(zones)], how)
 	case "cut machine":
 		what = fmt.Sprintf("cut machine %d, packets are %s", f.A, how)
 	case "store refuses node", "crash", "freeze":
-		what = fmt.Sprintf("%s %s", f.Kind, node(f.A))
+		what = fmt.Sprintf("%s %s", f.Kind, a.place.name)
 	case "hang machine", "stop machine":
 		what = fmt.Sprintf("%s %d", f.Kind, f.A)
 	default:
