--- a/internal/explore/explore_test.go
+++ b/internal/explore/explore_test.go
@@ -1,15 +1,148 @@
 package explore
 
 import (
+	"strings"
+	"sync"
 	"testing"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/httpwire"
+	"github.com/marlwood/marlwood/internal/model"
 )
 
 // The same schedule leads to the same events.
 func TestRepeats(t *testing.T) {
 	for seed := 1; seed <= 20; seed++ {
 		p := Plans.Example(seed)
-		if x, y := Run(p, nil, 0), Run(p, nil, 0); x != y {
+		if x, y := Run(p, nil, 0), Run(p, nil, 0); x != y || x.Events < 1000 {
 			t.Errorf("seed %d: %+v and %+v", seed, x, y)
 		}
 	}
 }
+
+// Schedules that once found something, and a few hundred more, break no rule. The
+// explorer's command plays as many as one likes.
+func TestSchedules(t *testing.T) {
+	seeds := make(chan int)
+	var group sync.WaitGroup
+	var lock sync.Mutex
+	starts := 0
+	for range 4 {
+		group.Go(func() {
+			for seed := range seeds {
+				out := Run(Plans.Example(seed), nil, 0)
+				if out.Broken != "" {
+					t.Errorf("seed %d breaks %s", seed, out.Broken)
+				}
+				lock.Lock()
+				starts += out.Starts
+				lock.Unlock()
+			}
+		})
+	}
+	for _, seed := range []int{6023, 45189} {
+		seeds <- seed
+	}
+	for seed := 1; seed <= 3000; seed++ {
+		seeds <- seed
+	}
+	close(seeds)
+	group.Wait()
+	if starts < 1000 {
+		t.Errorf("only %d tasks were started: the schedules show nothing", starts)
+	}
+}
+
+// The rules are checked against what is on the machines and what users were told.
+func TestRules(t *testing.T) {
+	const sec = time.Second
+	type at struct {
+		w    *world
+		x, y *job // y needs x
+		m    []*worker
+	}
+	on := func(c at, m int, j *job, index int) *copyOf {
+		task := &copyOf{job: j, index: index, attempt: 1, on: true}
+		c.m[m].tasks = append(c.m[m].tasks, task)
+		c.w.began(c.m[m], task)
+		return task
+	}
+	tell := func(c at, j *job, status int, stage model.Stage) {
+		c.w.hear(j, "question", answerOf(status, stage))
+	}
+	for _, c := range []struct {
+		name, rule string
+		do         func(c at)
+	}{
+		{"a task a machine", "", func(c at) { on(c, 0, c.x, 0); on(c, 1, c.x, 1) }},
+		{"one after the other", "", func(c at) { c.m[0].off(on(c, 0, c.x, 0)); on(c, 1, c.x, 0) }},
+		{"on two machines", "ran_twice", func(c at) { on(c, 0, c.x, 0); on(c, 1, c.x, 0) }},
+		{"above the limit", "quota", func(c at) { on(c, 0, c.x, 0); on(c, 1, c.x, 1); on(c, 1, c.x, 2) }},
+		{"in two zones", "wrong_place", func(c at) { on(c, 0, c.x, 0); on(c, 2, c.x, 1) }},
+		{"on a spot machine", "wrong_place", func(c at) { c.m[0].spot = true; on(c, 0, c.x, 0) }},
+		{"before what it needs", "too_early", func(c at) { on(c, 0, c.y, 0) }},
+		{"long after it was cancelled", "ran_cancelled", func(c at) {
+			c.x.wantCancel = true
+			tell(c, c.x, 200, model.Cancelled)
+			c.w.sim.now = cancelWait + sec
+			on(c, 0, c.x, 0)
+		}},
+		{"called done before it is", "not_done", func(c at) { tell(c, c.x, 200, model.Done) }},
+		{"unknown after it was accepted", "forgotten", func(c at) { tell(c, c.x, 201, model.Queued); tell(c, c.x, 404, "") }},
+		{"running after it was done", "went_back", func(c at) {
+			c.x.finished = []bool{true, true, true}
+			tell(c, c.x, 200, model.Done)
+			tell(c, c.x, 200, model.Running)
+		}},
+		{"cancelled by nobody", "went_back", func(c at) { tell(c, c.x, 200, model.Cancelled) }},
+		{"cancelled with what it needs", "", func(c at) { c.x.wantCancel = true; tell(c, c.y, 200, model.Cancelled) }},
+		{"waits for what was cancelled long ago", "orphaned", func(c at) {
+			c.x.wantCancel = true
+			tell(c, c.x, 200, model.Cancelled)
+			c.w.sim.now = cancelWait + sec
+			tell(c, c.y, 200, model.Queued)
+		}},
+	} {
+		w, err := newWorld(Plan{Seed: 1, Machines: 1}, nil, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		spec := func(id string, team string) *job {
+			return &job{id: id, spec: &model.Job{ID: id, Team: team, Shape: model.Array, Tasks: 3, Size: model.Size{CPUs: 2}, OneZone: true},
+				finished: make([]bool, 3), on: map[int]*worker{}, cancelled: -1}
+		}
+		x, y := spec("x", "tight"), spec("y", "free")
+		y.needs = []*job{x}
+		w.all = []*job{x, y}
+		var machines []*worker
+		for i, zone := range []string{"a", "a", "b"} {
+			machines = append(machines, newWorker(w, string(rune('1'+i)), model.Kind{Type: wireType.Name, Zone: zone}, false))
+		}
+		if c.do(at{w, x, y, machines}); w.sim.broken != c.rule {
+			t.Errorf("%s: %q, want %q", c.name, w.sim.broken, c.rule)
+		}
+		w.end()
+	}
+}
+
+// A story tells faults, what users are told and what machines do, in that order.
+func TestStory(t *testing.T) {
+	var story strings.Builder
+	Run(Plans.Example(6023), &story, 8)
+	for _, want := range []string{"user submits req-0", "FAULT for", "is told to start", "is told: done"} {
+		if !strings.Contains(story.String(), want) {
+			t.Errorf("the story lacks %q", want)
+		}
+	}
+}
+
+// answerOf is an answer as a controller gives it.
+func answerOf(status int, stage model.Stage) httpwire.Answer {
+	return httpwire.Answer{Status: status, Body: []byte(`{"stage":"` + string(stage) + `"}`)}
+}
+
+func BenchmarkRun(b *testing.B) {
+	for i := 0; b.Loop(); i++ {
+		Run(Plans.Example(i+1), nil, 0)
+	}
+}
