--- a/internal/explore/net.go
+++ b/internal/explore/net.go
@@ -35,6 +35,8 @@
 	sim    *sim
 	cuts   []*cut
 	refuse time.Duration // controllers refuse each other's connections until then
+	slow   time.Duration // until then one message in eight is late by up to slowBy
+	slowBy time.Duration
 }
 
 func (n *network) cut(c *cut) { n.cuts = append(n.cuts, c) }
@@ -57,6 +59,9 @@
 	if n.sim.rand.IntN(50) == 0 {
 		d = n.sim.between(8*time.Millisecond, 400*time.Millisecond)
 	}
+	if n.sim.now < n.slow && n.sim.rand.IntN(8) == 0 {
+		d = n.sim.between(0, n.slowBy)
+	}
 	n.sim.after(d, func() { n.arrive(from, to, deliver, lost) })
 }
 
