The leader is told that a start was lost with the answer that carried it

A start was handed over in an answer that came too late; the worker's next report showed that it was not carried out, but as nothing else had changed on the machine the desk did not tell. The task stayed bound to an idle machine, its room and its team's share with it, until something else happened there. Change: a report that decides such a start makes the machine one that the leader hears of.

--- a/internal/workers/desk.go
+++ b/internal/workers/desk.go
@@ -194,7 +194,13 @@
 	// A worker has one report in flight, so this report shows the effect of
 	// every answer before it. A direct call's body does not: an answer may
 	// still be on its way then.
+	open := len(m.undecided())
 	m.settle(func(o *order) bool { return o.state == handed })
+	if len(m.undecided()) != open {
+		// Guard: of a start whose answer was lost nothing else tells. Untold, its
+		// task stayed bound to an idle machine for good.
+		d.touch(m)
+	}
 	d.takeReport(now, m, r)
 	if r.Token != d.token {
 		return Verdict{Status: 200, Token: d.token, Changed: d.change != before}
--- a/internal/workers/desk_test.go
+++ b/internal/workers/desk_test.go
@@ -552,6 +552,33 @@
 	}
 }
 
+// The leader is told that a start which an answer carried was not carried out, also
+// when nothing else changes on the machine: that answer was lost.
+func TestLostAnswerIsTold(t *testing.T) {
+	d := desk()
+	d.CheckIn(at(2), report(1, 1, 5))
+	d.Round(at(2.5), grant(5, 20, ord(1, peerspb.Op_OP_START, 1)))
+	if v := d.CheckIn(at(3), report(1, 2, 5)); len(v.Commands) != 1 {
+		t.Fatalf("handed over: %v", v.Commands)
+	}
+	next := grant(5, 20)
+	for _, c := range []struct {
+		name      string
+		seq       uint64 // of a report that comes before; 0: none
+		told      bool
+		undecided int
+	}{{"handed over", 0, true, 1}, {"the next report lacks it", 3, true, 0}, {"and so does another", 4, false, 0}} {
+		if c.seq > 0 {
+			d.CheckIn(at(3+float64(c.seq)/10), report(1, c.seq, 5))
+		}
+		out := d.Round(at(3.5), next)
+		if told := len(out.Machines) > 0; told != c.told || told && len(out.Machines[0].Undecided) != c.undecided {
+			t.Errorf("%s: told %v", c.name, out.Machines)
+		}
+		next.Seen = out.Change
+	}
+}
+
 // What a round brings back grows with what changed, not with the machines
 // there are: a report that says nothing new costs the leader nothing.
 func TestWorkPerRound(t *testing.T) {
