Test that only its own term's answer frees a link

Change: TestLinkIsFreedByItsOwnTerm, a message under way in each of two terms. Measured: it fails with the guard taken away and passes with it.

--- a/internal/controller/links_test.go
+++ b/internal/controller/links_test.go
@@ -157,3 +157,39 @@
 		close(n.world.(*live).events)
 	}
 }
+
+// heldPeer answers a message when it is told to.
+type heldPeer struct{ answer chan *peerspb.RoundResponse }
+
+func (p heldPeer) Round(context.Context, *peerspb.RoundRequest) (*peerspb.RoundResponse, error) {
+	return <-p.answer, nil
+}
+func (heldPeer) Close() error { return nil }
+
+// An answer to a term that has ended does not free the link for the next term, which
+// has a message of its own under way there.
+func TestLinkIsFreedByItsOwnTerm(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		next bool // another term has begun meanwhile
+		busy bool
+	}{{"the same term", false, false}, {"the next term", true, true}} {
+		tm, l, _ := leading(t)
+		n, held := tm.n, heldPeer{make(chan *peerspb.RoundResponse)}
+		now := time.Now()
+		n.lead.KeyRead(now, now, true, leadership.Value{Member: "n0", Boot: n.boot, Claim: 1}, 7)
+		n.noteRight()
+		l.peer = held
+		tm.send(l, now, nil)
+		if c.next {
+			tm.end()
+			l.peer = heldPeer{make(chan *peerspb.RoundResponse)} // never answers
+			newTerm(n, 8, now).send(l, now, nil)
+		}
+		held.answer <- &peerspb.RoundResponse{Token: 7, Boot: l.boot}
+		(<-n.world.(*live).events)()
+		if l.busy != c.busy {
+			t.Errorf("%s: the link is busy: %v", c.name, l.busy)
+		}
+	}
+}
