rounds: turns go to what some machine may have room for, and a share of them rotates

Cause: a round's number of tasks was spent on tasks that were tried. Services that fitted nowhere used it up in every round, nothing behind them moved, machines were rented for it, stood empty, were returned and rented again. Replicas of one team, beyond its guarantee, held every machine that others' gangs fit on.

Machines returned unused are counted, and loops.

--- a/internal/controller/renting.go
+++ b/internal/controller/renting.go
@@ -10,7 +10,14 @@
 
 // runFleet turns the fleet's decisions into calls.
 func (t *term) runFleet(now time.Time) {
-	for _, a := range t.core.Plan(now) {
+	before := t.core.Churn()
+	actions := t.core.Plan(now)
+	after := t.core.Churn()
+	t.n.metrics.Churn(after.Unused-before.Unused, after.Loops-before.Loops)
+	if after.Loops > before.Loops {
+		t.n.log.Warn("machines are rented that were just returned unused", "unused", after.Unused, "loops", after.Loops)
+	}
+	for _, a := range actions {
 		switch {
 		case a.Store != nil:
 			t.storeCharter(*a.Store)
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -286,6 +286,9 @@
 	return c.book.Deaf(c.at(now), late)
 }
 
+// Churn counts machines that were rented and returned unused.
+func (c *Core) Churn() fleet.Churn { return c.fleet.Churn() }
+
 // Booting counts rented machines that have not reported yet.
 func (c *Core) Booting() int { return c.fleet.Booting() }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -81,6 +81,7 @@
 	market   market
 	leaving  map[string]bool      // a release is under way
 	gone     map[string]time.Time // when returned: the list may still show it
+	churn    churn
 }
 
 // New makes a fleet that names its charters after the token.
@@ -275,7 +276,12 @@
 			give(name)
 		case !settled || m.Phase != placement.Current || m.Busy():
 		case m.Kept():
-		case m.Cordoned, m.Drained(), !m.KeepsRoom() && now.Sub(m.Idle) > f.opt.Idle && now.Sub(m.Seen) > f.opt.Keep:
+		case m.Cordoned, m.Drained():
+			give(name)
+		case !m.KeepsRoom() && now.Sub(m.Idle) > f.opt.Idle && now.Sub(m.Seen) > f.opt.Keep:
+			if !m.Used && !f.leaving[name] {
+				f.churn.returned(Source{m.Kind, m.Spot}, now)
+			}
 			give(name)
 		}
 	}
@@ -355,6 +361,7 @@
 		f.n++
 		c := &Charter{Name: fmt.Sprintf("c-%d-%d", f.token, f.n), Kind: src.Kind, Spot: src.Spot, Count: order[src], since: now}
 		f.market.asked(src, now)
+		f.churn.rented(src, now)
 		f.charters.Put(c.Name, c)
 		out = append(out, Action{Store: c})
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -230,3 +230,33 @@
 		t.Errorf("%d machines on their way, want %d", f.Booting(), booting)
 	}
 }
+
+// Machines that come and go without a task are counted, and renting them again is a loop.
+func TestChurn(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		unused int
+		again  float64 // when more are rented
+		want   Churn
+	}{
+		{"a few", leastLoop - 1, 60, Churn{Unused: leastLoop - 1}},
+		{"many, and not again", leastLoop, 0, Churn{Unused: leastLoop}},
+		{"many, and again", leastLoop, 60, Churn{Unused: leastLoop, Loops: 1}},
+		{"again much later", leastLoop, 50 + loopWindow.Seconds() + 1, Churn{Unused: leastLoop}},
+	} {
+		f, machines := newFleet(), model.NewTable[string, *placement.Machine]()
+		for i := range c.unused + 1 {
+			name := string(rune('a' + i))
+			machines.Put(name, &placement.Machine{Name: name, Kind: large, Phase: placement.Current, Notice: -1, Seen: at(0), Idle: at(0),
+				Used: i == c.unused}) // one had a task
+		}
+		f.Tick(at(50), nil, machines, bySize, true)
+		if c.again > 0 {
+			f.Tick(at(c.again), []placement.Need{need(8, false, 0)}, model.NewTable[string, *placement.Machine](), bySize, true)
+			f.Tick(at(c.again), []placement.Need{need(80, false, 0)}, model.NewTable[string, *placement.Machine](), bySize, true)
+		}
+		if got := f.Churn(); got != c.want {
+			t.Errorf("%s: %+v, not %+v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -35,6 +35,8 @@
 	reports  prometheus.Histogram
 	store    *prometheus.HistogramVec
 	takeover prometheus.Histogram
+	unused   prometheus.Counter
+	loops    prometheus.Counter
 }
 
 // seconds are the buckets of durations: 0.1 ms to 26 s.
@@ -52,7 +54,12 @@
 	s.reports = prometheus.NewHistogram(histogram("report_seconds", "Time that a worker's report takes on the loop."))
 	s.store = prometheus.NewHistogramVec(histogram("store_queue_seconds", "Time that a call to the state service waits for its budget."), []string{"budget"})
 	s.takeover = prometheus.NewHistogram(histogram("takeover_seconds", "Time from the beginning of a leadership until every machine is known."))
-	s.registry.MustRegister(s.loop, s.rounds, s.reports, s.store, s.takeover, &socketUse{use: use,
+	counter := func(name, help string) prometheus.Counter {
+		return prometheus.NewCounter(prometheus.CounterOpts{Namespace: "marlwood", Name: name, Help: help, ConstLabels: labels})
+	}
+	s.unused = counter("machines_returned_unused_total", "Idle machines returned on which no task was ever seen.")
+	s.loops = counter("rent_loops_total", "Rentals of a kind of which several machines had just been returned unused.")
+	s.registry.MustRegister(s.unused, s.loops, s.loop, s.rounds, s.reports, s.store, s.takeover, &socketUse{use: use,
 		open: prometheus.NewDesc("marlwood_sockets", "Accepted connections by duty.", []string{"duty"}, labels),
 		peak: prometheus.NewDesc("marlwood_sockets_peak", "Most accepted connections at once by duty.", []string{"duty"}, labels),
 		shut: prometheus.NewDesc("marlwood_sockets_closed_total", "Connections closed to keep within the limits, by how.", []string{"how"}, labels)})
@@ -115,6 +122,15 @@
 	}
 }
 
+// Churn takes in that so many more machines were returned unused, and that so many more
+// rentals came soon after such returns.
+func (s *Set) Churn(unused, loops uint64) {
+	if s != nil {
+		s.unused.Add(float64(unused))
+		s.loops.Add(float64(loops))
+	}
+}
+
 // Page is the text that GET /metrics is answered with.
 func (s *Set) Page() ([]byte, error) {
 	families, err := s.registry.Gather()
--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -54,6 +54,9 @@
 	failedOn map[string]bool // machines on which they failed
 	empty    int             // rounds without room in a row
 	tried    uint64
+	turn     uint64    // the last round in which it had a turn, or was known to find no room
+	sought   uint64    // the last round in which room to be made for it was looked for
+	kindSet  int       // number of the set of kinds
 	waiting  time.Time // since when it has had work without room
 	cleared  time.Time // when room was last made for it
 	writing  bool
@@ -99,9 +102,12 @@
 	room      uint64 // counts events that may have made room
 	gone      map[string]time.Time
 	plan      []*planned
-	lacking   map[lack]bool // what no machine with the image has room for, in the round under way
-	queued    []*Job        // the last queue, in order
-	queues    uint64        // counts them
+	rounds    uint64         // counts them
+	line      line           // of the round under way
+	kindSets  map[string]int // numbers of the sets of kinds that jobs may run on
+	lacking   map[lack]bool  // what no machine with the image has room for, in the round under way
+	queued    []*Job         // the last queue, in order
+	queues    uint64         // counts them
 	classes   *model.Table[string, *class]
 	holders   map[string]*model.Table[string, *Machine] // by image: the machines that have it
 	ended     map[string]*model.Table[string, *Machine] // by job: the machines whose last report shows exited tasks of it
@@ -140,6 +146,7 @@
 func (b *Book) SetTypes(types map[string]model.MachineType) {
 	b.types = types
 	b.kindsGen++
+	b.kindSets = nil
 }
 
 // Complete tells whether every task that may run anywhere is in the book.
@@ -169,6 +176,7 @@
 func (b *Book) SetOwners(owners map[model.Kind]string) {
 	b.owners = owners
 	b.kindsGen++
+	b.kindSets = nil
 }
 
 // Owners returns the owner of each kind.
--- a/internal/placement/explain.go
+++ b/internal/placement/explain.go
@@ -351,9 +351,9 @@
 	case t.stopping:
 		return true, "is being stopped"
 	case b.mayStop(j, t, power) && t.job.rank < power:
-		return true, fmt.Sprintf("lower priority; %v of work would be lost", t.loss(now).Round(time.Second))
+		return true, fmt.Sprintf("lower priority; %v of work would be lost", b.loss(t, now).Round(time.Second))
 	case b.mayStop(j, t, power):
-		return true, "its team runs it beyond its guarantee, and it saves"
+		return true, "its team runs it beyond its guarantee"
 	case t.state == model.TaskOrdered:
 		return false, "its start is under way"
 	case t.job.rank == power:
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -55,7 +55,7 @@
 	j := &Job{Spec: r.Job, Accepted: time.UnixMilli(r.AcceptedMS), Stamp: stamp, seen: now, Started: r.Started,
 		use:      b.useOf(r.Job.Team),
 		finished: model.NewTaskSet(r.Job.Tasks), stored: model.NewTaskSet(r.Job.Tasks), bound: model.NewTable[int, *Task](),
-		per: b.opt.SplitTasks}
+		per: b.opt.SplitTasks, turn: b.rounds}
 	for _, set := range []*model.TaskSet{j.finished, j.stored} {
 		if err := set.Merge(0, r.Finished); err != nil {
 			return fmt.Errorf("record of job %s: %w", id, err)
@@ -172,6 +172,7 @@
 		}
 	}
 	m.reported = tasks
+	m.Used = m.Used || len(tasks) > 0
 	for _, r := range m.reported {
 		if model.TaskState(r.State) != model.TaskExited {
 			continue
--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -46,6 +46,7 @@
 	Quiet    bool      // its owner has not heard of it for longer than reports are apart
 	Listed   bool      // the cloud has listed it
 	knocked  time.Time // it reported to a controller that does not own its kind
+	Used     bool      // a task was ever seen on it, or may have been before this leader
 	Unsure   bool      // a start that is no longer wanted may be carried out late
 
 	session, seq uint64
@@ -88,7 +89,7 @@
 func (b *Book) AddHost(name, addr string, kind model.Kind, spot bool, stamp uint64, now time.Time) {
 	if b.machines.At(name) == nil {
 		m := &Machine{Name: name, Addr: addr, Kind: kind, Spot: spot, Hosted: true, Stamp: stamp, Notice: -1,
-			Seen: now, Idle: now, Since: now, Listed: true, tasks: newTasks(), log: b.opt.Log}
+			Seen: now, Idle: now, Since: now, Listed: true, Used: true, tasks: newTasks(), log: b.opt.Log}
 		b.addMachine(m)
 	}
 }
--- a/internal/placement/needs.go
+++ b/internal/placement/needs.go
@@ -291,6 +291,10 @@
 	return out
 }
 
+// unreached is for how many rounds a job may have had no turn until nothing is rented for it:
+// there may be room for it that it was not tried on.
+const unreached = 8
+
 // Needs returns the demand that the present machines have no room for, in the
 // queue's order. Of an array, tasks that they can take in turn within its
 // horizon are left out.
@@ -299,6 +303,9 @@
 // off each later job's tasks, it hid nearly all of a team that had many jobs; with a
 // thousand tasks waiting, machines were rented for a few dozen.
 //
+// Guard: machines were rented for jobs behind a queue whose front used every round up. They
+// stood empty, were returned and rented again: 7000 of them for 4000 starts.
+//
 // Guard: what counts is the room, not whether the last round placed something.
 // A large array that gets a few places in every round still needs machines.
 func (b *Book) Needs(now time.Time) []Need {
@@ -307,7 +314,7 @@
 	queue := append(b.queue(now), b.coming...)
 	pool := b.pool(now, queue)
 	for _, j := range queue {
-		if j.Suspect() {
+		if j.Suspect() || b.rounds-j.turn > unreached {
 			continue
 		}
 		n := b.headroomAfter(j, asked[j.Spec.Team])
--- a/internal/placement/patient_test.go
+++ b/internal/placement/patient_test.go
@@ -104,6 +104,7 @@
 		{"within the guarantee", "sure", nil, 1},
 		{"the victim's team has its own guarantee", "sure", func(j *model.Job) { j.Team = "owner" }, 0},
 		{"a victim that does not save", "sure", func(j *model.Job) { j.CheckpointEvery = 0 }, 0},
+		{"a replica, which never ends", "sure", func(j *model.Job) { j.Shape, j.CheckpointEvery, j.Estimate = model.Service, 0, 0 }, 1},
 		{"no guarantee", "free", nil, 0},
 		{"the guarantee is used up", "small", nil, 0},
 	} {
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -6,14 +6,19 @@
 	"time"
 
 	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/turns"
 )
 
-// loss estimates the work lost when a task is stopped, in CPU time.
-func (t *Task) loss(now time.Time) time.Duration {
+// loss estimates the work lost when a task is stopped, in CPU time. A replica loses the time
+// until it runs again, which is at least a fetch of its image where nobody has it.
+func (b *Book) loss(t *Task, now time.Time) time.Duration {
 	if t.state != model.TaskRunning {
 		return 0
 	}
 	lost := now.Sub(t.since)
+	if speed := b.types[t.machine.Kind.Type].FetchGBPerS; t.job.Spec.Shape == model.Service && speed > 0 {
+		lost = model.Seconds(t.job.Spec.ImageGB / speed)
+	}
 	if every := t.job.Spec.CheckpointEvery; every > 0 {
 		lost = min(lost, t.job.Spec.SaveTime)
 	}
@@ -41,40 +46,93 @@
 	tasks   int
 }
 
+// searches are the jobs that room is looked for in one round. Each search weighs every
+// machine.
+var searches = turns.Shares{First: 8, Second: 4, Few: 1}
+
 // Preempt makes room for jobs that found none in a scan, by stopping tasks of
 // lower priority, those first that lose least. The room, what is free of it
 // included, is kept for the job.
+//
+// Guard: all jobs that nothing has room for are known in every round. Room was looked for for
+// each; a few thousand of them would take all of a leader's processor time.
 func (b *Book) Preempt(now time.Time) {
 	if !b.complete {
 		return
 	}
+	var waiting []*Job
+	var all []turns.Candidate
 	for _, j := range b.queue(now) {
 		if (j.power(now) <= 0 && j.order.guaranteed != 0) || j.Suspect() || j.empty <= b.opt.ScanAfter ||
-			now.Sub(j.waiting) < b.opt.PreemptWait || now.Sub(j.cleared) < clearAgain {
+			now.Sub(j.waiting) < b.opt.PreemptWait || now.Sub(j.cleared) < clearAgain ||
+			j.Spec.Shape != model.Gang && j.sought > 0 && b.rounds-j.sought < soughtAgain {
 			continue
 		}
-		n := b.headroom(j)
-		if n == 0 || (j.Spec.Shape == model.Gang && n < j.Unplaced()) {
+		waiting = append(waiting, j)
+		all = append(all, turns.Candidate{Tasks: 1, Last: j.sought})
+	}
+	vain := map[seeker][]gangLack{}
+	for _, turn := range searches.Divide(all) {
+		j := waiting[turn.Candidate]
+		j.sought = b.rounds
+		as := seeker{view{kinds: j.kindSet, spot: j.Spec.Spot, rank: j.power(now), class: j.Spec.Class}, j.Spec.Team, j.order.guaranteed}
+		ask := gangLack{j.Spec.Size, 1, j.Spec.OneZone}
+		if j.Spec.Shape == model.Gang {
+			ask.tasks = j.Unplaced()
+		}
+		if slices.ContainsFunc(vain[as], func(l gangLack) bool { return l.covers(ask) }) {
 			continue
 		}
-		if j.Spec.Shape != model.Gang {
-			n = min(n, b.opt.TasksPerRound)
-			if j.power(now) <= 0 {
-				n = min(n, b.guaranteedRoom(j))
-			}
+		if !b.makeRoom(now, j) && !j.Spec.Spread && !(j.Spec.OneZone && j.bound.Len() > 0) {
+			vain[as] = append(vain[as], ask)
+		}
+	}
+}
+
+// seeker is what decides what a job may have stopped, besides how much it needs.
+type seeker struct {
+	view
+	team       string
+	guaranteed int
+}
+
+// makeRoom looks for room that may be made for a job, and makes it. false: there is none.
+func (b *Book) makeRoom(now time.Time, j *Job) bool {
+	n := b.headroom(j)
+	if n == 0 || (j.Spec.Shape == model.Gang && n < j.Unplaced()) {
+		return true // its team's limit holds it back, which says nothing of others
+	}
+	if j.Spec.Shape != model.Gang {
+		n = min(n, b.opt.TasksPerRound)
+		if j.power(now) <= 0 {
+			n = min(n, b.guaranteedRoom(j))
 		}
-		if c := b.clearingFor(now, j, n); c != nil {
-			b.clear(now, j, c)
+		if n <= 0 {
+			return true
 		}
 	}
+	c := b.clearingFor(now, j, n)
+	if c == nil || len(c.places) == 0 {
+		return false
+	}
+	b.clear(now, j, c)
+	return true
 }
 
+// soughtAgain is for how many rounds room is not looked for again for an array or a service,
+// which take what they get.
+const soughtAgain = 8
+
 // borrowed tells that a task may be stopped to give a job's team its guarantee:
-// another team runs it beyond its own. Only tasks that save are, for others end
-// soon or would lose their work.
+// another team runs it beyond its own. Of arrays only tasks that save are, for others end
+// soon or would lose their work; a replica never ends by itself.
+//
+// Guard: replicas of one team stood on all machines that gangs of five others fit on, far
+// beyond its guarantee; a third of the gangs, each within its own team's, never started.
 func (b *Book) borrowed(j *Job, t *Task) bool {
-	return j.order.guaranteed == 0 && t.job.Spec.Team != j.Spec.Team && t.job.Spec.Shape == model.Array &&
-		t.job.Spec.CheckpointEvery > 0 && !b.teams[t.job.Spec.Team].WithinGuarantee(t.job.use.size)
+	s := t.job.Spec
+	ends := s.Shape == model.Gang || s.Shape == model.Array && s.CheckpointEvery == 0
+	return j.order.guaranteed == 0 && s.Team != j.Spec.Team && !ends && !b.teams[s.Team].WithinGuarantee(t.job.use.size)
 }
 
 // guaranteedRoom is how many more tasks of a job fit into its team's guarantee.
@@ -90,9 +148,7 @@
 // came without any event: in a quiet cluster the job waited for ever beside it.
 func (b *Book) clear(now time.Time, j *Job, c *clearing) {
 	j.cleared = now
-	if len(c.places) > 0 {
-		b.room++
-	}
+	b.room++
 	for _, p := range c.places {
 		p.machine.reserve(j.Spec.ID, reservation{size: j.Spec.Size.Times(p.tasks), rank: j.power(now),
 			until: now.Add(clearedFor)})
@@ -237,7 +293,7 @@
 		}
 		c.fetch = b.fetchLoss(j, m)
 		for i := range c.victims {
-			c.victims[i].lost = c.victims[i].loss(now)
+			c.victims[i].lost = b.loss(c.victims[i].Task, now)
 		}
 		slices.SortFunc(c.victims, func(x, y victim) int {
 			return cmp.Or(cmp.Compare(x.lost, y.lost), cmp.Compare(x.attempt, y.attempt))
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -8,6 +8,7 @@
 
 	"github.com/marlwood/marlwood/internal/model"
 	"github.com/marlwood/marlwood/internal/peers/peerspb"
+	"github.com/marlwood/marlwood/internal/turns"
 )
 
 // planned is one job's part in a round.
@@ -40,6 +41,7 @@
 		return out[i].Zone < out[k].Zone
 	})
 	j.kinds, j.kindsGen = out, b.kindsGen
+	j.kindSet = b.kindSetOf(out)
 	return out
 }
 
@@ -62,8 +64,8 @@
 	for _, j := range out {
 		j.order = turn{
 			rank:       j.turnRank(),
-			guaranteed: rank(b.teams[j.Spec.Team].WithinGuarantee(j.use.size.Add(j.Spec.Size))),
-			due:        b.due(j, now, !b.teams[j.Spec.Team].WithinLimit(j.use.wanted)),
+			guaranteed: rank(j.use.team.WithinGuarantee(j.use.size.Add(j.Spec.Size))),
+			due:        b.due(j, now, !j.use.team.WithinLimit(j.use.wanted)),
 			patient:    b.patient(j, now),
 		}
 	}
@@ -150,7 +152,7 @@
 		return by
 	}
 	wait := noDeadline
-	if limit := b.teams[j.Spec.Team].Limit.CPUs; limit > 0 && j.Spec.Shape != model.Service {
+	if limit := j.use.team.Limit.CPUs; limit > 0 && j.Spec.Shape != model.Service {
 		work := j.Spec.Size.CPUs * float64(j.Spec.Tasks-j.finished.Len()) * j.Spec.Estimate.Seconds()
 		wait += model.Seconds(b.opt.ShortFirst * work / limit)
 	}
@@ -162,7 +164,7 @@
 
 // headroomAfter is the same after something else was promised to the team.
 func (b *Book) headroomAfter(j *Job, promised model.Size) int {
-	team := b.teams[j.Spec.Team]
+	team := j.use.team
 	n := j.Unplaced()
 	used := j.use.size.Add(promised)
 	if team.Limit.CPUs > 0 && j.Spec.Size.CPUs > 0 {
@@ -208,43 +210,37 @@
 	if !b.complete || b.strays() > 0 {
 		return nil
 	}
-	left := b.perRound()
-	var wants []*peerspb.Want
+	var waiting []*Job
+	var all []turns.Candidate
+	b.beginLine()
 	for _, j := range b.queue(now) {
-		if left <= 0 {
-			break
-		}
-		// Nothing changed since the last empty scan: looking again would only
-		// cost time.
-		if j.empty > b.opt.ScanAfter && j.tried == b.room {
-			continue
-		}
 		n := b.headroom(j)
-		if j.Spec.Shape == model.Gang && n < j.Unplaced() {
-			continue // a gang goes whole or not at all
-		}
-		if n == 0 {
+		switch {
+		case n == 0, j.Spec.Shape == model.Gang && n < j.Unplaced(): // a gang goes whole or not at all
 			continue
-		}
-		if j.Spec.Shape != model.Gang {
-			n = min(n, left)
-			if j.Suspect() {
-				n = 1
-			}
-		}
-		p := &planned{job: j, tasks: j.pick(n), scan: j.empty >= b.opt.ScanAfter, want: uint32(len(b.plan) + 1)}
-		if len(p.tasks) == 0 {
+		case j.empty > b.opt.ScanAfter && j.tried == b.room:
+			j.turn = b.rounds // nothing changed since: looking again would only cost time
 			continue
+		case !b.mayFit(j, now):
+			b.foundNone(j, now)
+			continue
+		case j.Suspect():
+			n = 1
 		}
-		kinds := b.kindsFor(j)
-		if len(kinds) == 0 {
+		waiting = append(waiting, j)
+		all = append(all, turns.Candidate{Tasks: n, Whole: j.Spec.Shape == model.Gang, Last: j.turn})
+	}
+	var wants []*peerspb.Want
+	for _, turn := range b.shares().Divide(all) {
+		j := waiting[turn.Candidate]
+		p := &planned{job: j, tasks: j.pick(turn.Tasks), scan: j.empty >= b.opt.ScanAfter, want: uint32(len(b.plan) + 1)}
+		if len(p.tasks) == 0 {
 			continue
 		}
-		left -= len(p.tasks)
 		b.plan = append(b.plan, p)
 		w := &peerspb.Want{Id: p.want, Size: SizeMessage(j.Spec.Size), Spot: j.Spec.Spot,
 			Draws: uint32(len(p.tasks) * b.opt.Draws), Scan: p.scan}
-		for _, k := range kinds {
+		for _, k := range b.kindsFor(j) {
 			w.Kinds = append(w.Kinds, &peerspb.Kind{Type: k.Type, Zone: k.Zone})
 		}
 		wants = append(wants, w)
@@ -393,13 +389,9 @@
 		b.endHolders(p)
 		total += n
 		if n > 0 {
-			j.empty, j.waiting = 0, time.Time{}
+			j.empty, j.waiting, j.turn = 0, time.Time{}, b.rounds
 		} else {
-			j.empty++
-			j.tried = b.room
-			if j.waiting.IsZero() {
-				j.waiting = now
-			}
+			b.foundNone(j, now)
 		}
 	}
 	b.plan = nil
@@ -436,6 +428,9 @@
 		}
 		m := b.choose(j, b.drawn(p, samples, k, ""), now)
 		if m == nil {
+			if p.scan {
+				break // all machines with room were looked at: the other tasks ask the same
+			}
 			continue
 		}
 		b.start(now, j, index, m, b.nextAttempt())
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -17,6 +17,7 @@
 	Complete, Split                bool
 	FewParts                       int
 	OrderID, Attempts, Saves, Room uint64
+	Rounds                         uint64
 	Types                          map[string]model.MachineType
 	Owners                         []OwnerState
 	Jobs                           []JobState
@@ -51,7 +52,7 @@
 	Fails                      int
 	FailedOn                   []string
 	Empty                      int
-	Tried                      uint64
+	Tried, Turn, Sought        uint64
 	Waiting, Cleared           time.Time
 	Writing, Dirty             bool
 	WroteAt                    time.Time
@@ -80,6 +81,7 @@
 	NoticeAt, Seen, Idle  time.Time
 	Silent, Knocked       time.Time
 	Quiet, Listed, Unsure bool
+	Used                  bool
 	Session, Seq, Current uint64
 	Load                  model.Size
 	Images                []ImageState
@@ -154,7 +156,7 @@
 // Export copies the book's state.
 func (b *Book) Export() (*State, error) {
 	s := &State{Token: b.token, Complete: b.complete, Split: b.split, FewParts: b.fewParts, OrderID: b.orderID,
-		Attempts: b.attempts, Saves: b.saves, Room: b.room, Types: b.types, Out: map[string][][]byte{}, Gone: b.gone,
+		Attempts: b.attempts, Saves: b.saves, Room: b.room, Rounds: b.rounds, Types: b.types, Out: map[string][][]byte{}, Gone: b.gone,
 		Use: map[string]UseState{}, Urgencies: b.urgencies}
 	for k, m := range b.owners {
 		s.Owners = append(s.Owners, OwnerState{k, m})
@@ -207,7 +209,7 @@
 func (j *Job) export() JobState {
 	s := JobState{Spec: j.Spec, Accepted: j.Accepted, Seen: j.seen, Stamp: j.Stamp, Started: j.Started, Cancelled: j.Cancelled,
 		Finished: j.finished.Words(), Next: j.next, Again: j.again, RetryAt: j.retryAt, Fails: j.fails, Empty: j.empty,
-		Tried: j.tried, Waiting: j.waiting, Cleared: j.cleared, Writing: j.writing, Dirty: j.dirty, WroteAt: j.wroteAt,
+		Tried: j.tried, Turn: j.turn, Sought: j.sought, Waiting: j.waiting, Cleared: j.cleared, Writing: j.writing, Dirty: j.dirty, WroteAt: j.wroteAt,
 		Attempt: j.attempt, OrderRank: j.order.rank, OrderGuaranteed: j.order.guaranteed, OrderDue: j.order.due,
 		OrderPatient: j.order.patient, Rank: j.rank, Within: j.within, Per: j.per, Bulky: j.bulky}
 	if j.stored != nil {
@@ -222,7 +224,7 @@
 func (m *Machine) export() (MachineState, error) {
 	s := MachineState{Name: m.Name, Addr: m.Addr, Kind: m.Kind, Spot: m.Spot, Phase: m.Phase, Since: m.Since, Hosted: m.Hosted,
 		Stamp: m.Stamp, Dropping: m.dropping, Cordoned: m.Cordoned, Retiring: m.Retiring, Notice: m.Notice, NoticeAt: m.NoticeAt,
-		Seen: m.Seen, Idle: m.Idle, Silent: m.Silent, Knocked: m.knocked, Quiet: m.Quiet, Listed: m.Listed, Unsure: m.Unsure,
+		Seen: m.Seen, Idle: m.Idle, Silent: m.Silent, Knocked: m.knocked, Quiet: m.Quiet, Listed: m.Listed, Unsure: m.Unsure, Used: m.Used,
 		Session: m.session, Seq: m.seq, Current: m.current, Load: m.load, Strays: m.strays, Blame: map[string]BlameState{}}
 	for _, h := range m.images {
 		s.Images = append(s.Images, ImageState{h.name, h.gb})
@@ -248,12 +250,13 @@
 	b := NewBook(opt, s.Token, teams, s.Types)
 	b.complete, b.split, b.fewParts, b.orderID = s.Complete, s.Split, s.FewParts, s.OrderID
 	b.attempts, b.saves, b.room, b.urgencies = s.Attempts, s.Saves, s.Room, s.Urgencies
+	b.rounds = s.Rounds
 	b.kindsGen = 1 // above that of all jobs, which have no kinds yet
 	for _, o := range s.Owners {
 		b.owners[o.Kind] = o.Member
 	}
 	for team, u := range s.Use {
-		b.use[team] = &teamUse{size: u.Size, tasks: u.Tasks}
+		b.use[team] = &teamUse{team: teams[team], size: u.Size, tasks: u.Tasks}
 	}
 	for _, d := range s.Drains {
 		b.drains.Put(d.Target(), &d)
@@ -318,7 +321,7 @@
 	j := &Job{Spec: s.Spec, Accepted: s.Accepted, seen: s.Seen, Stamp: s.Stamp, Started: s.Started, Cancelled: s.Cancelled,
 		use: b.useOf(s.Spec.Team), finished: model.TaskSetOf(s.Finished), stored: model.TaskSetOf(s.Stored),
 		bound: model.NewTable[int, *Task](), next: s.Next, again: s.Again, retryAt: s.RetryAt, fails: s.Fails, empty: s.Empty,
-		tried: s.Tried, waiting: s.Waiting, cleared: s.Cleared, writing: s.Writing, dirty: s.Dirty, wroteAt: s.WroteAt,
+		tried: s.Tried, turn: s.Turn, sought: s.Sought, waiting: s.Waiting, cleared: s.Cleared, writing: s.Writing, dirty: s.Dirty, wroteAt: s.WroteAt,
 		attempt: s.Attempt, order: turn{s.OrderRank, s.OrderGuaranteed, s.OrderDue, s.OrderPatient}, rank: s.Rank,
 		within: s.Within, per: s.Per, bulky: s.Bulky}
 	for _, name := range s.FailedOn {
@@ -333,7 +336,7 @@
 func (b *Book) importMachine(s MachineState) (*Machine, error) {
 	m := &Machine{Name: s.Name, Addr: s.Addr, Kind: s.Kind, Spot: s.Spot, Phase: s.Phase, Since: s.Since, Hosted: s.Hosted,
 		Stamp: s.Stamp, dropping: s.Dropping, Cordoned: s.Cordoned, Retiring: s.Retiring, Notice: s.Notice, NoticeAt: s.NoticeAt,
-		Seen: s.Seen, Idle: s.Idle, Silent: s.Silent, knocked: s.Knocked, Quiet: s.Quiet, Listed: s.Listed, Unsure: s.Unsure,
+		Seen: s.Seen, Idle: s.Idle, Silent: s.Silent, knocked: s.Knocked, Quiet: s.Quiet, Listed: s.Listed, Unsure: s.Unsure, Used: s.Used,
 		session: s.Session, seq: s.Seq, current: s.Current, load: s.Load, strays: s.Strays, tasks: newTasks(), log: b.opt.Log}
 	for _, h := range s.Images {
 		m.images = append(m.images, held{h.Name, h.GB})
--- a/internal/placement/teams.go
+++ b/internal/placement/teams.go
@@ -8,6 +8,7 @@
 // as tasks are bound and released: summed anew for each job of a long queue, it
 // was a large part of a round.
 type teamUse struct {
+	team   model.Team
 	size   model.Size
 	tasks  int
 	wanted model.Size // by all jobs of the team, as last summed
@@ -28,7 +29,7 @@
 func (b *Book) useOf(team string) *teamUse {
 	u := b.use[team]
 	if u == nil {
-		u = &teamUse{}
+		u = &teamUse{team: b.teams[team]}
 		b.use[team] = u
 	}
 	return u
--- a/internal/placement/urgency.go
+++ b/internal/placement/urgency.go
@@ -31,7 +31,7 @@
 func (b *Book) Expect(coming []Coming, now time.Time) {
 	b.coming = b.coming[:0]
 	for _, c := range coming {
-		j := &Job{Spec: c.Spec, Accepted: now, use: b.useOf(c.Spec.Team), finished: model.NewTaskSet(0), rank: c.Spec.Priority.Rank()}
+		j := &Job{Spec: c.Spec, Accepted: now, use: b.useOf(c.Spec.Team), finished: model.NewTaskSet(0), rank: c.Spec.Priority.Rank(), turn: b.rounds}
 		boot := b.boot(j)
 		soon := true
 		for _, id := range c.Needs {
