replay verify ends with 1 on a damaged recording

Cause: a torn recording was told of, and the command ended with 0, so a script took it for whole; record verify ends with 1. Change: the same status here, what is left is still compared.

--- a/cmd/marlwood-replay/main.go
+++ b/cmd/marlwood-replay/main.go
@@ -75,8 +75,11 @@
 	JSON        bool   `help:"Print JSON."`
 }
 
-// errDiffers ends the program with status 1.
-var errDiffers = errors.New("a decision differs")
+// What ends the program with status 1.
+var (
+	errDiffers = errors.New("a decision differs")
+	errDamaged = errors.New("the recording is not whole: what is left of it is decided alike")
+)
 
 // Run plays the recording.
 func (c *replayVerifyCmd) Run() error {
@@ -94,6 +97,9 @@
 	if !v.Holds() {
 		return errDiffers
 	}
+	if !v.Found.Whole() {
+		return errDamaged
+	}
 	return nil
 }
 
--- a/cmd/marlwood-replay/main_test.go
+++ b/cmd/marlwood-replay/main_test.go
@@ -37,7 +37,7 @@
 		want int
 	}{
 		{"verify", (&replayVerifyCmd{Dir: day}).Run, 0},
-		{"what is left of a torn one", (&replayVerifyCmd{Dir: torn, JSON: true}).Run, 0},
+		{"what is left of a torn one", (&replayVerifyCmd{Dir: torn, JSON: true}).Run, 1},
 		{"nothing there", (&replayVerifyCmd{Dir: "/nonexistent"}).Run, 2},
 		{"no recording", (&replayVerifyCmd{Dir: t.TempDir()}).Run, 2},
 		{"what if", (&replayWhatIfCmd{Dir: day, Seeds: 1, Report: report}).Run, 0},
