deaf machines, late copies, workers that begin anew, controllers alone with the workers

Cause: a report shows that its worker spoke at some time; not that it hears, nor which life of it spoke.

Change: reports are ordered by token, session and number; what does not fit has the machine called, and a worker that began anew counts from a fresh token on (workers/late.go). Deaf machines are known by their reports and knocks, get nothing, hold nothing up, are no sign against their owner, and are used again or returned. Silent machines are not drawn. A controller asks its siblings before it calls the state service out.

--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -67,22 +67,24 @@
 	links  []*link
 	term   *term
 
-	types      atomic.Pointer[map[string]model.MachineType]
-	actsUntil  atomic.Int64                              // end of the right to act as leader, in time since start; 0: none
-	storeSeen  atomic.Int64                              // last answer of the state service, in time since start
-	othersSeen atomic.Int64                              // last word of a leader that reaches the state service, in time since start; 0: none
-	ticked     atomic.Int64                              // last tick of the loop, in time since start
-	views      atomic.Pointer[map[string]placement.View] // counts of open jobs, while leading
-	changes    chan struct{}                             // submissions and cancellations under way
-	questions  chan struct{}                             // questions under way
-	lastState  leadership.State
-	number     uint64       // of the settings that operators put in force; 0: only the file's are
-	refused    uint64       // number of those that this controller could not adopt
-	adopting   bool         // they are being read
-	metrics    *metrics.Set // nil: off
-	tap        core.Tap     // takes a recording in; nil: nobody does
-	hub        *record.Hub  // of the live world: hands recordings out
-	waiting    []waitingReport
+	types       atomic.Pointer[map[string]model.MachineType]
+	actsUntil   atomic.Int64                              // end of the right to act as leader, in time since start; 0: none
+	storeSeen   atomic.Int64                              // last answer of the state service, in time since start
+	siblingSeen atomic.Int64                              // last word of any other controller, in time since start
+	askedAround time.Time                                 // when siblings were last asked whether they are there
+	othersSeen  atomic.Int64                              // last word of a leader that reaches the state service, in time since start; 0: none
+	ticked      atomic.Int64                              // last tick of the loop, in time since start
+	views       atomic.Pointer[map[string]placement.View] // counts of open jobs, while leading
+	changes     chan struct{}                             // submissions and cancellations under way
+	questions   chan struct{}                             // questions under way
+	lastState   leadership.State
+	number      uint64       // of the settings that operators put in force; 0: only the file's are
+	refused     uint64       // number of those that this controller could not adopt
+	adopting    bool         // they are being read
+	metrics     *metrics.Set // nil: off
+	tap         core.Tap     // takes a recording in; nil: nobody does
+	hub         *record.Hub  // of the live world: hands recordings out
+	waiting     []waitingReport
 }
 
 // New makes a node from checked settings, in the live world.
@@ -312,11 +314,14 @@
 		return
 	}
 	call, ok := n.intake.Route(req)
+	why := n.cutOff(n.world.Now())
 	switch {
 	case !ok:
 		reply(intake.Fail(404, "no such path"))
 	case call.Do == nil:
 		reply(intake.Fail(405, "method not allowed"))
+	case why != "": // rather at once than after a wait for what does not come
+		reply(intake.Later(503, why))
 	default:
 		// Questions have places of their own: however many there are, they
 		// take none from submissions.
@@ -465,18 +470,31 @@
 // answered late or with 503. The load balancer took the controllers out one after the
 // other, for longer each time, and users found none of them.
 func (n *Node) up(now time.Time) httpwire.Answer {
-	seen, at := n.storeSeen.Load(), now.Sub(n.start)
-	switch {
-	case seen == 0 || n.knownTypes() == nil:
+	switch why := n.cutOff(now); {
+	case n.storeSeen.Load() == 0 || n.knownTypes() == nil:
 		return intake.Fail(503, "starting")
-	case at-time.Duration(seen) > 3*time.Second && n.othersSeen.Load() != 0 && at-time.Duration(n.othersSeen.Load()) < 2500*time.Millisecond:
-		return intake.Fail(503, "the state service refuses this node alone")
-	case at-time.Duration(n.ticked.Load()) > 3*time.Second:
+	case why != "":
+		return intake.Fail(503, why)
+	case now.Sub(n.start)-time.Duration(n.ticked.Load()) > 3*time.Second:
 		return intake.Fail(503, "the controller stands still")
 	}
 	return httpwire.Answer{Status: 200, Body: []byte(`{"status":"ok"}`)}
 }
 
+// cutOff tells why this node cannot serve users that another may serve; "" if nothing is known
+// that keeps it from it.
+func (n *Node) cutOff(now time.Time) string {
+	seen, at := n.storeSeen.Load(), now.Sub(n.start)
+	switch {
+	case seen == 0:
+	case at-time.Duration(seen) > 3*time.Second && n.othersSeen.Load() != 0 && at-time.Duration(n.othersSeen.Load()) < 2500*time.Millisecond:
+		return "the state service refuses this node alone"
+	case n.alone(at):
+		return "neither the state service nor another controller is in reach"
+	}
+	return ""
+}
+
 // Round takes a leader's message in, on the loop, and answers it; with nil before
 // this process has looked at the leader key.
 func (n *Node) Round(now time.Time, r *peerspb.RoundRequest, reply func(*peerspb.RoundResponse)) {
@@ -484,6 +502,7 @@
 		reply(nil)
 		return
 	}
+	n.heardSibling(now)
 	n.lead.Heard(now, r.Token)
 	out := n.desk.Round(now, r)
 	n.noteStoreSeen()
@@ -550,6 +569,7 @@
 func (n *Node) Tick(now time.Time) {
 	n.ticked.Store(int64(now.Sub(n.start)))
 	n.perform(n.lead.Tick(now))
+	n.askAround(now)
 	n.follow(now)
 	if n.hub != nil {
 		n.hub.Tick(now)
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -230,6 +230,9 @@
 		}
 		return
 	}
+	if !l.local {
+		t.n.heardSibling(now)
+	}
 	if resp.Token > t.token {
 		t.n.lead.Heard(now, resp.Token)
 		return
--- a/internal/explore/cmd/mutants.go
+++ b/internal/explore/cmd/mutants.go
@@ -25,7 +25,7 @@
 var mutants = []mutant{
 	{"a desk counts leases from its own last answer", []edit{
 		{"workers/desk.go", "had shown our token.\n\t\t\td.heard(now, m)\n", "had shown our token.\n"},
-		{"workers/rounds.go", "nil, false, false, 0, false\n\t\td.heard(now, m)", "nil, false, false, 0, false"}}},
+		{"workers/rounds.go", "\t\td.heard(now, m)\n\t\tif m.phase != Expired {", "\t\tif m.phase != Expired {"}}},
 	{"an expiry is believed at once", []edit{{"placement/machines.go", "m.Phase == Lapsed && m.Since.Before(checked)", "m.Phase == Lapsed"}}},
 	{"an expiry is trusted before every owner has the token", []edit{{"controller/rounds.go", "trusted := sent.After(t.expiry(now))", "trusted := true"}}},
 	{"a grant is not compared at answering", []edit{{"workers/desk.go", "if !d.Granted(now) || r.Token > d.token {", "if r.Token > d.token {"}}},
@@ -46,6 +46,16 @@
 	{"a job is released when a needed one is not done", []edit{{"pipelines/graph.go", "case len(j.unmet) == 0 && j.state == Waiting:", "case j.state == Waiting:"}}},
 	{"what was read of a machine's record counts at once", []edit{{"hosts/hosts.go", "r.doubt = r.stamp == d.guard", "r.doubt = d == nil"}}},
 	{"changes of machines' records do not guard their stamps", []edit{{"controller/records.go", "txn.Guards = append(txn.Guards, store.Guard{Key: c.Key, Stamp: c.Guard})\n", ""}}},
+	{"a report that comes late counts as the newest", []edit{{"workers/desk.go", "} else if !m.older(r) {", "} else if false {"}}},
+	{"a report's number weighs more than its token", []edit{{"workers/late.go", "cmp.Or(cmp.Compare(m.shown, r.Token), ", "cmp.Or("}}},
+	{"what a worker that began anew says counts at once", []edit{{"workers/calls.go", "d.begunAnew(m)", "m.shown, m.session, m.seq = 0, 0, 0\n\t\t\td.takeReport(now, m, r)"}}},
+	{"a doubt about a worker that began anew is not told", []edit{{"workers/rounds.go", "doubt := m.reborn", "doubt := false"}}},
+	{"a worker that began anew is never asked", []edit{{"workers/late.go", "m.odd, m.failed = r.Session, false", "m.odd = 0"}}},
+	{"a machine that hears nothing is answered for ever", []edit{{"workers/late.go", "if m.phase != Joining || !m.asked", "if true || !m.asked"}}},
+	{"a session whose end was told is taken in again", []edit{{"workers/desk.go", "m.ended > 0 && r.Session <= m.ended", "false"}}},
+	{"a report counts as complete without our token", []edit{{"workers/desk.go", "if r.Token == d.token {\n\t\tphase = Current", "if true {\n\t\tphase = Current"}}},
+	{"a machine that hears nothing gets tasks", []edit{{"workers/late.go", "x.deaf = x.deaf || m.session > 0 && now.Sub(x.answered) < d.opt.Lease", ""},
+		{"workers/late.go", "x.deaf = x.deaf || x.misses >= mostMisses", ""}, {"placement/faults.go", "m.wanders = member != m.knockedAt && gap > wanderLeast; m.wanders", "false"}}},
 	{"a machine that expired while its record was written is used", []edit{{"placement/machines.go", "m.Phase != Expired, stamp, false", "true, stamp, false"}}},
 }
 
--- a/internal/explore/plan.go
+++ b/internal/explore/plan.go
@@ -54,6 +54,12 @@
 	"cut nodes", "cut zone", "cut machine", "refuse", "store refuses node", "outage", "crash", "crash all", "freeze", "hang machine",
 	"stop machine", "old records", "limits fall", "delays", "delays"}
 
+// later are faults that are drawn beside the others, in schedules of their own: machines that
+// hear nothing, copies of reports that come late, a controller alone with the workers,
+// processes and machines that are back at once.
+var later = []string{"deafen machine", "deafen machine", "deafen zone", "late copies", "late copies", "alone with workers", "alone with workers",
+	"crash back", "crash back", "crash all back", "machine back", "machine back", "machine back"}
+
 // changes are what makes another controller lead.
 var changes = []string{"cut node", "cut node", "cut node from store", "store refuses node", "freeze", "crash", "cut zone"}
 
@@ -111,9 +117,42 @@
 	if rapid.IntRange(0, 2).Draw(t, "drained") == 2 { // drawn last: the rest is the same without it
 		p.Drains = rapid.SliceOfN(rapid.Custom(drawDraining), 1, 2).Draw(t, "drains")
 	}
+	if rapid.IntRange(0, 1).Draw(t, "later") == 1 { // drawn after that
+		p.Faults = append(p.Faults, drawLater(t)...)
+	}
 	return p
 })
 
+// drawLater draws faults of one to three of the later kinds.
+func drawLater(t *rapid.T) (out []Fault) {
+	some := rapid.SliceOfN(rapid.SampledFrom(later), 1, 3).Draw(t, "later kinds")
+	at := seconds(t, "later first", 4, 15)
+	for range rapid.IntRange(1, 6).Draw(t, "later faults") {
+		out = append(out, Fault{Kind: rapid.SampledFrom(some).Draw(t, "later kind"), At: at,
+			For: min(seconds(t, "later for", 1, 40), troubles-at), A: rapid.IntRange(0, 7).Draw(t, "later a"), Hold: rapid.Bool().Draw(t, "later hold")})
+		at = min(at+seconds(t, "later gap", 0, 9), troubles-15*time.Second)
+	}
+	if rapid.IntRange(0, 3).Draw(t, "for good") == 3 {
+		out = append(out, Fault{Kind: "deaf for good", At: seconds(t, "good at", 4, 40), A: rapid.IntRange(0, 7).Draw(t, "good a"),
+			Hold: rapid.Bool().Draw(t, "good hold")})
+	}
+	return out
+}
+
+// atOnce is how long a process or a machine is away that is back at once: 50 to 900 ms.
+func (f Fault) atOnce() time.Duration { return 50*time.Millisecond + f.For%(850*time.Millisecond) }
+
+// ended is when the last fault is over, the pause before a process is back included.
+func (p Plan) ended() (out time.Duration) {
+	for _, f := range p.Faults {
+		out = max(out, f.At+f.For)
+	}
+	return out + 500*time.Millisecond
+}
+
+// answerWithin is how long after the last trouble each job must be known again to its user.
+const answerWithin = 75 * time.Second
+
 func seconds(t *rapid.T, label string, least, most int) time.Duration {
 	return time.Duration(rapid.IntRange(least*10, most*10).Draw(t, label)) * 100 * time.Millisecond
 }
@@ -174,6 +213,7 @@
 			}
 		}
 	})
+	w.sim.At(p.ended()+answerWithin, func() { w.known(p.ended()) })
 	defer w.end()
 	out := Outcome{Trace: 14695981039346656037}
 	for w.sim.Pending() > 0 && w.sim.broken == "" && w.sim.Now() <= p.bound() && !w.served() {
@@ -249,6 +289,34 @@
 		w.store.Refuse(a.place.name, f.For)
 	case "outage":
 		w.store.Fail(f.For)
+	case "deafen machine":
+		if m != nil {
+			cut(func(from, to *place) bool { return from.role == controllerRole && to == m.place })
+		}
+	case "deaf for good": // all is to be served beside it
+		if m != nil {
+			f.For = w.plan.bound()
+			cut(func(from, to *place) bool { return from.role == controllerRole && to == m.place })
+		}
+	case "deafen zone":
+		z := zones[f.A%len(zones)]
+		cut(func(from, to *place) bool {
+			return from.role == controllerRole && to.role == workerRole && to.zone == z
+		})
+	case "late copies":
+		w.copies = max(w.copies, s.Now()+f.For)
+	case "alone with workers":
+		between(a.place, func(p *place) bool { return p.role == controllerRole || p.role == storeRole })
+	case "crash back":
+		a.crash(f.atOnce())
+	case "crash all back":
+		for _, n := range w.nodes {
+			n.crash(f.atOnce() + s.Between(0, 200*time.Millisecond))
+		}
+	case "machine back":
+		if m != nil {
+			m.back(f.atOnce())
+		}
 	case "crash":
 		a.crash(f.For/4 + 500*time.Millisecond)
 	case "crash all":
@@ -318,6 +386,16 @@
 		what = fmt.Sprintf("cut zone %s, packets are %s", zones[f.A%len(zones)], how)
 	case "cut machine":
 		what = fmt.Sprintf("cut machine %d, packets are %s", f.A, how)
+	case "deafen zone":
+		what = fmt.Sprintf("deafen zone %s, packets are %s", zones[f.A%len(zones)], how)
+	case "deafen machine", "deaf for good":
+		what = fmt.Sprintf("deafen machine %d, packets are %s", f.A, how)
+	case "alone with workers":
+		what = fmt.Sprintf("%s alone with the workers, packets are %s", a.place.name, how)
+	case "crash back":
+		what = fmt.Sprintf("crash %s, back after %v", a.place.name, f.atOnce())
+	case "machine back":
+		what = fmt.Sprintf("machine %d ends, back after %v", f.A, f.atOnce())
 	case "store refuses node", "crash", "freeze":
 		what = fmt.Sprintf("%s %s", f.Kind, a.place.name)
 	case "hang machine", "stop machine":
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -46,6 +46,7 @@
 	tap      func() core.Tap // nil: nothing is recorded
 	drained  map[string]bool // what an operator was told is drained: machines, and zones after "zone "
 	operated map[string]bool // names that an operator has drained
+	copies   time.Duration   // until then reports are delivered once more, later
 	old      time.Duration   // until then the first controller reads an earlier form of records
 }
 
@@ -221,12 +222,16 @@
 		if m.gone && w.sim.Rand.IntN(2) == 0 {
 			return 0, nil, httpwire.ErrNotSent
 		}
+		life := m.life // a connection ends with the worker that it leads to
 		type answer struct {
 			status int
 			r      *model.Report
 		}
 		a, ok := ask(n.process, w.net, n.place, m.place, directCall, func(reply func(answer)) {
 			m.enter(func() {
+				if m.life != life {
+					return
+				}
 				status, r := m.orders(o)
 				reply(answer{status, r})
 			})
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -272,7 +272,9 @@
 	}
 	for name, m := range machines.All() {
 		switch {
-		case m.Phase == placement.Expired && now.Sub(m.Silent) > f.opt.SilentWait:
+		case !m.Silent.IsZero() && now.Sub(m.Silent) > f.opt.SilentWait && (m.Phase == placement.Expired || m.Phase == placement.Joining && !m.Hosted):
+			// Guard: a machine that hears nothing reports, and its lease runs out, over and
+			// over: counted from the last time, it was kept for ever.
 			give(name)
 		case !settled || m.Phase != placement.Current || m.Busy():
 		case m.Kept():
--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -92,6 +92,7 @@
 	jobs      *model.Table[string, *Job]
 	machines  *model.Table[string, *Machine]
 	aside     map[string]*Machine // those of which something is yet to come; see look
+	wandering map[string]*Machine // see Knocked
 	ofKind    map[model.Kind]int  // counts the machines
 	binds     uint64              // counts tasks that were bound
 	owners    map[model.Kind]string
@@ -130,7 +131,7 @@
 		opt.Rand = rand.New(rand.NewPCG(token, 0))
 	}
 	return &Book{opt: opt, token: token, teams: teams, types: types, jobs: model.NewTable[string, *Job](),
-		machines: model.NewTable[string, *Machine](), aside: map[string]*Machine{}, ofKind: map[model.Kind]int{}, owners: map[model.Kind]string{}, out: map[string][]*peerspb.Order{},
+		machines: model.NewTable[string, *Machine](), aside: map[string]*Machine{}, wandering: map[string]*Machine{}, ofKind: map[model.Kind]int{}, owners: map[model.Kind]string{}, out: map[string][]*peerspb.Order{},
 		gone: map[string]time.Time{}, classes: model.NewTable[string, *class](), holders: map[string]*model.Table[string, *Machine]{},
 		use: map[string]*teamUse{}, ended: map[string]*model.Table[string, *Machine]{}, drains: model.NewTable[string, *Drain]()}
 }
@@ -163,7 +164,7 @@
 			b.setPhase(m, Unseen, now)
 		}
 		// What an earlier owner heard says nothing of the next.
-		m.Retiring, m.Quiet, m.knocked = false, false, time.Time{}
+		m.Retiring, m.Quiet, m.Unreached, m.knocked = false, false, false, time.Time{}
 		// Guard: the fresh token voids the start that may come late. Kept, the doubt
 		// about a machine that had died asked for a fresh token every two seconds,
 		// and no lease is ever surely over under a token that young.
--- a/internal/placement/faults.go
+++ b/internal/placement/faults.go
@@ -94,9 +94,48 @@
 
 // Knocked takes in that a machine reported to a controller that does not own its
 // kind.
+//
+// Guard: a worker waits four seconds for an answer, and goes on to the next controller a second
+// later. One that no answer reaches comes to each in turn: its owner, too, hears it only now and
+// then, and was taken for one that hears nothing, over and over, whichever owner was the next.
+// One that is answered comes back to the same, or follows the answer at once.
 func (b *Book) Knocked(name, member string, now time.Time) {
-	if m := b.machines.At(name); m != nil && b.owners[m.Kind] != member {
-		m.knocked = now
+	m := b.machines.At(name)
+	if m == nil || b.owners[m.Kind] == member {
+		return
+	}
+	gap := now.Sub(m.knocked)
+	m.follows = member == m.knockedAt && gap > returnLeast && gap < returnMost || member != m.knockedAt && gap <= wanderLeast
+	if gap < wanderMost {
+		if m.wanders = member != m.knockedAt && gap > wanderLeast; m.wanders {
+			b.wandering[name] = m
+		}
+	}
+	m.knocked, m.knockedAt = now, member
+}
+
+// A machine that no answer reaches comes to the next controller this long after the last, give
+// or take what a knock takes to be told; a longer gap says nothing. One that is sent to an owner
+// which it cannot reach is back at the same controller after four seconds there and one more; when
+// its session ends it reports anew to the same at once, whether it hears or not.
+const (
+	wanderLeast = 3500 * time.Millisecond
+	wanderMost  = 12 * time.Second
+	returnLeast = 4500 * time.Millisecond
+	returnMost  = 8 * time.Second
+)
+
+// settled takes in which machines have not knocked for so long that they stay with their
+// owner again.
+func (b *Book) settled(now time.Time) {
+	for name, m := range b.wandering {
+		if now.Sub(m.knocked) > wanderMost {
+			m.wanders = false
+			b.room++
+		}
+		if !m.wanders || b.machines.At(name) != m {
+			delete(b.wandering, name)
+		}
 	}
 }
 
@@ -130,7 +169,11 @@
 func (b *Book) Deaf(now time.Time, late time.Duration) (out []model.Kind) {
 	knocking := map[model.Kind]int{}
 	for _, m := range b.aside {
-		if m.silent(now, late) && now.Sub(m.knocked) < knockedLately {
+		// Guard: a machine that hears nothing does not show a fresh token, whoever owns it.
+		// Without this its kind went from one owner to the next, each under another token,
+		// and no lease was ever surely over under a token that young (explorer, 210000006).
+		hears := m.current == b.token || m.follows
+		if m.silent(now, late) && !m.wanders && hears && now.Sub(m.knocked) < knockedLately {
 			knocking[m.Kind]++
 		}
 	}
--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -27,27 +27,31 @@
 
 // Machine is a machine as the leader knows it.
 type Machine struct {
-	Name     string
-	Addr     string
-	Kind     model.Kind
-	Spot     bool
-	Phase    MachinePhase
-	Since    time.Time     // in this phase since
-	Hosted   bool          // its host record is stored, and tasks may be started
-	Stamp    uint64        // of its host record; 0: none is known
-	dropping bool          // the record with this stamp was tried to be removed
-	Cordoned bool          // for good
-	Retiring bool          // until its room is needed again
-	Notice   time.Duration // -1: none
-	NoticeAt time.Time
-	Seen     time.Time // first heard of by this leader
-	Idle     time.Time // without tasks since
-	Silent   time.Time // expired since
-	Quiet    bool      // its owner has not heard of it for longer than reports are apart
-	Listed   bool      // the cloud has listed it
-	knocked  time.Time // it reported to a controller that does not own its kind
-	Used     bool      // a task was ever seen on it, or may have been before this leader
-	Unsure   bool      // a start that is no longer wanted may be carried out late
+	Name      string
+	Addr      string
+	Kind      model.Kind
+	Spot      bool
+	Phase     MachinePhase
+	Since     time.Time     // in this phase since
+	Hosted    bool          // its host record is stored, and tasks may be started
+	Stamp     uint64        // of its host record; 0: none is known
+	dropping  bool          // the record with this stamp was tried to be removed
+	Cordoned  bool          // for good
+	Retiring  bool          // until its room is needed again
+	Notice    time.Duration // -1: none
+	NoticeAt  time.Time
+	Seen      time.Time // first heard of by this leader
+	Idle      time.Time // without tasks since
+	Silent    time.Time // since its lease was over first, if it has not been current after that
+	Quiet     bool      // its owner has not heard of it for longer than reports are apart
+	Listed    bool      // the cloud has listed it
+	knocked   time.Time // it reported to a controller that does not own its kind
+	knockedAt string    // which one
+	wanders   bool      // it goes from one controller to the next as one that no answer reaches
+	follows   bool      // its last knocks show that it goes where it is sent
+	Unreached bool      // what its owner says does not reach it
+	Used      bool      // a task was ever seen on it, or may have been before this leader
+	Unsure    bool      // a start that is no longer wanted may be carried out late
 
 	session, seq uint64
 	current      uint64 // token under which it was last current
@@ -266,7 +270,10 @@
 		b.addMachine(m)
 	}
 	defer b.look(m)
-	m.Quiet = pm.Quiet
+	if m.Quiet && !pm.Quiet || m.Unreached && !pm.Unreached {
+		b.room++ // it may be used again
+	}
+	m.Quiet, m.Unreached, m.Unsure = pm.Quiet, pm.Unreached, pm.Unsure
 	switch pm.Phase {
 	case "joining":
 		m.Addr = pm.Addr
@@ -298,7 +305,6 @@
 			b.recordon(m)
 		}
 		b.setPhase(m, Current, now)
-		m.Unsure = pm.Unsure
 		b.reconcile(now, m, func(order uint64) bool { return order <= applied && !slices.Contains(pm.Undecided, order) })
 	}
 }
@@ -311,7 +317,10 @@
 	m.Phase, m.Since = p, now
 	b.look(m)
 	b.room++
-	if p == Expired {
+	switch {
+	case p == Current:
+		m.Silent = time.Time{}
+	case p == Expired && m.Silent.IsZero():
 		m.Silent = now
 	}
 }
--- a/internal/placement/needs.go
+++ b/internal/placement/needs.go
@@ -104,7 +104,8 @@
 	for _, m := range b.machines.All() {
 		// Guard: a machine that has yet to show a fresh token, or whose record
 		// is being stored, is about to be used; it must not be rented again.
-		if m.Phase == Lapsed || m.Phase == Expired || m.Cordoned || m.Retiring || m.drain != nil || m.Notice >= 0 {
+		if m.Phase == Lapsed || m.Phase == Expired || m.Cordoned || m.Retiring || m.drain != nil || m.Notice >= 0 ||
+			m.Unreached || m.wanders {
 			continue
 		}
 		s := &slack{m: m, size: b.types[m.Kind.Type].Size}
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -207,6 +207,7 @@
 // the book is not complete, or tasks of unknown jobs run, nothing may start.
 func (b *Book) Wants(now time.Time) []*peerspb.Want {
 	b.plan = nil
+	b.settled(now)
 	if !b.complete || b.strays() > 0 {
 		return nil
 	}
@@ -286,7 +287,8 @@
 
 // usable tells whether tasks may be started on a machine at all.
 func (m *Machine) usable() bool {
-	return m.Phase == Current && m.Hosted && !m.Cordoned && !m.Retiring && m.drain == nil && m.Notice < 0 && m.strays == 0
+	return m.Phase == Current && m.Hosted && !m.Cordoned && !m.Retiring && m.drain == nil && m.Notice < 0 && m.strays == 0 &&
+		!m.Quiet && !m.Unreached && !m.wanders
 }
 
 // fits tells whether a job's task may start on a machine now, its other
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -68,27 +68,28 @@
 
 // MachineState is a machine without its tasks.
 type MachineState struct {
-	Name, Addr            string
-	Kind                  model.Kind
-	Spot                  bool
-	Phase                 MachinePhase
-	Since                 time.Time
-	Hosted                bool
-	Stamp                 uint64
-	Dropping              bool
-	Cordoned, Retiring    bool
-	Notice                time.Duration
-	NoticeAt, Seen, Idle  time.Time
-	Silent, Knocked       time.Time
-	Quiet, Listed, Unsure bool
-	Used                  bool
-	Session, Seq, Current uint64
-	Load                  model.Size
-	Images                []ImageState
-	Reported              [][]byte
-	Blame                 map[string]BlameState
-	Strays                int
-	Reserved              []ReservationState
+	Name, Addr                        string
+	Kind                              model.Kind
+	Spot                              bool
+	Phase                             MachinePhase
+	Since                             time.Time
+	Hosted                            bool
+	Stamp                             uint64
+	Dropping                          bool
+	Cordoned, Retiring                bool
+	Notice                            time.Duration
+	NoticeAt, Seen, Idle              time.Time
+	Silent, Knocked                   time.Time
+	Quiet, Listed, Unsure             bool
+	Used, Unreached, Wanders, Follows bool
+	KnockedAt                         string
+	Session, Seq, Current             uint64
+	Load                              model.Size
+	Images                            []ImageState
+	Reported                          [][]byte
+	Blame                             map[string]BlameState
+	Strays                            int
+	Reserved                          []ReservationState
 }
 
 // ImageState is an image in a machine's cache.
@@ -224,7 +225,7 @@
 func (m *Machine) export() (MachineState, error) {
 	s := MachineState{Name: m.Name, Addr: m.Addr, Kind: m.Kind, Spot: m.Spot, Phase: m.Phase, Since: m.Since, Hosted: m.Hosted,
 		Stamp: m.Stamp, Dropping: m.dropping, Cordoned: m.Cordoned, Retiring: m.Retiring, Notice: m.Notice, NoticeAt: m.NoticeAt,
-		Seen: m.Seen, Idle: m.Idle, Silent: m.Silent, Knocked: m.knocked, Quiet: m.Quiet, Listed: m.Listed, Unsure: m.Unsure, Used: m.Used,
+		Seen: m.Seen, Idle: m.Idle, Silent: m.Silent, Knocked: m.knocked, Quiet: m.Quiet, Listed: m.Listed, Unsure: m.Unsure, Used: m.Used, Unreached: m.Unreached, Wanders: m.wanders, Follows: m.follows, KnockedAt: m.knockedAt,
 		Session: m.session, Seq: m.seq, Current: m.current, Load: m.load, Strays: m.strays, Blame: map[string]BlameState{}}
 	for _, h := range m.images {
 		s.Images = append(s.Images, ImageState{h.name, h.gb})
@@ -270,6 +271,9 @@
 			return nil, err
 		}
 		m.drain = b.drainOf(m)
+		if m.wanders {
+			b.wandering[m.Name] = m
+		}
 		b.machines.Put(m.Name, m)
 		b.ofKind[m.Kind]++
 		b.look(m)
@@ -336,7 +340,7 @@
 func (b *Book) importMachine(s MachineState) (*Machine, error) {
 	m := &Machine{Name: s.Name, Addr: s.Addr, Kind: s.Kind, Spot: s.Spot, Phase: s.Phase, Since: s.Since, Hosted: s.Hosted,
 		Stamp: s.Stamp, dropping: s.Dropping, Cordoned: s.Cordoned, Retiring: s.Retiring, Notice: s.Notice, NoticeAt: s.NoticeAt,
-		Seen: s.Seen, Idle: s.Idle, Silent: s.Silent, knocked: s.Knocked, Quiet: s.Quiet, Listed: s.Listed, Unsure: s.Unsure, Used: s.Used,
+		Seen: s.Seen, Idle: s.Idle, Silent: s.Silent, knocked: s.Knocked, Quiet: s.Quiet, Listed: s.Listed, Unsure: s.Unsure, Used: s.Used, Unreached: s.Unreached, wanders: s.Wanders, follows: s.Follows, knockedAt: s.KnockedAt,
 		session: s.Session, seq: s.Seq, current: s.Current, load: s.Load, strays: s.Strays, tasks: newTasks(), log: b.opt.Log}
 	for _, h := range s.Images {
 		m.images = append(m.images, held{h.Name, h.GB})
--- a/internal/workers/calls.go
+++ b/internal/workers/calls.go
@@ -1,6 +1,7 @@
 package workers
 
 import (
+	"slices"
 	"time"
 
 	"github.com/marlwood/marlwood/internal/model"
@@ -16,11 +17,12 @@
 	Commands []model.Command
 	Until    time.Time // not to be sent from then on: the grant is over
 	id       uint64
+	known    [3]uint64 // token, session and number of what the machine had last said when the call was made
 }
 
 // urgent tells whether anything waits that a direct call could be worth.
 func (m *machine) urgent() bool {
-	if m.phase == Joining {
+	if m.phase == Joining || m.odd > 0 || m.reach.deaf {
 		return true
 	}
 	for _, o := range m.pending {
@@ -47,13 +49,17 @@
 	for e := d.due.Front(); e != nil && d.calling < d.opt.Calls; e = d.due.Front() {
 		m, _ := d.due.Remove(e).(*machine)
 		m.due = nil
-		if !m.urgent() || m.call != 0 || m.failed || m.phase == Expired || m.addr == "" || m.notice >= 0 || d.owners[m.kind] != d.opt.Member {
+		if !m.urgent() || m.call != 0 || m.failed || m.phase == Expired && m.odd == 0 || m.addr == "" || m.notice >= 0 || d.owners[m.kind] != d.opt.Member {
 			continue
 		}
-		c := Call{Machine: m.name, Addr: m.addr, Token: d.token, Session: m.session, Commands: []model.Command{}, Until: d.grant}
-		due := m.phase == Joining
+		c := Call{Machine: m.name, Addr: m.addr, Token: d.token, Session: m.session, Commands: []model.Command{}, Until: d.grant,
+			known: [3]uint64{m.shown, m.session, m.seq}}
+		due := m.phase == Joining || m.reach.deaf
+		if m.odd > 0 {
+			due, c.Session, m.odd = true, m.odd, 0
+		}
 		for _, o := range m.pending {
-			if o.state != queued || len(c.Commands) >= maxOrders || m.held(o) || m.phase != Current {
+			if o.state != queued || len(c.Commands) >= maxOrders || m.held(o) || m.phase != Current || c.Session != m.session || m.reborn || m.reach.deaf {
 				continue
 			}
 			switch {
@@ -106,9 +112,28 @@
 	if c.Token != d.token {
 		return // orders of an earlier token are void; the next report decides its starts
 	}
-	if r != nil && r.Machine == m.name && r.Token <= d.token && CheckReport(r) == nil && r.Session > m.ended &&
-		(r.Session > m.session || (r.Session == m.session && r.Seq > m.seq)) {
-		d.takeReport(now, m, r)
+	if r != nil && r.Machine == m.name && r.Token <= d.token && CheckReport(r) == nil {
+		if m.reach.deaf {
+			d.touch(m)
+		}
+		m.reach.heard()
+		switch {
+		case slices.Compare(c.known[:], []uint64{r.Token, r.Session, r.Seq}) >= 0:
+			d.begunAnew(m)
+		case !m.reborn && r.Session > m.ended && m.older(r):
+			d.takeReport(now, m, r)
+		}
+	}
+	if m.reborn {
+		// Guard: its new life may have carried out what the call brought, and none of its
+		// reports counts. Settled by the answer, the starts went elsewhere as well
+		// (explorer, 210009384). They stay open until the fresh token.
+		for _, o := range m.pending {
+			if o.state == calling {
+				o.state = unsure
+			}
+		}
+		return
 	}
 	for _, o := range m.pending {
 		o.told = o.told || (outcome == Executed && o.op == peerspb.Op_OP_STOP && c.has(o))
--- a/internal/workers/desk.go
+++ b/internal/workers/desk.go
@@ -31,14 +31,20 @@
 	kind    model.Kind
 	spot    bool
 	phase   Phase
+	shown   uint64 // the highest token that its newest report showed
 	session uint64
 	seq     uint64
+	checked uint64        // number of the last report in this session that it sent by itself
 	ended   uint64        // the session that the leader was told is over, or 0
 	notice  time.Duration // -1: none
 	tasks   []*peerspb.Task
 	pending []*order
 	cordon  bool
 	quiet   bool   // no report for longer than they are apart
+	reach   reach  // whether what we say reaches it
+	asked   bool   // a report that did not show our token was answered with it
+	odd     uint64 // session of a report that came late or from a worker that began anew; 0: none did
+	reborn  bool   // its worker began anew under this token; see Called
 	call    uint64 // number of the direct call under way, or 0
 	failed  bool   // the last direct call failed: the next report is awaited
 
@@ -158,6 +164,9 @@
 		m.pending, m.tasks, m.kept = nil, nil, nil
 		m.ended = m.session
 	}
+	if p == Joining || p == Current {
+		m.asked = false
+	}
 	m.phase = p
 	d.mayCall(m)
 	d.touch(m)
@@ -239,17 +248,15 @@
 	} else if m.ended > 0 && r.Session <= m.ended {
 		// Guard: the leader was told that this session is over. An answer must
 		// not bring it back to life.
+		d.ask(m, r)
 		return Verdict{Status: 503}
-	} else if r.Session < m.session || (r.Session == m.session && r.Seq <= m.seq) {
-		// A late or repeated report: its task list is as old as it is.
-		//
-		// Guard: it may also be one that the answer to a direct call overtook.
-		// Its sender still waits, and this answer extends its lease; counted
-		// from the report before, the lease was told to be over too early.
-		if r.Session == m.session {
-			d.heard(now, m)
-		}
+	} else if m.reborn {
+		d.heard(now, m) // what it says counts from the fresh token on
 		return Verdict{Status: 200, Token: d.token}
+	} else if !m.older(r) {
+		return d.late(now, m, r)
+	} else if d.refuses(m, r) {
+		return Verdict{Status: 503}
 	}
 	before := d.change
 	d.heard(now, m)
@@ -258,6 +265,7 @@
 	// every answer before it. A direct call's body does not: an answer may
 	// still be on its way then.
 	open := len(m.undecided())
+	d.judge(now, m, r)
 	m.settle(func(o *order) bool { return o.state == handed })
 	if len(m.undecided()) != open {
 		// Guard: of a start whose answer was lost nothing else tells. Untold, its
@@ -265,7 +273,9 @@
 		d.touch(m)
 	}
 	d.takeReport(now, m, r)
+	m.checked = r.Seq
 	if r.Token != d.token {
+		m.asked = true
 		return Verdict{Status: 200, Token: d.token, Changed: d.change != before}
 	}
 	v := Verdict{Status: 200, Token: d.token, Commands: d.handOver(m), Changed: d.change != before}
@@ -275,7 +285,7 @@
 // takeReport takes in the newest report of a machine, from whichever way.
 func (d *Desk) takeReport(now time.Time, m *machine, r *model.Report) {
 	moved := m.session != r.Session
-	m.addr, m.spot, m.session, m.seq = r.Addr, r.Spot, r.Session, r.Seq
+	m.addr, m.spot, m.shown, m.session, m.seq = r.Addr, r.Spot, r.Token, r.Session, r.Seq
 	notice := time.Duration(-1)
 	if r.NoticeS != nil {
 		notice = model.Seconds(*r.NoticeS)
@@ -286,6 +296,7 @@
 	m.notice = notice
 	open := len(m.undecided())
 	if moved { // late direct calls are refused from here on
+		m.checked, m.reach.since, m.reach.misses = 0, now, 0
 		// Guard: a session's lease runs from its beginning, which is not later
 		// than now; counted from the last report, it was over too early where
 		// only direct calls came through.
--- a/internal/workers/rounds.go
+++ b/internal/workers/rounds.go
@@ -76,6 +76,12 @@
 		// meanwhile. Counted from what this desk last heard, the machine was
 		// called expired although it lived, and its reports were refused.
 		m.pending, m.cordon, m.failed, m.ended, m.quiet = nil, false, false, 0, false
+		m.asked, m.odd = false, 0
+		if m.reborn {
+			// What it said before it began anew says nothing of it any more, and shows an
+			// earlier token; what shows this one it has said since.
+			m.reborn, m.shown, m.session, m.seq, m.checked, m.tasks = false, 0, 0, 0, 0, nil
+		}
 		d.heard(now, m)
 		if m.phase != Expired {
 			d.setPhase(m, Joining)
@@ -136,11 +142,11 @@
 			}
 		}
 	}
-	doubt := false
+	doubt := m.reborn
 	for _, o := range m.pending {
 		doubt = doubt || (o.state == unsure && o.void)
 	}
 	return &peerspb.Machine{Name: m.name, Addr: m.addr, Kind: &peerspb.Kind{Type: m.kind.Type, Zone: m.kind.Zone},
 		Spot: m.spot, Phase: string(m.phase), Session: m.session, Seq: m.seq, Undecided: m.undecided(),
-		Unsure: doubt, Quiet: m.quiet, NoticeMs: notice, Tasks: tasks}
+		Unsure: doubt, Quiet: m.quiet, Unreached: m.reach.deaf, NoticeMs: notice, Tasks: tasks}
 }
