precedence: jobs near four minutes come to the front; a bound by a linear program

Need: each job is to begin within four minutes, the largest of each class too. By priority, guarantee and due time the largest thank-you began after 345 s, wifi-trace after 295.

Change: internal/precedence says which jobs are near, by what they and those that have waited for long need to gather; near jobs go first, use standing room and are not stopped for others. internal/bound (gonum) works out from a recording what share could have begun in time.

--- /dev/null
+++ b/internal/bound/cmd/main.go
@@ -0,0 +1,89 @@
+// Command cmd prints the bound of package bound for a recorded day.
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/marlwood/marlwood/internal/bound"
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/replay"
+)
+
+type cli struct {
+	Dir    string        `arg:"" help:"The recording."`
+	Within time.Duration `help:"Time within which a job is to begin." default:"4m"`
+	First  []string      `help:"Classes that start before all others."`
+	Window time.Duration `help:"Length of a window." default:"20s"`
+}
+
+// Run reads the recording and solves.
+func (c *cli) Run() error {
+	d, _, err := replay.ReadDay(c.Dir)
+	if err != nil {
+		return err
+	}
+	q := bound.Question{First: c.First, Window: c.Window, Within: c.Within, CPUs: make([]float64, int(d.End/c.Window)+1)}
+	for _, m := range d.Machines.All() {
+		gone := m.Gone
+		if gone < 0 {
+			gone = d.End
+		}
+		for w := range q.CPUs { // counted in full where it was up for a part of a window
+			if at := time.Duration(w) * c.Window; m.Up >= 0 && m.Up < at+c.Window && gone > at {
+				q.CPUs[w] += d.Types[m.Kind.Type].Size.CPUs
+			}
+		}
+	}
+	runs := meanRuns(d)
+	inTime := map[string]int{}
+	for _, j := range d.Jobs.All() {
+		if j.Cancelled >= 0 || j.Submitted < 0 {
+			continue
+		}
+		s, tasks := j.Spec, j.Spec.Tasks
+		if limit := d.Config.Teams[s.Team].Limit.CPUs; limit > 0 && s.Shape == model.Array {
+			tasks = min(tasks, model.Size{CPUs: s.Size.CPUs}.Slots(model.Size{CPUs: limit}))
+		}
+		q.Jobs = append(q.Jobs, bound.Job{Class: s.Class, At: j.Submitted, Tasks: tasks, CPUs: s.Size.CPUs, Runs: runs[s.Class]})
+		if j.Started >= 0 && j.Started-j.Submitted <= c.Within {
+			inTime[s.Class]++
+		}
+	}
+	a, err := bound.Solve(q)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("at most %.2f of each class could have begun within %v\n", a.Share, c.Within)
+	for class, n := range a.Jobs {
+		fmt.Printf("%s: %d jobs, all tasks of %d of them had started by then\n", class, n, inTime[class])
+	}
+	return nil
+}
+
+// meanRuns is how long tasks of each class ran that were done, on average.
+func meanRuns(d *replay.Day) map[string]time.Duration {
+	sum, n := map[string]time.Duration{}, map[string]time.Duration{}
+	for _, t := range d.Tasks {
+		if j := d.Jobs.At(t.Job); j != nil && t.Running >= 0 && t.Ended > t.Running && t.Cause == model.CauseDone {
+			sum[j.Spec.Class] += t.Ended - t.Running
+			n[j.Spec.Class]++
+		}
+	}
+	for class := range sum {
+		sum[class] /= n[class]
+	}
+	return sum
+}
+
+func main() {
+	var c cli
+	kong.Parse(&c, kong.Description("The largest share of a recorded day's jobs that any scheduler could have begun in time."))
+	if err := c.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "bound:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/claims/claims.go
@@ -0,0 +1,149 @@
+// Package claims is the ledger of what gangs have claimed: which machine is to take each piece of
+// an attempt. A claim is stored before the first piece is ordered, as a part of its job's record,
+// so that whoever leads next goes on with the same attempt: pieces that wait are completed, or all
+// are taken back. It is pure: what happens to a claim goes in, where it stands comes out.
+package claims
+
+import (
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/klauspost/compress/zstd"
+)
+
+// State is where a claim stands.
+type State int
+
+// The states of a claim.
+const (
+	Asked     State = iota // machines are chosen and kept; it is to be stored
+	Claimed                // it is stored, and nothing of it has been ordered
+	Starting               // its pieces are being ordered, or are on their machines
+	Repairing              // a piece was lost before all ran; another machine is looked for
+	Running                // all pieces run: it is needed no more
+	Released               // it was given up
+)
+
+func (s State) String() string {
+	return [...]string{"asked", "claimed", "starting", "repairing", "running", "released"}[s]
+}
+
+// Claim is one attempt's machines. The zero Claim is nobody's.
+type Claim struct {
+	Attempt  uint64
+	Machines []string // by piece; "" for one that has none now
+	State    State
+	Since    time.Time // when the attempt was claimed first, by this leader's clock
+	Version  int       // counts changes of machines; what is stored is told by it
+}
+
+// New claims machines for the pieces of an attempt.
+func New(attempt uint64, machines []string, now time.Time) *Claim {
+	return &Claim{Attempt: attempt, Machines: slices.Clone(machines), Since: now, Version: 1}
+}
+
+// to is the one place where a claim's state changes; what does not follow is passed over.
+func (c *Claim) to(s State, from ...State) bool {
+	if !slices.Contains(from, c.State) {
+		return false
+	}
+	c.State = s
+	return true
+}
+
+// Stored takes in that a version of it is stored, and tells whether its pieces may be ordered.
+func (c *Claim) Stored(version int) bool {
+	return version == c.Version && c.to(Claimed, Asked)
+}
+
+// Ordered takes in that pieces of it were ordered.
+func (c *Claim) Ordered() { c.to(Starting, Claimed) }
+
+// Lost takes in that a piece has no place any more.
+func (c *Claim) Lost(piece int) {
+	if c.Active() && piece < len(c.Machines) {
+		c.Machines[piece] = ""
+		c.to(Repairing, Asked, Claimed, Starting)
+	}
+}
+
+// Replace gives a lost piece another machine. Once none is missing the claim is to be stored anew.
+func (c *Claim) Replace(piece int, machine string) {
+	if c.State != Repairing || piece >= len(c.Machines) {
+		return
+	}
+	c.Machines[piece] = machine
+	if !slices.Contains(c.Machines, "") {
+		c.Version++
+		c.to(Asked, Repairing)
+	}
+}
+
+// Ran takes in that all pieces run.
+func (c *Claim) Ran() { c.to(Running, Asked, Claimed, Starting, Repairing) }
+
+// GiveUp ends a claim whose pieces do not all run.
+func (c *Claim) GiveUp() { c.to(Released, Asked, Claimed, Starting, Repairing) }
+
+// Active tells whether a claim still holds machines for pieces that do not all run.
+func (c *Claim) Active() bool { return c != nil && c.State < Running }
+
+// MayRepair tells whether lost pieces may still be replaced: a piece that waits for the others
+// gives up after gangWait, which it may have begun as early as the claim. Two thirds of that leave
+// time for an image.
+func (c *Claim) MayRepair(now time.Time, gangWait time.Duration) bool {
+	return c.Active() && (gangWait == 0 || now.Sub(c.Since) < gangWait*2/3)
+}
+
+// Record is a claim as it is stored.
+type Record struct {
+	Attempt  uint64 `json:"attempt"`
+	Pieces   int    `json:"pieces"`
+	Machines string `json:"machines"` // names by piece, one a line, in zstd and base64
+}
+
+// coder is shared: what it holds is large, and it may be used by many at once.
+var coder = sync.OnceValues(func() (*zstd.Encoder, *zstd.Decoder) {
+	enc, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(16<<10), zstd.WithLowerEncoderMem(true))
+	if err != nil {
+		panic("claims: " + err.Error()) // the options are constants
+	}
+	dec, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(maxText))
+	if err != nil {
+		panic("claims: " + err.Error())
+	}
+	return enc, dec
+})
+
+// maxText bounds what a stored claim may unfold to.
+const maxText = 4 << 20
+
+// Record is the claim as it is to be stored.
+func (c *Claim) Record() *Record {
+	enc, _ := coder()
+	text := enc.EncodeAll([]byte(strings.Join(c.Machines, "\n")), nil)
+	return &Record{Attempt: c.Attempt, Pieces: len(c.Machines), Machines: base64.StdEncoding.EncodeToString(text)}
+}
+
+// Restore is a claim that an earlier leader stored.
+func (r *Record) Restore(now time.Time) (*Claim, error) {
+	packed, err := base64.StdEncoding.DecodeString(r.Machines)
+	if err != nil {
+		return nil, fmt.Errorf("claim %x: machines: %w", r.Attempt, err)
+	}
+	_, dec := coder()
+	text, err := dec.DecodeAll(packed, nil)
+	if err != nil {
+		return nil, fmt.Errorf("claim %x: machines: %w", r.Attempt, err)
+	}
+	machines := strings.Split(string(text), "\n")
+	if r.Attempt == 0 || len(machines) != r.Pieces {
+		return nil, errors.New("claim: attempt or pieces do not fit")
+	}
+	return &Claim{Attempt: r.Attempt, Machines: machines, State: Claimed, Since: now, Version: 1}, nil
+}
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -116,8 +116,8 @@
 		Placement: placement.Options{
 			Draws: op.Placement.Draws, ScanAfter: op.Placement.ScanAfter, TasksPerRound: op.Placement.TasksPerRound,
 			PreemptWait: op.Placement.PreemptWait, Aims: cfg.Aims, Horizon: op.Fleet.Horizon,
-			ShortFirst: op.Placement.ShortFirst,
-			Unhurried:  op.Placement.Unhurried, Standing: op.Placement.Standing, Spare: op.Placement.Spare,
+			ShortFirst: op.Placement.ShortFirst, BeginWithin: op.Placement.BeginWithin,
+			Unhurried: op.Placement.Unhurried, Standing: op.Placement.Standing, Spare: op.Placement.Spare,
 			PartTasks: model.PartTasks(max(256, cfg.WideValueBytes-2048)), SplitTasks: model.PartTasks(cfg.ValueBytes/2 - 128),
 		},
 		Fleet: fleet.Options{Idle: op.Fleet.Idle, Keep: op.Fleet.Keep, RefusedWait: op.Fleet.RefusedWait,
--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -22,6 +22,7 @@
 	Aims          map[string]model.Aim       // by class
 	Horizon       time.Duration              // within which an array of no class is to end its turns
 	ShortFirst    float64                    // how strongly short jobs go first within a team's limit
+	BeginWithin   time.Duration              // of its submission a job is to begin, or it comes to the front of the queue
 	Unhurried     time.Duration              // how long only spot machines are rented for long tasks of which nothing is asked
 	Standing      float64                    // how much of it, as a multiple of the arrivals during a boot
 	Spare         float64                    // share of the machines in use that is kept free
@@ -55,6 +56,7 @@
 	empty    int             // rounds without room in a row
 	tried    uint64
 	turn     uint64    // the last round in which it had a turn, or was known to find no room
+	hurried  bool      // it came to the front since its time to begin ran out
 	sought   uint64    // the last round in which room to be made for it was looked for
 	kindSet  int       // number of the set of kinds
 	waiting  time.Time // since when it has had work without room
@@ -109,6 +111,8 @@
 	lacking   map[lack]bool  // what no machine with the image has room for, in the round under way
 	queued    []*Job         // the last queue, in order
 	queues    uint64         // counts them
+	gathering time.Duration  // what jobs that have waited for long take to gather, as of the last queue
+	capacity  float64        // CPUs of the machines that may be used, as last summed
 	classes   *model.Table[string, *class]
 	holders   map[string]*model.Table[string, *Machine] // by image: the machines that have it
 	ended     map[string]*model.Table[string, *Machine] // by job: the machines whose last report shows exited tasks of it
--- a/internal/placement/line.go
+++ b/internal/placement/line.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/precedence"
 	"github.com/marlwood/marlwood/internal/turns"
 	"github.com/marlwood/marlwood/internal/vacancy"
 )
@@ -53,6 +54,7 @@
 	kinds int
 	spot  bool
 	rank  int
+	near  bool
 	class string // that has standing room
 }
 
@@ -107,7 +109,7 @@
 	if now.Sub(j.cleared) <= clearedFor {
 		return true // room is kept for it
 	}
-	v := view{kinds: j.kindSet, spot: j.Spec.Spot, rank: j.rank}
+	v := view{kinds: j.kindSet, spot: j.Spec.Spot, rank: j.rank, near: !j.order.near.IsZero()}
 	if b.classes.At(j.Spec.Class) != nil {
 		v.class = j.Spec.Class
 	}
@@ -192,3 +194,74 @@
 	}
 	return false
 }
+
+// rule is by when jobs are to begin.
+func (b *Book) rule() precedence.Rule {
+	return precedence.Rule{Within: b.opt.BeginWithin, Margin: beginMargin}
+}
+
+// facts are what a job's precedence goes by.
+func (b *Book) facts(j *Job) precedence.Facts {
+	f := precedence.Facts{Accepted: j.Accepted, Tasks: b.toBegin(j), CPUs: j.Spec.Size.CPUs, Runs: j.Spec.Estimate,
+		Capacity: b.capacity, Others: b.gathering}
+	if limit := j.use.team.Limit.CPUs; limit > 0 && limit < f.Capacity {
+		f.Capacity = limit
+	}
+	for _, k := range b.kindsFor(j) {
+		if speed := b.types[k.Type].FetchGBPerS; speed > 0 {
+			f.Fetch = max(f.Fetch, model.Seconds(j.Spec.ImageGB/speed))
+		}
+	}
+	return f
+}
+
+// hurryAll works out which of the jobs that wait are near (package precedence).
+func (b *Book) hurryAll(waiting []*Job, now time.Time) {
+	rule, others := b.rule(), time.Duration(0)
+	for _, j := range waiting {
+		j.order.near = time.Time{}
+		if now.Sub(j.Accepted) < rule.Within/4 || j.Suspect() {
+			continue // most jobs, told without looking further
+		}
+		f := b.facts(j)
+		if rule.Long(f, now) {
+			others += f.Gather()
+		}
+		if since, near := rule.Near(f, now); near {
+			j.order.near, j.hurried = since, true
+		}
+	}
+	b.gathering = others
+}
+
+// beginMargin is what a job that is near has for its turn, its starts, and for what its user
+// tried before it was accepted.
+const beginMargin = 30 * time.Second
+
+// toBegin counts the tasks that are yet to start for a job to begin: of an array as many as its
+// team's limit allows at once, of others all.
+func (b *Book) toBegin(j *Job) int {
+	n := j.Spec.Tasks
+	if j.Spec.Shape == model.Array {
+		if limit := j.use.team.Limit; limit.CPUs > 0 && j.Spec.Size.CPUs > 0 {
+			n = min(n, model.Size{CPUs: j.Spec.Size.CPUs}.Slots(model.Size{CPUs: limit.CPUs}))
+		}
+		if limit := j.use.team.Limit; limit.GPUs > 0 && j.Spec.Size.GPUs > 0 {
+			n = min(n, model.Size{GPUs: j.Spec.Size.GPUs}.Slots(model.Size{GPUs: limit.GPUs}))
+		}
+	}
+	return max(0, n-j.finished.Len()-j.bound.Len())
+}
+
+// compareNear sorts jobs that are near first, those that were near first before the others.
+func compareNear(x, y time.Time) int {
+	switch {
+	case x.IsZero() && y.IsZero():
+		return 0
+	case x.IsZero():
+		return 1
+	case y.IsZero():
+		return -1
+	}
+	return x.Compare(y)
+}
--- a/internal/placement/line_test.go
+++ b/internal/placement/line_test.go
@@ -106,6 +106,44 @@
 	}
 }
 
+// A job whose time to begin runs out comes to the front of all priorities, takes standing room, and
+// is not stopped for those that are not near; it stops nothing that it could not stop before.
+func TestNearJobs(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		age     float64 // of the low job
+		first   string
+		stopped bool // for a high job that is not near
+	}{
+		{"young", 30, "high", true},
+		{"near", 225, "low", false},
+		{"late", 250, "high", true},
+	} {
+		b := newBench(t)
+		b.opt.BeginWithin, b.capacity = 4*time.Minute, 4
+		b.job("low", func(j *model.Job) {
+			j.Priority, j.Tasks, j.Size, j.Estimate = model.Low, 2, model.Size{CPUs: 2, MemoryGB: 2}, time.Second
+		})
+		b.job("high", func(j *model.Job) { j.Priority, j.Size = model.High, model.Size{CPUs: 2, MemoryGB: 2} })
+		b.jobs.At("high").Accepted = at(c.age)
+		b.machine("m", "small", "a")
+		b.machines.At("m").reserve("standing", reservation{size: model.Size{CPUs: 2}, class: "standing", rank: 2, until: at(1000)})
+		b.Settle()
+		if q := b.queue(at(c.age)); q[0].Spec.ID != c.first {
+			t.Errorf("%s: %s is first", c.name, q[0].Spec.ID)
+		}
+		if got := b.round(c.age); (b.where("low", 1) != "") != (c.first == "low") || got == 0 {
+			t.Errorf("%s: %d placed, the second of low on %q", c.name, got, b.where("low", 1))
+		}
+		low, high := b.jobs.At("low"), b.jobs.At("high")
+		victim := &Task{job: low, state: model.TaskRunning}
+		if b.mayStop(high, victim, high.rank) != c.stopped || b.mayStop(low, &Task{job: high, state: model.TaskRunning}, low.rank) {
+			t.Errorf("%s: high may stop low: %v, low may stop high: %v", c.name, b.mayStop(high, victim, high.rank),
+				b.mayStop(low, &Task{job: high, state: model.TaskRunning}, low.rank))
+		}
+	}
+}
+
 // A round with a queue of which nearly nothing can be placed, while something ends in each.
 func BenchmarkCrowdedRound(t *testing.B) {
 	for _, machines := range []int{1000, 16000} {
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -229,9 +229,9 @@
 }
 
 // mayStop tells whether the rules allow stopping a task to make room for a job with a
-// power.
+// power. A job that had to be hurried to begin in time is not stopped for one that need not.
 func (b *Book) mayStop(j *Job, t *Task, power int) bool {
-	return t.state != model.TaskOrdered && (t.job.rank < power || b.borrowed(j, t))
+	return t.state != model.TaskOrdered && (t.job.rank < power || b.borrowed(j, t)) && (!t.job.hurried || !j.order.near.IsZero())
 }
 
 // candidate is a machine on which room could be made.
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -54,6 +54,7 @@
 			candidates = append(candidates, m)
 		}
 	}
+	b.capacity = capacity
 	// The dearest per CPU goes first, of equals the one least in use.
 	slices.SortFunc(candidates, func(x, y *Machine) int {
 		return cmp.Or(cmp.Compare(b.price(y), b.price(x)),
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -45,8 +45,8 @@
 	return out
 }
 
-// queue returns the jobs with work to place, in order: priority, guarantee,
-// deadline, age.
+// queue returns the jobs with work to place, in order: those whose time to begin runs
+// out, then priority, guarantee, deadline, age.
 func (b *Book) queue(now time.Time) []*Job {
 	// What was in order before mostly still is: sorting it again costs little. The order
 	// is total, so where it began from does not show.
@@ -69,8 +69,9 @@
 			patient:    b.patient(j, now),
 		}
 	}
+	b.hurryAll(out, now)
 	slices.SortFunc(out, func(x, y *Job) int {
-		return cmp.Or(cmp.Compare(y.order.rank, x.order.rank), cmp.Compare(x.order.guaranteed, y.order.guaranteed),
+		return cmp.Or(compareNear(x.order.near, y.order.near), cmp.Compare(y.order.rank, x.order.rank), cmp.Compare(x.order.guaranteed, y.order.guaranteed),
 			x.order.due.Compare(y.order.due), x.Accepted.Compare(y.Accepted), cmp.Compare(x.Spec.ID, y.Spec.ID))
 	})
 	b.queued = out
@@ -88,6 +89,7 @@
 
 // turn is what a job's place in the queue goes by, before its age.
 type turn struct {
+	near       time.Time // since when its time to begin runs out; zero: it does not
 	rank       int
 	guaranteed int // 0 comes first
 	due        time.Time
@@ -278,6 +280,7 @@
 				m.reserved.Drop(id)
 				b.room++ // see clear
 			}
+		case r.class != "" && !j.order.near.IsZero(): // standing room is for what may yet come
 		case id != j.Spec.ID && r.class != j.Spec.Class && r.rank >= j.rank:
 			kept = kept.Add(r.size)
 		}
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -18,6 +18,8 @@
 	FewParts                       int
 	OrderID, Attempts, Saves, Room uint64
 	Rounds                         uint64
+	Capacity                       float64
+	Gathering                      time.Duration
 	Types                          map[string]model.MachineType
 	Owners                         []OwnerState
 	Jobs                           []JobState
@@ -60,6 +62,8 @@
 	OrderRank, OrderGuaranteed int
 	OrderDue                   time.Time
 	OrderPatient               bool
+	OrderNear                  time.Time
+	Hurried                    bool
 	Rank                       int
 	Within                     time.Duration
 	Per                        int
@@ -157,7 +161,7 @@
 // Export copies the book's state.
 func (b *Book) Export() (*State, error) {
 	s := &State{Token: b.token, Complete: b.complete, Split: b.split, FewParts: b.fewParts, OrderID: b.orderID,
-		Attempts: b.attempts, Saves: b.saves, Room: b.room, Rounds: b.rounds, Types: b.types, Out: map[string][][]byte{}, Gone: b.gone,
+		Attempts: b.attempts, Saves: b.saves, Room: b.room, Rounds: b.rounds, Capacity: b.capacity, Gathering: b.gathering, Types: b.types, Out: map[string][][]byte{}, Gone: b.gone,
 		Use: map[string]UseState{}, Urgencies: b.urgencies}
 	for k, m := range b.owners {
 		s.Owners = append(s.Owners, OwnerState{k, m})
@@ -212,7 +216,7 @@
 		Finished: j.finished.Words(), Next: j.next, Again: j.again, RetryAt: j.retryAt, Fails: j.fails, Empty: j.empty,
 		Tried: j.tried, Turn: j.turn, Sought: j.sought, Waiting: j.waiting, Cleared: j.cleared, Writing: j.writing, Dirty: j.dirty, WroteAt: j.wroteAt,
 		Attempt: j.attempt, OrderRank: j.order.rank, OrderGuaranteed: j.order.guaranteed, OrderDue: j.order.due,
-		OrderPatient: j.order.patient, Rank: j.rank, Within: j.within, Per: j.per, Bulky: j.bulky}
+		OrderPatient: j.order.patient, OrderNear: j.order.near, Hurried: j.hurried, Rank: j.rank, Within: j.within, Per: j.per, Bulky: j.bulky}
 	if j.stored != nil {
 		s.Stored = j.stored.Words()
 	}
@@ -251,7 +255,7 @@
 	b := NewBook(opt, s.Token, teams, s.Types)
 	b.complete, b.split, b.fewParts, b.orderID = s.Complete, s.Split, s.FewParts, s.OrderID
 	b.attempts, b.saves, b.room, b.urgencies = s.Attempts, s.Saves, s.Room, s.Urgencies
-	b.rounds = s.Rounds
+	b.rounds, b.capacity, b.gathering = s.Rounds, s.Capacity, s.Gathering
 	b.kindsGen = 1 // above that of all jobs, which have no kinds yet
 	for _, o := range s.Owners {
 		b.owners[o.Kind] = o.Member
@@ -325,8 +329,8 @@
 	j := &Job{Spec: s.Spec, Accepted: s.Accepted, seen: s.Seen, Stamp: s.Stamp, Started: s.Started, Cancelled: s.Cancelled,
 		use: b.useOf(s.Spec.Team), finished: model.TaskSetOf(s.Finished), stored: model.TaskSetOf(s.Stored),
 		bound: model.NewTable[int, *Task](), next: s.Next, again: s.Again, retryAt: s.RetryAt, fails: s.Fails, empty: s.Empty,
-		tried: s.Tried, turn: s.Turn, sought: s.Sought, waiting: s.Waiting, cleared: s.Cleared, writing: s.Writing, dirty: s.Dirty, wroteAt: s.WroteAt,
-		attempt: s.Attempt, order: turn{s.OrderRank, s.OrderGuaranteed, s.OrderDue, s.OrderPatient}, rank: s.Rank,
+		tried: s.Tried, turn: s.Turn, sought: s.Sought, hurried: s.Hurried, waiting: s.Waiting, cleared: s.Cleared, writing: s.Writing, dirty: s.Dirty, wroteAt: s.WroteAt,
+		attempt: s.Attempt, order: turn{s.OrderNear, s.OrderRank, s.OrderGuaranteed, s.OrderDue, s.OrderPatient}, rank: s.Rank,
 		within: s.Within, per: s.Per, bulky: s.Bulky}
 	for _, name := range s.FailedOn {
 		if j.failedOn == nil {
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -35,6 +35,7 @@
 		TasksPerRound int           `sexp:"tasks-per-round"`
 		PreemptWait   time.Duration `sexp:"preempt-wait"`
 		ShortFirst    float64       `sexp:"short-first"`
+		BeginWithin   time.Duration `sexp:"begin-within"`
 		Unhurried     time.Duration `sexp:"unhurried"`
 		Spare         float64       `sexp:"spare"`
 		ReportWait    time.Duration `sexp:"report-wait"`
