precedence: standing room and shelter only while many jobs are pressed

Change: only while the jobs that have waited for long take more than a quarter of the time to gather.

--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -56,7 +56,7 @@
 	empty    int             // rounds without room in a row
 	tried    uint64
 	turn     uint64    // the last round in which it had a turn, or was known to find no room
-	hurried  bool      // it came to the front since its time to begin ran out
+	hurried  bool      // it came to the front since its time to begin ran out, while many did
 	sought   uint64    // the last round in which room to be made for it was looked for
 	kindSet  int       // number of the set of kinds
 	waiting  time.Time // since when it has had work without room
--- a/internal/placement/line.go
+++ b/internal/placement/line.go
@@ -109,7 +109,7 @@
 	if now.Sub(j.cleared) <= clearedFor {
 		return true // room is kept for it
 	}
-	v := view{kinds: j.kindSet, spot: j.Spec.Spot, rank: j.rank, near: !j.order.near.IsZero()}
+	v := view{kinds: j.kindSet, spot: j.Spec.Spot, rank: j.rank, near: j.hurried}
 	if b.classes.At(j.Spec.Class) != nil {
 		v.class = j.Spec.Class
 	}
@@ -215,9 +215,12 @@
 	return f
 }
 
-// hurryAll works out which of the jobs that wait are near (package precedence).
+// hurryAll works out which of the jobs that wait are near (package precedence). Where those that
+// have waited for long take more than a quarter of the time to gather, they may use standing room
+// and are not stopped: with less to do nearly all begin in time without that.
 func (b *Book) hurryAll(waiting []*Job, now time.Time) {
 	rule, others := b.rule(), time.Duration(0)
+	pressed := b.gathering > rule.Within/4
 	for _, j := range waiting {
 		j.order.near = time.Time{}
 		if now.Sub(j.Accepted) < rule.Within/4 || j.Suspect() {
@@ -228,7 +231,7 @@
 			others += f.Gather()
 		}
 		if since, near := rule.Near(f, now); near {
-			j.order.near, j.hurried = since, true
+			j.order.near, j.hurried = since, j.hurried || pressed
 		}
 	}
 	b.gathering = others
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -280,7 +280,7 @@
 				m.reserved.Drop(id)
 				b.room++ // see clear
 			}
-		case r.class != "" && !j.order.near.IsZero(): // standing room is for what may yet come
+		case r.class != "" && j.hurried: // standing room is for what may yet come
 		case id != j.Spec.ID && r.class != j.Spec.Class && r.rank >= j.rank:
 			kept = kept.Add(r.size)
 		}
