claims: a gang's machines are stored with its job before any piece is ordered

Cause: a leader that ended between the orders for a gang's pieces left the rest to nobody; the next one stopped what waited and began anew under another attempt.

Change: internal/claims, a ledger of which machine takes which piece, written as a part of the job's record before the first order and gone with the mark that it runs. The next leader goes on with the same attempt before its first round, gives lost pieces other machines, or takes all back within two thirds of gang_wait_s. What others gather (precedence) is measured on all machines, not on a team's limit.

--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -93,11 +93,17 @@
 // Active tells whether a claim still holds machines for pieces that do not all run.
 func (c *Claim) Active() bool { return c != nil && c.State < Running }
 
+// usualWait is how long pieces are taken to wait for the others where the settings do not say.
+const usualWait = 30 * time.Second
+
 // MayRepair tells whether lost pieces may still be replaced: a piece that waits for the others
 // gives up after gangWait, which it may have begun as early as the claim. Two thirds of that leave
 // time for an image.
 func (c *Claim) MayRepair(now time.Time, gangWait time.Duration) bool {
-	return c.Active() && (gangWait == 0 || now.Sub(c.Since) < gangWait*2/3)
+	if gangWait == 0 {
+		gangWait = usualWait
+	}
+	return c.Active() && now.Sub(c.Since) < gangWait*2/3
 }
 
 // Record is a claim as it is stored.
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -225,6 +225,9 @@
 					outcome = recordpb.SaveDone_OVER
 				}
 				t.core.SaveDone(t.n.world.Now(), s, outcome, out.Revision, fresh)
+				if s.Claim > 0 && t.round == nil {
+					t.handOver(t.n.world.Now()) // a round under way does it when it ends
+				}
 			})
 		})
 	}
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -100,6 +100,14 @@
 		t.n.log.Debug("placed", "tasks", placed)
 		t.beatSoon()
 	}
+	if placed > 0 {
+		t.save(now) // gangs wait for their claims
+	}
+	t.handOver(now)
+}
+
+// handOver sends orders to the controllers that have some and are not being waited for.
+func (t *term) handOver(now time.Time) {
 	for _, l := range t.n.links {
 		if !l.busy && !l.lost && len(t.core.Orders(l.member)) > 0 {
 			t.send(l, now, nil)
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -116,7 +116,7 @@
 		Placement: placement.Options{
 			Draws: op.Placement.Draws, ScanAfter: op.Placement.ScanAfter, TasksPerRound: op.Placement.TasksPerRound,
 			PreemptWait: op.Placement.PreemptWait, Aims: cfg.Aims, Horizon: op.Fleet.Horizon,
-			ShortFirst: op.Placement.ShortFirst, BeginWithin: op.Placement.BeginWithin,
+			ShortFirst: op.Placement.ShortFirst, BeginWithin: op.Placement.BeginWithin, ClaimPieces: claimPieces(cfg, op), GangWait: cfg.GangWait,
 			Unhurried: op.Placement.Unhurried, Standing: op.Placement.Standing, Spare: op.Placement.Spare,
 			PartTasks: model.PartTasks(max(256, cfg.WideValueBytes-2048)), SplitTasks: model.PartTasks(cfg.ValueBytes/2 - 128),
 		},
@@ -128,6 +128,15 @@
 	}
 }
 
+// claimPieces is the most pieces of a gang that is claimed: a machine's name takes some ten bytes of
+// the job's record, of which a claim may have half.
+func claimPieces(cfg *settings.Platform, op *settings.Operator) int {
+	if op.Placement.Claims == "no" {
+		return 0
+	}
+	return cfg.ValueBytes / 24
+}
+
 // greeted is how long a machine that is there may stay unheard of by a new leader: its worker
 // reports within a quarter more than the usual time, and may first try a controller that is
 // gone.
--- a/internal/explore/cmd/mutants.go
+++ b/internal/explore/cmd/mutants.go
@@ -46,6 +46,8 @@
 	{"a job is released when a needed one is not done", []edit{{"pipelines/graph.go", "case len(j.unmet) == 0 && j.state == Waiting:", "case j.state == Waiting:"}}},
 	{"what was read of a machine's record counts at once", []edit{{"hosts/hosts.go", "r.doubt = r.stamp == d.guard", "r.doubt = d == nil"}}},
 	{"changes of machines' records do not guard their stamps", []edit{{"controller/records.go", "txn.Guards = append(txn.Guards, store.Guard{Key: c.Key, Stamp: c.Guard})\n", ""}}},
+	{"a claim is passed over by the next leader", []edit{{"placement/round.go", "b.resume(now)", "b.strays()"}}},
+	{"a lost piece of a claim is not replaced", []edit{{"placement/preempt.go", "if b.tend(now, j) {", "if b.tend(now, j) || true {"}}},
 	{"a report that comes late counts as the newest", []edit{{"workers/desk.go", "} else if !m.older(r) {", "} else if false {"}}},
 	{"a report's number weighs more than its token", []edit{{"workers/late.go", "cmp.Or(cmp.Compare(m.shown, r.Token), ", "cmp.Or("}}},
 	{"what a worker that began anew says counts at once", []edit{{"workers/calls.go", "d.begunAnew(m)", "m.shown, m.session, m.seq = 0, 0, 0\n\t\t\td.takeReport(now, m, r)"}}},
--- a/internal/explore/machines.go
+++ b/internal/explore/machines.go
@@ -471,6 +471,9 @@
 	w.sim.After(gangWait, func() {
 		m.enter(func() {
 			if m.has(t) && t.state == model.TaskWaiting {
+				if m.world.plan.calm() {
+					m.world.sim.breaks("half_gang", "%s waits alone for %v, though nothing but controllers failed", model.TaskName(t.job.id, t.index), gangWait)
+				}
 				m.exit(t, model.CauseAlone)
 			}
 		})
--- a/internal/explore/plan.go
+++ b/internal/explore/plan.go
@@ -150,6 +150,17 @@
 	return out + 500*time.Millisecond
 }
 
+// calm tells that only controllers end in a schedule, for less than pieces of a gang wait for each
+// other: none may wait in vain then.
+func (p Plan) calm() bool {
+	for _, f := range p.Faults {
+		if f.Kind != "crash back" && f.Kind != "crash" && f.Kind != "cut node from nodes" || f.For > 2*time.Second {
+			return false
+		}
+	}
+	return len(p.Faults) <= 2
+}
+
 // answerWithin is how long after the last trouble each job must be known again to its user.
 const answerWithin = 75 * time.Second
 
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -100,7 +100,7 @@
 	w := n.world
 	n.process = w.sim.NewProcess(n.place.name)
 	cfg := &settings.Platform{Member: n.place.name, Zone: n.place.zone, Listen: "127.0.0.1:1", PeerListen: "127.0.0.1:1",
-		Teams: teams, ReportEvery: reportEvery, Lease: w.plan.Lease, CancelWait: w.plan.Cancel, StateRPS: 1000, StateWriteRPS: 1000,
+		Teams: teams, ReportEvery: reportEvery, Lease: w.plan.Lease, CancelWait: w.plan.Cancel, GangWait: gangWait, StateRPS: 1000, StateWriteRPS: 1000,
 		ValueBytes: 8192, WideValueBytes: 8192, TxnOps: 16, CloudRPS: 100, MemoryMB: 100, MaxConns: 1000}
 	for _, o := range w.nodes {
 		if o != n {
--- a/internal/model/table.go
+++ b/internal/model/table.go
@@ -89,6 +89,15 @@
 	}
 }
 
+// Values returns the values in the order of their keys; the caller must not change them.
+func (t *Table[K, V]) Values() []V {
+	out := make([]V, 0, t.Len())
+	for _, v := range t.All() {
+		out = append(out, v)
+	}
+	return out
+}
+
 // lay lays the table out in the order of its keys.
 func (t *Table[K, V]) lay() {
 	if t.laid == t.changes {
--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/marlwood/marlwood/internal/claims"
 	"github.com/marlwood/marlwood/internal/model"
 	"github.com/marlwood/marlwood/internal/peers/peerspb"
 )
@@ -22,6 +23,8 @@
 	Aims          map[string]model.Aim       // by class
 	Horizon       time.Duration              // within which an array of no class is to end its turns
 	ShortFirst    float64                    // how strongly short jobs go first within a team's limit
+	ClaimPieces   int                        // most pieces of a gang that is claimed before it is ordered; 0: none is
+	GangWait      time.Duration              // after which a piece gives up waiting for the others; 0: never
 	BeginWithin   time.Duration              // of its submission a job is to begin, or it comes to the front of the queue
 	Unhurried     time.Duration              // how long only spot machines are rented for long tasks of which nothing is asked
 	Standing      float64                    // how much of it, as a multiple of the arrivals during a boot
@@ -42,35 +45,37 @@
 	Started   bool
 	Cancelled bool
 
-	use      *teamUse     // what its team takes
-	kinds    []model.Kind // on which its tasks may run; see kindsFor
-	kindsGen uint64       // owners and types that kinds were made for
-	finished *model.TaskSet
-	stored   *model.TaskSet // what the state service has
-	bound    *model.Table[int, *Task]
-	next     int   // tasks from here on were never tried
-	again    []int // tasks to be tried again
-	retryAt  time.Time
-	fails    int             // how often its tasks failed since one was done; at once counts once
-	failedOn map[string]bool // machines on which they failed
-	empty    int             // rounds without room in a row
-	tried    uint64
-	turn     uint64    // the last round in which it had a turn, or was known to find no room
-	hurried  bool      // it came to the front since its time to begin ran out, while many did
-	sought   uint64    // the last round in which room to be made for it was looked for
-	kindSet  int       // number of the set of kinds
-	waiting  time.Time // since when it has had work without room
-	cleared  time.Time // when room was last made for it
-	writing  bool
-	wroteAt  time.Time
-	dirty    bool
-	attempt  uint64        // gang: the present attempt
-	order    turn          // in the queue that was made last
-	queued   uint64        // number of the last queue that it was in
-	rank     int           // its priority, or that of a job which needs it
-	within   time.Duration // of Accepted, when it is due; 0: never
-	per      int           // tasks whose marks one part holds, once marks are split
-	bulky    bool          // its description leaves no room for marks in its record
+	use       *teamUse     // what its team takes
+	kinds     []model.Kind // on which its tasks may run; see kindsFor
+	kindsGen  uint64       // owners and types that kinds were made for
+	finished  *model.TaskSet
+	stored    *model.TaskSet // what the state service has
+	bound     *model.Table[int, *Task]
+	next      int   // tasks from here on were never tried
+	again     []int // tasks to be tried again
+	retryAt   time.Time
+	fails     int             // how often its tasks failed since one was done; at once counts once
+	failedOn  map[string]bool // machines on which they failed
+	empty     int             // rounds without room in a row
+	tried     uint64
+	turn      uint64        // the last round in which it had a turn, or was known to find no room
+	claim     *claims.Claim // of a gang's present attempt; nil: there is none
+	unclaimed bool          // its claim is too large to be stored
+	hurried   bool          // it came to the front since its time to begin ran out, while many did
+	sought    uint64        // the last round in which room to be made for it was looked for
+	kindSet   int           // number of the set of kinds
+	waiting   time.Time     // since when it has had work without room
+	cleared   time.Time     // when room was last made for it
+	writing   bool
+	wroteAt   time.Time
+	dirty     bool
+	attempt   uint64        // gang: the present attempt
+	order     turn          // in the queue that was made last
+	queued    uint64        // number of the last queue that it was in
+	rank      int           // its priority, or that of a job which needs it
+	within    time.Duration // of Accepted, when it is due; 0: never
+	per       int           // tasks whose marks one part holds, once marks are split
+	bulky     bool          // its description leaves no room for marks in its record
 }
 
 // Finished counts the finished tasks.
@@ -89,6 +94,7 @@
 	opt       Options
 	token     uint64
 	complete  bool
+	resumed   bool // claims that an earlier leader stored were gone on with
 	types     map[string]model.MachineType
 	teams     map[string]model.Team
 	jobs      *model.Table[string, *Job]
--- /dev/null
+++ b/internal/placement/claimed_test.go
@@ -0,0 +1,133 @@
+package placement
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/claims"
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/peers/peerspb"
+)
+
+// gangBench has a gang of two that is placed on two of three machines, and its claim's save.
+func gangBench(t testing.TB) (bench, *Save) {
+	b := newBench(t)
+	b.opt.ClaimPieces, b.opt.GangWait = 100, 30*time.Second
+	b.job("g", func(j *model.Job) { j.Shape, j.Tasks, j.Size = model.Gang, 2, model.Size{CPUs: 3, MemoryGB: 2} })
+	for _, name := range []string{"m0", "m1", "m2"} {
+		b.machine(name, "small", "a")
+	}
+	if n := b.round(1); n != 2 || b.orders(peerspb.Op_OP_START) != 0 {
+		t.Fatalf("%d placed, %d ordered before the claim is stored", n, b.orders(peerspb.Op_OP_START))
+	}
+	saves := b.Saves(at(1), time.Second, 8)
+	if len(saves) != 1 || saves[0].Record.Claim == nil {
+		t.Fatalf("saves %+v", saves)
+	}
+	return b, saves[0]
+}
+
+// next is the book of the leader after it, which reads the record as it was stored and hears from
+// the machines what runs there.
+func (b bench) next(t testing.TB, s *Save, on map[string]*peerspb.Task, up ...string) bench {
+	n := newBench(t)
+	n.token, n.opt.ClaimPieces, n.opt.GangWait = 6, 100, 30*time.Second
+	v, err := json.Marshal(s.Record)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := n.PutJob(at(10), "g", v, 20, nil); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range up {
+		var tasks []*peerspb.Task
+		if on[name] != nil {
+			tasks = append(tasks, on[name])
+		}
+		n.machine(name, "small", "a", tasks...)
+	}
+	return n
+}
+
+// Pieces keep their machines from the moment they are chosen, go out when the claim is stored, and
+// the claim goes with the mark that the gang runs.
+func TestClaimStored(t *testing.T) {
+	b, s := gangBench(t)
+	g := b.jobs.At("g")
+	b.job("other", func(j *model.Job) { j.Tasks, j.Size = 9, model.Size{CPUs: 3, MemoryGB: 2} })
+	b.round(1.1)
+	if b.jobs.At("other").bound.Len() != 1 {
+		t.Errorf("%d others are where pieces are claimed", b.jobs.At("other").bound.Len()-1)
+	}
+	b.says(1.2, b.where("g", 0), "current", 99) // a report does not take back what was not ordered
+	b.Saved(s, false, 0)
+	if b.orders(peerspb.Op_OP_START) > 1 || g.bound.Len() != 2 {
+		t.Errorf("a claim that was not stored: %d ordered, %d bound", b.orders(peerspb.Op_OP_START), g.bound.Len())
+	}
+	s = b.Saves(at(1.3), time.Second, 8)[0]
+	b.Saved(s, true, 30)
+	if b.orders(peerspb.Op_OP_START) != 3 || g.claim.State != claims.Starting {
+		t.Errorf("stored: %d ordered, %v", b.orders(peerspb.Op_OP_START), g.claim.State)
+	}
+	for i := range 2 {
+		b.says(2, b.where("g", i), "current", 999, task("g", i, g.attempt, model.TaskRunning, ""))
+	}
+	if s = b.Saves(at(9), time.Second, 8)[0]; s.Record.Claim != nil || !s.Record.Started {
+		t.Errorf("it runs, and is stored as %+v", s.Record)
+	}
+}
+
+// Whatever became of the pieces, the next leader goes on with the same attempt, or takes all back.
+func TestClaimResumed(t *testing.T) {
+	b, s := gangBench(t)
+	first, second, attempt := b.where("g", 0), b.where("g", 1), b.jobs.At("g").attempt
+	spare := map[string]string{"m0m1": "m2", "m1m0": "m2", "m0m2": "m1", "m2m0": "m1", "m1m2": "m0", "m2m1": "m0"}[first+second]
+	waiting := map[string]*peerspb.Task{first: task("g", 0, attempt, model.TaskWaiting, "")}
+	for _, c := range []struct {
+		name  string
+		on    map[string]*peerspb.Task
+		up    []string
+		late  float64 // until it is looked after
+		where string  // of the second piece
+		stops int
+	}{
+		{"nothing was ordered", nil, []string{first, second, spare}, 0, second, 0},
+		{"one piece waits", waiting, []string{first, second, spare}, 0, second, 0},
+		{"the other's machine is gone", waiting, []string{first, spare}, 1, spare, 0},
+		{"there is no other machine in time", waiting, []string{first}, 25, "", 1},
+		{"a later attempt is there", map[string]*peerspb.Task{first: task("g", 0, 999, model.TaskWaiting, "")}, []string{first, second}, 1, "", 1},
+		{"its piece gave up", map[string]*peerspb.Task{first: task("g", 0, attempt, model.TaskExited, model.CauseAlone)}, []string{first, second}, 1, "", 0},
+	} {
+		n := b.next(t, s, c.on, c.up...)
+		n.Settle()
+		n.Place(at(10), nil)
+		g := n.jobs.At("g")
+		if c.late > 0 {
+			n.Mend(at(10 + c.late))
+			for _, again := range n.Saves(at(10+c.late), time.Second, 8) {
+				n.Saved(again, true, 31)
+			}
+		}
+		if got := n.where("g", 1); got != c.where || c.where != "" && (g.bound.At(1).attempt != attempt || g.bound.At(1).claimed) || n.orders(peerspb.Op_OP_STOP) != c.stops {
+			t.Errorf("%s: the second piece is on %q, %d stops, claim %v", c.name, got, n.orders(peerspb.Op_OP_STOP), g.claim.State)
+		}
+	}
+}
+
+// A gang that is cancelled, or must make room for a drain, lets go of what it claimed at once.
+func TestClaimGivenUp(t *testing.T) {
+	b, _ := gangBench(t)
+	b.Cancel("g")
+	if b.jobs.At("g") != nil || b.machines.At("m0").load.CPUs+b.machines.At("m1").load.CPUs+b.machines.At("m2").load.CPUs != 0 {
+		t.Error("a cancelled gang keeps its machines")
+	}
+	b, s := gangBench(t)
+	b.TooLarge(s)
+	if g := b.jobs.At("g"); g.bound.Len() != 0 {
+		t.Error("a claim that can't be stored keeps its machines")
+	}
+	if b.round(3); b.orders(peerspb.Op_OP_START) != 2 {
+		t.Error("a gang whose claim can't be stored is not started")
+	}
+}
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/marlwood/marlwood/internal/claims"
 	"github.com/marlwood/marlwood/internal/model"
 	"github.com/marlwood/marlwood/internal/peers/peerspb"
 )
@@ -18,6 +19,8 @@
 	Finished   string     `json:"finished,omitempty"`
 	Count      int        `json:"count,omitempty"`
 	Running    int        `json:"running,omitempty"` // as of this save, for display
+
+	Claim *claims.Record `json:"claim,omitempty"` // of a gang whose pieces do not all run; versions before 0.5 do not know it
 }
 
 // Final is how a job that is over is kept under done/<id>.
@@ -66,6 +69,14 @@
 			}
 		}
 	}
+	if r.Claim != nil && !r.Started {
+		claim, err := r.Claim.Restore(now)
+		if err != nil {
+			b.opt.Log.Error("claim", "job", id, "err", err) // it is placed like any other
+		} else if len(claim.Machines) == r.Job.Tasks {
+			j.claim = claim
+		}
+	}
 	j.hurry(b.urgencies[id])
 	j.dirty = j.finished.Len() == j.Spec.Tasks
 	if b.split {
@@ -125,6 +136,7 @@
 // forgotten, for nothing depends on their reports any more.
 func (b *Book) close(j *Job) {
 	j.Cancelled = true
+	b.giveUp(j, j.seen)
 	b.acquit(j)
 	for _, t := range j.bound.All() {
 		b.stopOne(t, 0)
--- a/internal/placement/line.go
+++ b/internal/placement/line.go
@@ -228,7 +228,11 @@
 		}
 		f := b.facts(j)
 		if rule.Long(f, now) {
-			others += f.Gather()
+			// Guard: what it takes of its team's limit is no measure of what it takes from others.
+			// With that, limits of a tenth of the cluster made every day look overloaded.
+			of := f
+			of.Capacity = b.capacity
+			others += of.Gather()
 		}
 		if since, near := rule.Near(f, now); near {
 			j.order.near, j.hurried = since, j.hurried || pressed
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -351,11 +351,20 @@
 	b.drain(now)
 }
 
-// Mend stops what is left of a gang that lost tasks while waiting, so that it
-// can start anew as a whole.
+// Mend looks after gangs' claims, and stops what is left of a gang that lost tasks while
+// waiting and can't be completed, so that it can start anew as a whole.
 func (b *Book) Mend(now time.Time) {
 	for _, j := range b.jobs.All() {
-		if j.Spec.Shape != model.Gang || j.Cancelled || j.bound.Len() == 0 || j.Unplaced() <= 0 {
+		if j.Spec.Shape != model.Gang || j.Cancelled || j.bound.Len() == 0 {
+			continue
+		}
+		if j.claim.Active() {
+			if b.tend(now, j) {
+				continue
+			}
+			b.giveUp(j, now)
+		}
+		if j.Unplaced() <= 0 {
 			continue
 		}
 		for _, t := range j.bound.All() {
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -376,6 +376,10 @@
 	for _, s := range samples {
 		byWant[s.Want] = append(byWant[s.Want], s)
 	}
+	if b.complete && !b.resumed {
+		b.resumed = true
+		b.resume(now)
+	}
 	total := 0
 	b.lacking = map[lack]bool{}
 	for _, p := range b.plan {
@@ -477,6 +481,10 @@
 		if b.betterCleared(now, j, tentative) {
 			return 0
 		}
+		if b.claimable(j, len(tentative)) {
+			b.claim(now, j, attempt, tentative)
+			return len(tentative)
+		}
 		for _, t := range tentative {
 			b.bind(t)
 			b.order(t)
--- a/internal/placement/saves.go
+++ b/internal/placement/saves.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/marlwood/marlwood/internal/claims"
 	"github.com/marlwood/marlwood/internal/model"
 )
 
@@ -16,6 +17,7 @@
 	Over   *Final            // the job is done: its record is replaced by this
 	Record *Record           // otherwise the record, if it is to be written
 	Parts  map[string]string // and marks beside it, by the names of their parts
+	Claim  int               // version of the gang's claim that the record holds; 0: none
 	snap   *model.TaskSet    // whose marks are stored by this
 }
 
@@ -74,8 +76,8 @@
 			continue
 		}
 		over := j.finished.Len() == j.Spec.Tasks
-		if !over && now.Sub(j.wroteAt) < pause {
-			continue
+		if !over && now.Sub(j.wroteAt) < pause && !(j.claim.Active() && j.claim.State == claims.Asked) {
+			continue // a gang waits for its claim
 		}
 		j.writing, j.wroteAt, j.dirty = true, now, false
 		b.saves++
@@ -127,6 +129,9 @@
 	s.snap.Union(j.finished, 0, to)
 	s.Record = &Record{Job: j.Spec, AcceptedMS: j.Accepted.UnixMilli(), Started: j.Started,
 		Finished: j.finished.Encode(0, to), Count: j.finished.Len(), Running: j.running()}
+	if j.claim.Active() {
+		s.Record.Claim, s.Claim = j.claim.Record(), j.claim.Version
+	}
 }
 
 // Saved takes in the outcome of a save. Only an answered success counts; a
@@ -150,6 +155,7 @@
 	}
 	j.stored.Union(s.snap, 0, j.Spec.Tasks)
 	b.settleJob(s.ID)
+	b.claimStored(j, s.Claim)
 }
 
 // TooLarge takes in that the state service refused a save as too large. It comes
@@ -160,6 +166,11 @@
 		return
 	}
 	j.writing = false
+	if s.Claim > 0 {
+		j.unclaimed, j.dirty = true, true
+		b.giveUp(j, j.wroteAt)
+		return
+	}
 	if !b.split {
 		j.dirty = true
 		b.Split()
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/marlwood/marlwood/internal/claims"
 	"github.com/marlwood/marlwood/internal/model"
 	"github.com/marlwood/marlwood/internal/peers/peerspb"
 )
@@ -14,7 +16,7 @@
 // form that can be stored. Its options are not part of it.
 type State struct {
 	Token                          uint64
-	Complete, Split                bool
+	Complete, Split, Resumed       bool
 	FewParts                       int
 	OrderID, Attempts, Saves, Room uint64
 	Rounds                         uint64
@@ -64,6 +66,8 @@
 	OrderPatient               bool
 	OrderNear                  time.Time
 	Hurried                    bool
+	Claim                      *claims.Claim
+	Unclaimed                  bool
 	Rank                       int
 	Within                     time.Duration
 	Per                        int
@@ -128,6 +132,7 @@
 	Stopping      bool
 	Grace         time.Duration
 	Told          uint64
+	Claimed       bool
 }
 
 // ClassState is what was seen of a class. Its last job may be over.
@@ -160,7 +165,7 @@
 
 // Export copies the book's state.
 func (b *Book) Export() (*State, error) {
-	s := &State{Token: b.token, Complete: b.complete, Split: b.split, FewParts: b.fewParts, OrderID: b.orderID,
+	s := &State{Token: b.token, Complete: b.complete, Resumed: b.resumed, Split: b.split, FewParts: b.fewParts, OrderID: b.orderID,
 		Attempts: b.attempts, Saves: b.saves, Room: b.room, Rounds: b.rounds, Capacity: b.capacity, Gathering: b.gathering, Types: b.types, Out: map[string][][]byte{}, Gone: b.gone,
 		Use: map[string]UseState{}, Urgencies: b.urgencies}
 	for k, m := range b.owners {
@@ -177,7 +182,7 @@
 		s.Machines = append(s.Machines, e)
 		for _, t := range m.tasks.All() {
 			s.Tasks = append(s.Tasks, TaskState{t.job.Spec.ID, t.index, t.attempt, m.Name, t.state, t.token, t.order, t.since,
-				t.bornAt, t.stopping, t.grace, t.told})
+				t.bornAt, t.stopping, t.grace, t.told, t.claimed})
 		}
 	}
 	for member, orders := range b.out {
@@ -216,7 +221,12 @@
 		Finished: j.finished.Words(), Next: j.next, Again: j.again, RetryAt: j.retryAt, Fails: j.fails, Empty: j.empty,
 		Tried: j.tried, Turn: j.turn, Sought: j.sought, Waiting: j.waiting, Cleared: j.cleared, Writing: j.writing, Dirty: j.dirty, WroteAt: j.wroteAt,
 		Attempt: j.attempt, OrderRank: j.order.rank, OrderGuaranteed: j.order.guaranteed, OrderDue: j.order.due,
-		OrderPatient: j.order.patient, OrderNear: j.order.near, Hurried: j.hurried, Rank: j.rank, Within: j.within, Per: j.per, Bulky: j.bulky}
+		OrderPatient: j.order.patient, OrderNear: j.order.near, Hurried: j.hurried, Unclaimed: j.unclaimed, Rank: j.rank, Within: j.within, Per: j.per, Bulky: j.bulky}
+	if j.claim != nil {
+		c := *j.claim
+		c.Machines = slices.Clone(c.Machines)
+		s.Claim = &c
+	}
 	if j.stored != nil {
 		s.Stored = j.stored.Words()
 	}
@@ -255,6 +265,7 @@
 	b := NewBook(opt, s.Token, teams, s.Types)
 	b.complete, b.split, b.fewParts, b.orderID = s.Complete, s.Split, s.FewParts, s.OrderID
 	b.attempts, b.saves, b.room, b.urgencies = s.Attempts, s.Saves, s.Room, s.Urgencies
+	b.resumed = s.Resumed
 	b.rounds, b.capacity, b.gathering = s.Rounds, s.Capacity, s.Gathering
 	b.kindsGen = 1 // above that of all jobs, which have no kinds yet
 	for _, o := range s.Owners {
@@ -288,7 +299,7 @@
 			return nil, fmt.Errorf("state: task %s/%d on %s: no such job or machine", e.Job, e.Index, e.Machine)
 		}
 		t := &Task{job: j, index: e.Index, attempt: e.Attempt, machine: m, state: e.State, token: e.Token, order: e.Order,
-			since: e.Since, bornAt: e.BornAt, stopping: e.Stopping, grace: e.Grace, told: e.Told}
+			since: e.Since, bornAt: e.BornAt, stopping: e.Stopping, grace: e.Grace, told: e.Told, claimed: e.Claimed}
 		j.bound.Put(t.index, t)
 		m.tasks.Put(taskKey{e.Job, e.Index}, t)
 	}
@@ -329,9 +340,13 @@
 	j := &Job{Spec: s.Spec, Accepted: s.Accepted, seen: s.Seen, Stamp: s.Stamp, Started: s.Started, Cancelled: s.Cancelled,
 		use: b.useOf(s.Spec.Team), finished: model.TaskSetOf(s.Finished), stored: model.TaskSetOf(s.Stored),
 		bound: model.NewTable[int, *Task](), next: s.Next, again: s.Again, retryAt: s.RetryAt, fails: s.Fails, empty: s.Empty,
-		tried: s.Tried, turn: s.Turn, sought: s.Sought, hurried: s.Hurried, waiting: s.Waiting, cleared: s.Cleared, writing: s.Writing, dirty: s.Dirty, wroteAt: s.WroteAt,
+		tried: s.Tried, turn: s.Turn, sought: s.Sought, hurried: s.Hurried, unclaimed: s.Unclaimed, waiting: s.Waiting, cleared: s.Cleared, writing: s.Writing, dirty: s.Dirty, wroteAt: s.WroteAt,
 		attempt: s.Attempt, order: turn{s.OrderNear, s.OrderRank, s.OrderGuaranteed, s.OrderDue, s.OrderPatient}, rank: s.Rank,
 		within: s.Within, per: s.Per, bulky: s.Bulky}
+	if s.Claim != nil {
+		c := *s.Claim
+		j.claim = &c
+	}
 	for _, name := range s.FailedOn {
 		if j.failedOn == nil {
 			j.failedOn = map[string]bool{}
--- a/internal/placement/tasks.go
+++ b/internal/placement/tasks.go
@@ -32,6 +32,7 @@
 	bornAt   time.Time // when it was bound
 	stopping bool
 	grace    time.Duration
+	claimed  bool   // a piece of a gang whose claim is not stored yet, or whose machine can't take it yet: it was not ordered
 	told     uint64 // token under which the stop was ordered last
 }
 
@@ -50,6 +51,7 @@
 	m, j := t.machine, t.job
 	t.unbind()
 	b.room++
+	j.pieceLost(t)
 	if m.tasks.Len() == 0 {
 		m.Idle = now
 	}
@@ -91,6 +93,9 @@
 		}
 		switch {
 		case state == model.TaskExited:
+			if j.claim != nil && j.claim.Attempt == r.Attempt {
+				b.giveUp(j, now) // of an attempt that an earlier leader began
+			}
 			if model.Cause(r.Cause) == model.CauseDone {
 				b.finish(j, key.index)
 			}
@@ -115,7 +120,7 @@
 		}
 		// Guard: a start that this report had no chance to show stays bound,
 		// for it may be on its way.
-		if t.token == b.token && t.state == model.TaskOrdered && !decided(t.order) {
+		if t.claimed || t.token == b.token && t.state == model.TaskOrdered && !decided(t.order) {
 			continue
 		}
 		b.release(t, now)
@@ -157,6 +162,7 @@
 	}
 	if j.Spec.Shape == model.Gang {
 		j.attempt = t.attempt
+		j.claimRuns()
 	}
 	if (j.Cancelled || j.finished.Has(t.index)) && !t.stopping {
 		t.stopping, t.grace, t.told = true, 0, 0
@@ -184,6 +190,10 @@
 }
 
 func (b *Book) stopOne(t *Task, grace time.Duration) {
+	if t.claimed {
+		b.giveUp(t.job, t.since) // it was not ordered yet
+		return
+	}
 	if t.stopping && t.grace <= grace && t.told == b.token {
 		return
 	}
@@ -212,6 +222,9 @@
 func (b *Book) exited(now time.Time, t *Task, r *peerspb.Task) {
 	j, m := t.job, t.machine
 	t.to(model.TaskExited, now)
+	if j.claim != nil && j.claim.Attempt == t.attempt {
+		b.giveUp(j, now)
+	}
 	switch model.Cause(r.Cause) {
 	case model.CauseDone:
 		b.finish(j, t.index)
--- a/internal/settings/platform.go
+++ b/internal/settings/platform.go
@@ -35,6 +35,7 @@
 	ReportEvery time.Duration
 	Lease       time.Duration
 	CancelWait  time.Duration
+	GangWait    time.Duration // after which a gang's piece gives up waiting for the others; 0: not given
 
 	// What the state service takes, and will take from some moment on: the
 	// tighter of both, for that moment comes without notice.
@@ -78,9 +79,10 @@
 			WithinS float64 `json:"within_s"`
 		} `json:"objectives"`
 		Workers struct {
-			ReportS float64 `json:"report_s"`
-			LeaseS  float64 `json:"lease_s"`
-			CancelS float64 `json:"cancel_s"`
+			ReportS   float64 `json:"report_s"`
+			LeaseS    float64 `json:"lease_s"`
+			CancelS   float64 `json:"cancel_s"`
+			GangWaitS float64 `json:"gang_wait_s"`
 		} `json:"workers"`
 		State struct {
 			stateLimits
@@ -185,9 +187,9 @@
 		Member: w.Member, Zone: w.Zone, Listen: w.Listen, PeerListen: w.PeerListen,
 		CloudAddr: w.Services.Cloud, StateAddr: w.Services.State, Teams: map[string]model.Team{}, Aims: map[string]model.Aim{},
 		ReportEvery: model.Seconds(w.Params.Workers.ReportS), Lease: model.Seconds(w.Params.Workers.LeaseS),
-		CancelWait: model.Seconds(w.Params.Workers.CancelS),
-		CloudRPS:   w.Params.Cloud.RPS,
-		MemoryMB:   w.Params.Limits.MemoryMB, MaxConns: w.Params.Limits.Sockets,
+		CancelWait: model.Seconds(w.Params.Workers.CancelS), GangWait: model.Seconds(w.Params.Workers.GangWaitS),
+		CloudRPS: w.Params.Cloud.RPS,
+		MemoryMB: w.Params.Limits.MemoryMB, MaxConns: w.Params.Limits.Sockets,
 	}
 	for _, f := range []struct{ name, v string }{{"member", p.Member}, {"location", p.Zone}} {
 		if f.v == "" {
