shares: what teams use is counted by leaders' own lines, folded into a total

Need: teams argue over who used what; a tally must survive a controller that dies in an update.

Change: internal/shares counts run, wait and repeated work by team, class and sort of machine, from the states that reports show; each leader writes a line of its own, the next folds it in one transaction a part. Columns in marlwood teams, a gauge on the page of metrics, ties by share; deploy/accounts.sexp, off by default.

A replayed gang whose piece is replaced is counted by its pieces.

--- a/cmd/marlwood/rows.go
+++ b/cmd/marlwood/rows.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"strconv"
 
 	"github.com/marlwood/marlwood/internal/operators"
@@ -144,12 +145,21 @@
 }
 
 func writeTeams(w io.Writer, rows []*operatorspb.Team) error {
+	head := []string{"TEAM", "CPUS/LIMIT", "GUARANTEED", "GPUS/LIMIT", "GUARANTEED", "JOBS", "PLACED", "UNPLACED"}
+	kept := slices.ContainsFunc(rows, func(r *operatorspb.Team) bool { return r.RunCpuH+r.WaitCpuH > 0 })
+	if kept {
+		head = append(head, "CPU-H RUN", "WAITED", "REPEATED")
+	}
 	var cells [][]string
 	for _, r := range rows {
-		cells = append(cells, []string{cut(r.Name, 24), share(r.Cpus, r.LimitCpus), fmt.Sprintf("%g", r.GuaranteedCpus), share(r.Gpus, r.LimitGpus),
-			fmt.Sprintf("%g", r.GuaranteedGpus), strconv.Itoa(int(r.Jobs)), strconv.Itoa(int(r.Placed)), strconv.Itoa(int(r.Unplaced))})
+		row := []string{cut(r.Name, 24), share(r.Cpus, r.LimitCpus), fmt.Sprintf("%g", r.GuaranteedCpus), share(r.Gpus, r.LimitGpus),
+			fmt.Sprintf("%g", r.GuaranteedGpus), strconv.Itoa(int(r.Jobs)), strconv.Itoa(int(r.Placed)), strconv.Itoa(int(r.Unplaced))}
+		if kept {
+			row = append(row, fmt.Sprintf("%.2f", r.RunCpuH), fmt.Sprintf("%.2f", r.WaitCpuH), fmt.Sprintf("%.2f", r.LostCpuH))
+		}
+		cells = append(cells, row)
 	}
-	return table(w, []string{"TEAM", "CPUS/LIMIT", "GUARANTEED", "GPUS/LIMIT", "GUARANTEED", "JOBS", "PLACED", "UNPLACED"}, cells)
+	return table(w, head, cells)
 }
 
 type statusCmd struct {
--- /dev/null
+++ b/deploy/accounts.sexp
@@ -0,0 +1,3 @@
+;; What teams use is counted and stored; docs/operators/shares.md.
+(marlwood
+  (accounts (keep "yes")))
--- /dev/null
+++ b/internal/controller/accounts.go
@@ -0,0 +1,140 @@
+package controller
+
+import (
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/operators/operatorspb"
+	"github.com/marlwood/marlwood/internal/shares"
+	"github.com/marlwood/marlwood/internal/store"
+)
+
+// accountBytes bounds what one transaction writes of the accounts: it is all of a part each time.
+const accountBytes = 48 << 10
+
+// loadMark reads when what teams used was last written. Without it nothing is counted for the time
+// between leaders.
+func (t *term) loadMark() []byte {
+	it, err := t.n.store.Get(t.ctx, shares.MarkKey)
+	if err != nil {
+		if !errors.Is(err, store.ErrNotFound) {
+			t.n.log.Warn("usage mark", "err", err)
+		}
+		return nil
+	}
+	return it.Value
+}
+
+// keepAccounts writes what teams have used, one transaction at a time. Submissions and marks have
+// budgets of their own or go first: a flush that finds none waits, and the next one holds all of it.
+func (t *term) keepAccounts(now time.Time) {
+	if t.n.now.Accounts.Keep != "yes" || !t.core.Complete() || now.Before(t.nextFlush) ||
+		t.accounts != nil && t.accounts.Phase() == shares.Writing {
+		return
+	}
+	ledger, mark := t.core.Usage(now)
+	if ledger == nil {
+		return
+	}
+	if t.accounts == nil {
+		t.accounts = shares.NewAccounts(t.token, ledger)
+	}
+	switch t.accounts.Phase() {
+	case shares.Loading:
+		t.nextFlush = now.Add(time.Second)
+		t.n.world.Go(t.readAccounts)
+	case shares.Idle:
+		t.nextFlush = now.Add(t.n.now.Accounts.Flush)
+		changes, err := t.accounts.Next(max(2, min(t.n.cfg.TxnOps-1, accountBytes/t.n.cfg.ValueBytes)), t.n.cfg.ValueBytes)
+		if err != nil {
+			t.n.log.Error("accounts", "err", err)
+		}
+		if len(changes) > 0 {
+			t.writeAccounts(changes, mark)
+		}
+		if t.accounts.Behind() {
+			t.nextFlush = now.Add(time.Second)
+		}
+	}
+	if debug := t.n.log.Enabled(t.ctx, slog.LevelDebug); debug || t.n.metrics != nil {
+		rows := t.accounts.Rows()
+		t.n.metrics.Usage(rows)
+		if debug {
+			t.tellUsage(rows)
+		}
+	}
+}
+
+// tellUsage logs what all teams have used.
+func (t *term) tellUsage(rows []shares.Row) {
+	var sums [3]float64
+	for _, r := range rows {
+		for k := range sums {
+			sums[k] += r.Sums[k].CPUSeconds()
+		}
+	}
+	t.n.log.Debug("accounts", "run_cpu_s", sums[shares.Run], "wait_cpu_s", sums[shares.Wait], "lost_cpu_s", sums[shares.Lost])
+}
+
+func (t *term) readAccounts() {
+	items, _, err := t.n.store.List(t.ctx, shares.Prefix)
+	t.n.post(func() {
+		if err != nil || t.ctx.Err() != nil || t.accounts.Phase() != shares.Loading {
+			return
+		}
+		all := make([]shares.Item, 0, len(items))
+		for _, it := range items {
+			all = append(all, shares.Item{Key: it.Key, Value: it.Value, Stamp: it.Stamp})
+		}
+		if err := t.accounts.Load(all); err != nil { // another version's, or damaged: left as it is
+			t.n.log.Error("accounts are not written", "err", err)
+			t.nextFlush = t.n.world.Now().Add(time.Minute)
+		}
+	})
+}
+
+func (t *term) writeAccounts(changes []shares.Change, mark shares.Mark) {
+	txn := t.txn(store.Put(shares.MarkKey, mark))
+	for _, c := range changes {
+		w := store.Del(c.Key)
+		if c.Value != nil {
+			w = store.Put(c.Key, c.Value)
+		}
+		txn.Guards = append(txn.Guards, store.Guard{Key: c.Key, Stamp: c.Stamp})
+		txn.Writes = append(txn.Writes, w)
+	}
+	t.n.world.Go(func() {
+		out, err := t.do(txn)
+		t.n.post(func() {
+			switch {
+			case t.ctx.Err() != nil:
+			case err == nil && out.OK():
+				t.accounts.Done(out.Revision)
+			default:
+				t.n.log.Debug("accounts are read again", "err", err, "failed", out.Failed)
+				t.accounts.Failed()
+				t.nextFlush = t.n.world.Now().Add(time.Second)
+			}
+		})
+	})
+}
+
+// addUsage adds to the rows of teams what they have used since accounts are kept.
+func (t *term) addUsage(rows []*operatorspb.Team) {
+	if t.accounts == nil {
+		return
+	}
+	const hour = 3600
+	by := map[string]*operatorspb.Team{}
+	for _, r := range rows {
+		by[r.Name] = r
+	}
+	for _, r := range t.accounts.Rows() {
+		if team := by[r.Team]; team != nil {
+			team.RunCpuH += r.Sums[shares.Run].CPUSeconds() / hour
+			team.WaitCpuH += r.Sums[shares.Wait].CPUSeconds() / hour
+			team.LostCpuH += r.Sums[shares.Lost].CPUSeconds() / hour
+		}
+	}
+}
--- a/internal/controller/known_test.go
+++ b/internal/controller/known_test.go
@@ -25,7 +25,7 @@
 func TestEveryJobIsKnown(t *testing.T) {
 	const jobs, askers = 5000, 96
 	var link *standin.Link
-	s := newSite(t, func(i int, cfg *settings.Platform) {
+	s := newSite(t, func(i int, cfg *settings.Platform, _ *settings.Operator) {
 		cfg.Teams["small"] = model.Team{Name: "small", Limit: model.Size{CPUs: 2}}
 		if i == 2 {
 			l, err := standin.NewLink("127.0.0.1:0", cfg.StateAddr)
--- a/internal/controller/links_test.go
+++ b/internal/controller/links_test.go
@@ -251,7 +251,7 @@
 		w := store.Put(hosts.SinglePrefix+name, hosts.Host{Kind: model.Kind{Type: "big", Zone: "a"}, Addr: "x:1"})
 		records = append(records, store.Item{Key: w.Set, Value: w.Value, Stamp: 3})
 	}
-	tm.core.Load(now, records, nil, nil, nil, nil)
+	tm.core.Load(now, records, nil, nil, nil, nil, nil)
 	list := []fleet.Listed{{Name: "m1", Kind: model.Kind{Type: "big", Zone: "a"}, Age: time.Minute}}
 	after := greeted(tm.n.cfg)
 	if missing := tm.core.Listed(now.Add(after/2), list); len(missing) > 0 {
@@ -264,7 +264,7 @@
 	// than the leadership began.
 	tm = newTerm(tm.n, 10, now)
 	tm.loaded, tm.hosts = true, hosts.New(hosts.Options{Ops: 4, ValueBytes: 1024, TxnBytes: 4096}, 10)
-	tm.core.Load(now.Add(200*time.Millisecond), records, nil, nil, nil, nil)
+	tm.core.Load(now.Add(200*time.Millisecond), records, nil, nil, nil, nil, nil)
 	tm.assign(now.Add(700 * time.Millisecond))
 	tm.listed, tm.nextFleet, tm.nextBeat, tm.cloudBusy = list, now.Add(time.Hour), now.Add(time.Hour), true
 	for d := 700 * time.Millisecond; tm.listed != nil; d += tick {
--- a/internal/controller/node_test.go
+++ b/internal/controller/node_test.go
@@ -45,7 +45,7 @@
 	down  map[int]bool // that were stopped
 }
 
-func newSite(t *testing.T, change ...func(i int, cfg *settings.Platform)) *site {
+func newSite(t *testing.T, change ...func(i int, cfg *settings.Platform, op *settings.Operator)) *site {
 	op, err := settings.LoadOperator("")
 	if err != nil {
 		t.Fatal(err)
@@ -83,7 +83,7 @@
 			}
 		}
 		for _, f := range change {
-			f(i, cfg)
+			f(i, cfg, op)
 		}
 		n, err := New(cfg, op, slog.New(slog.NewTextHandler(io.Discard, nil)))
 		if err != nil {
--- a/internal/controller/operators.go
+++ b/internal/controller/operators.go
@@ -91,7 +91,9 @@
 		rows, more := t.core.NodeRows(now, q.Nodes.After)
 		reply(&operatorspb.Reply{What: &operatorspb.Reply_Nodes{Nodes: &operatorspb.NodesResponse{Rows: rows, More: more}}}, nil)
 	case *operatorspb.Request_Teams:
-		reply(&operatorspb.Reply{What: &operatorspb.Reply_Teams{Teams: &operatorspb.TeamsResponse{Rows: t.core.TeamRows()}}}, nil)
+		rows := t.core.TeamRows()
+		t.addUsage(rows)
+		reply(&operatorspb.Reply{What: &operatorspb.Reply_Teams{Teams: &operatorspb.TeamsResponse{Rows: rows}}}, nil)
 	case *operatorspb.Request_Explain:
 		t.explain(now, q.Explain.Job, reply)
 	case *operatorspb.Request_Blockers:
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -41,9 +41,13 @@
 			t.n.world.Sleep(t.ctx, 300*time.Millisecond)
 			continue
 		}
+		var mark []byte
+		if n.now.Accounts.Keep == "yes" {
+			mark = t.loadMark()
+		}
 		n.post(func() {
 			if t.ctx.Err() == nil {
-				t.take(machines, charters, jobs, parts, ops, rev)
+				t.take(machines, charters, jobs, parts, ops, mark, rev)
 				t.viewed(asked)
 			}
 		})
@@ -82,7 +86,7 @@
 	return out
 }
 
-func (t *term) take(machines, charters, jobs, parts, ops []store.Item, rev uint64) {
+func (t *term) take(machines, charters, jobs, parts, ops []store.Item, mark []byte, rev uint64) {
 	now := t.n.world.Now()
 	var drains []store.Item
 	for _, it := range ops {
@@ -94,7 +98,7 @@
 			t.n.adopt(it)
 		}
 	}
-	t.core.Load(now, machines, charters, jobs, parts, drains)
+	t.core.Load(now, machines, charters, jobs, parts, drains, mark)
 	t.loaded, t.revision = true, rev
 	t.assignFirst(now)
 	t.nextBeat = now
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -13,6 +13,7 @@
 	"github.com/marlwood/marlwood/internal/peers/peerspb"
 	"github.com/marlwood/marlwood/internal/placement"
 	"github.com/marlwood/marlwood/internal/settings"
+	"github.com/marlwood/marlwood/internal/shares"
 	"github.com/marlwood/marlwood/internal/store"
 )
 
@@ -48,6 +49,8 @@
 	cloudBusy   bool
 	cloudJobs   []func()
 	hosts       *hosts.Ledger
+	accounts    *shares.Accounts // nil: none are kept
+	nextFlush   time.Time
 	expiring    map[string]uint64     // stamps by which the core knows records that are to go
 	drains      map[string]store.Item // records of drains, by key
 	settling    []settlingDrain
@@ -116,7 +119,7 @@
 		Placement: placement.Options{
 			Draws: op.Placement.Draws, ScanAfter: op.Placement.ScanAfter, TasksPerRound: op.Placement.TasksPerRound,
 			PreemptWait: op.Placement.PreemptWait, Aims: cfg.Aims, Horizon: op.Fleet.Horizon,
-			ShortFirst: op.Placement.ShortFirst, BeginWithin: op.Placement.BeginWithin, ClaimPieces: claimPieces(cfg, op), GangWait: cfg.GangWait,
+			ShortFirst: op.Placement.ShortFirst, BeginWithin: op.Placement.BeginWithin, ClaimPieces: claimPieces(cfg, op), Accounts: op.Accounts.Keep == "yes", Flush: op.Accounts.Flush, FairTies: op.Accounts.Ties == "share", ClockOff: cfg.ClockOff, GangWait: cfg.GangWait,
 			Unhurried: op.Placement.Unhurried, Standing: op.Placement.Standing, Spare: op.Placement.Spare,
 			PartTasks: model.PartTasks(max(256, cfg.WideValueBytes-2048)), SplitTasks: model.PartTasks(cfg.ValueBytes/2 - 128),
 		},
@@ -292,6 +295,7 @@
 	t.save(now)
 	t.runGraph(now)
 	t.saveHosts(now)
+	t.keepAccounts(now)
 	if !now.Before(t.nextFleet) {
 		t.nextFleet = now.Add(t.n.now.Fleet.Tick)
 		t.runFleet(now)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -26,6 +26,7 @@
 	"github.com/marlwood/marlwood/internal/record"
 	"github.com/marlwood/marlwood/internal/record/recordpb"
 	"github.com/marlwood/marlwood/internal/settings"
+	"github.com/marlwood/marlwood/internal/shares"
 )
 
 // Version is the form of states and events that this program writes. It reads the
@@ -134,6 +135,8 @@
 	moves   []pipelines.Action
 	actions []fleet.Action
 	summary placement.Summary
+	usage   *shares.Ledger
+	mark    shares.Mark
 }
 
 // step takes an event in, and tells the recording of it.
@@ -309,6 +312,8 @@
 		if x.Moved.Gone {
 			c.graph.Gone(x.Moved.Job)
 		}
+	case *recordpb.Event_Usage:
+		out.usage, out.mark = c.book.Usage(now), c.book.UsageMark(now)
 	case *recordpb.Event_Summary:
 		out.summary = c.book.Summary(now)
 	}
@@ -374,6 +379,7 @@
 		c.putJob(now, it, marks)
 	}
 	c.applyDrains(now, e.Drains)
+	c.book.LoadUsage(e.Usage)
 }
 
 // applyConfig goes on with other settings.
@@ -456,6 +462,7 @@
 		c.book.Split()
 	}
 	c.book.Acknowledged(e.Member, e.Applied)
+	c.book.Heard(e.Member, now)
 	for _, m := range e.Machines {
 		c.fleet.Up(m.Name)
 		c.book.Machine(now, e.Member, m, e.Applied, e.Trusted)
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -10,6 +10,7 @@
 	"github.com/marlwood/marlwood/internal/pipelines"
 	"github.com/marlwood/marlwood/internal/placement"
 	"github.com/marlwood/marlwood/internal/record/recordpb"
+	"github.com/marlwood/marlwood/internal/shares"
 	"github.com/marlwood/marlwood/internal/store"
 )
 
@@ -49,11 +50,12 @@
 	return out
 }
 
-// Load takes in all that an earlier leader left; hosts are records of single machines.
-func (c *Core) Load(now time.Time, hosts, charters, jobs, parts, drains []store.Item) {
+// Load takes in all that an earlier leader left; hosts are records of single machines, usage is the
+// mark of what teams used, if it is kept.
+func (c *Core) Load(now time.Time, hosts, charters, jobs, parts, drains []store.Item, usage []byte) {
 	e := c.event(now)
 	e.What = &recordpb.Event_Loaded{Loaded: &recordpb.Loaded{Hosts: items(hosts), Charters: items(charters), Jobs: items(jobs),
-		Parts: items(parts), Drains: items(drains)}}
+		Parts: items(parts), Drains: items(drains), Usage: usage}}
 	c.step(e)
 }
 
@@ -241,6 +243,15 @@
 	c.step(e)
 }
 
+// Usage counts what teams have used until now; nil while it is not kept. The ledger is the core's:
+// it may be read, and told what was written of it.
+func (c *Core) Usage(now time.Time) (*shares.Ledger, shares.Mark) {
+	e := c.event(now)
+	e.What = &recordpb.Event_Usage{Usage: &recordpb.Usage{}}
+	out := c.step(e)
+	return out.usage, out.mark
+}
+
 // Summary counts what there is.
 func (c *Core) Summary(now time.Time) placement.Summary {
 	e := c.event(now)
--- /dev/null
+++ b/internal/explore/accounts.go
@@ -0,0 +1,44 @@
+package explore
+
+import (
+	"time"
+
+	"github.com/marlwood/marlwood/internal/shares"
+)
+
+// counted sums what the state service holds of each team's use, and of its work that is repeated.
+func (w *world) counted() (run map[string]time.Duration, err error) {
+	run = map[string]time.Duration{}
+	items, _ := w.store.List(shares.Prefix)
+	for _, it := range items {
+		rows, err := shares.Decode(it.Value)
+		if err != nil {
+			return nil, err
+		}
+		for _, r := range rows {
+			run[r.Team] += time.Duration(r.Sums[shares.Run].CPU) * time.Microsecond // thousandths of a CPU times milliseconds
+		}
+	}
+	return run, nil
+}
+
+// countAgain checks that nothing was counted twice: what a team's tasks ran, and for each what a
+// leader may see late of its end (a lease and a report), is never exceeded.
+func (w *world) countAgain() {
+	for _, m := range w.cloud.machines {
+		for _, t := range m.tasks {
+			m.off(t)
+		}
+	}
+	run, err := w.counted()
+	if err != nil {
+		w.sim.breaks("counted_twice", "%v", err)
+		return
+	}
+	late := w.plan.Lease + 2*reportEvery + 3*time.Second
+	for team, counted := range run {
+		if most := w.used[team] + time.Duration(2*w.attempts[team])*late; counted > most { // each takes two CPUs
+			w.sim.breaks("counted_twice", "team %s used %v of CPU time in %d tasks, %v are counted", team, w.used[team], w.attempts[team], counted)
+		}
+	}
+}
--- a/internal/explore/machines.go
+++ b/internal/explore/machines.go
@@ -144,7 +144,8 @@
 	attempt uint64
 	state   model.TaskState
 	cause   model.Cause
-	on      bool // has its image and has not ended: it is on its machine
+	ranAt   time.Duration // since when it runs; 0: it does not
+	on      bool          // has its image and has not ended: it is on its machine
 }
 
 func newWorker(w *world, name string, kind model.Kind, spot bool) *worker {
@@ -481,7 +482,8 @@
 }
 
 func (m *worker) run(t *copyOf) {
-	t.state = model.TaskRunning
+	t.state, t.ranAt = model.TaskRunning, m.world.sim.Now()
+	m.world.attempts[t.job.spec.Team]++
 	m.kick()
 	if t.job.spec.Shape == model.Service {
 		return
@@ -533,6 +535,10 @@
 	}
 	t.on = false
 	w := m.world
+	if t.ranAt > 0 {
+		w.used[t.job.spec.Team] += time.Duration(float64(w.sim.Now()-t.ranAt) * t.job.spec.Size.CPUs)
+		t.ranAt = 0
+	}
 	w.left(m, t)
 	if t.job.spec.Shape != model.Gang || t.cause == model.CauseDone {
 		return
--- a/internal/explore/plan.go
+++ b/internal/explore/plan.go
@@ -23,6 +23,7 @@
 	Jobs     []Submission
 	Faults   []Fault
 	Drains   []Draining
+	Accounts bool // what teams use is kept
 }
 
 // Submission is a user's job.
@@ -120,6 +121,7 @@
 	if rapid.IntRange(0, 1).Draw(t, "later") == 1 { // drawn after that
 		p.Faults = append(p.Faults, drawLater(t)...)
 	}
+	p.Accounts = rapid.IntRange(0, 2).Draw(t, "accounts") == 2
 	return p
 })
 
@@ -232,6 +234,9 @@
 		out.Events++
 		out.Trace = (out.Trace ^ uint64(w.sim.Now())) * 1099511628211
 	}
+	if p.Accounts && w.sim.broken == "" {
+		w.countAgain()
+	}
 	out.Broken, out.Starts = w.sim.broken, w.starts
 	return out
 }
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -43,11 +43,13 @@
 	op       *settings.Operator
 	starts   int
 	level    slog.Level
-	tap      func() core.Tap // nil: nothing is recorded
-	drained  map[string]bool // what an operator was told is drained: machines, and zones after "zone "
-	operated map[string]bool // names that an operator has drained
-	copies   time.Duration   // until then reports are delivered once more, later
-	old      time.Duration   // until then the first controller reads an earlier form of records
+	tap      func() core.Tap          // nil: nothing is recorded
+	drained  map[string]bool          // what an operator was told is drained: machines, and zones after "zone "
+	operated map[string]bool          // names that an operator has drained
+	used     map[string]time.Duration // by team: CPU time that its tasks have run
+	attempts map[string]int           // by team: tasks that have run
+	copies   time.Duration            // until then reports are delivered once more, later
+	old      time.Duration            // until then the first controller reads an earlier form of records
 }
 
 // node is a member, through all its processes.
@@ -80,6 +82,12 @@
 	s := &sim{Sim: virtual.New(p.Seed), story: story}
 	w := &world{sim: s, plan: p, net: &network{sim: s}, store: virtual.NewStore(s.Sim, 16), storeAt: &place{name: "store", role: storeRole}, jobs: map[string]*job{}, drained: map[string]bool{}, operated: map[string]bool{}, op: op, level: level, tap: tap,
 		place: &place{name: "users", role: userRole}}
+	w.used, w.attempts = map[string]time.Duration{}, map[string]int{}
+	if p.Accounts {
+		kept := *op
+		kept.Accounts.Keep, kept.Accounts.Flush = "yes", 2*time.Second
+		w.op = &kept
+	}
 	w.store.Lost = func(key string) { s.tell("the key %s goes with its hold", key) }
 	w.cloud = &cloud{world: w, place: &place{name: "cloud", role: cloudRole}, charters: map[string][]string{}}
 	w.users = s.NewProcess("users")
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -8,12 +8,14 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/common/expfmt"
 
 	"github.com/marlwood/marlwood/internal/httpwire"
+	"github.com/marlwood/marlwood/internal/shares"
 	"github.com/marlwood/marlwood/internal/sockets"
 )
 
@@ -37,6 +39,7 @@
 	takeover prometheus.Histogram
 	unused   prometheus.Counter
 	loops    prometheus.Counter
+	usage    *prometheus.GaugeVec
 }
 
 // seconds are the buckets of durations: 0.1 ms to 26 s.
@@ -59,7 +62,9 @@
 	}
 	s.unused = counter("machines_returned_unused_total", "Idle machines returned on which no task was ever seen.")
 	s.loops = counter("rent_loops_total", "Rentals of a kind of which several machines had just been returned unused.")
-	s.registry.MustRegister(s.unused, s.loops, s.loop, s.rounds, s.reports, s.store, s.takeover, &socketUse{use: use,
+	s.usage = prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: "marlwood", Name: "team_cpu_seconds", ConstLabels: labels,
+		Help: "CPU seconds that teams have used since accounts are kept, as this controller knew when it led last."}, []string{"team", "class", "spot", "kind"})
+	s.registry.MustRegister(s.usage, s.unused, s.loops, s.loop, s.rounds, s.reports, s.store, s.takeover, &socketUse{use: use,
 		open: prometheus.NewDesc("marlwood_sockets", "Accepted connections by duty.", []string{"duty"}, labels),
 		peak: prometheus.NewDesc("marlwood_sockets_peak", "Most accepted connections at once by duty.", []string{"duty"}, labels),
 		shut: prometheus.NewDesc("marlwood_sockets_closed_total", "Connections closed to keep within the limits, by how.", []string{"how"}, labels)})
@@ -131,6 +136,18 @@
 	}
 }
 
+// Usage takes in what teams have used. A sum never goes back on one controller.
+func (s *Set) Usage(rows []shares.Row) {
+	if s == nil {
+		return
+	}
+	for _, r := range rows {
+		for kind, name := range map[shares.Kind]string{shares.Run: "run", shares.Wait: "wait", shares.Lost: "lost"} {
+			s.usage.WithLabelValues(r.Team, r.Class, strconv.FormatBool(r.Spot), name).Set(r.Sums[kind].CPUSeconds())
+		}
+	}
+}
+
 // Page is the text that GET /metrics is answered with.
 func (s *Set) Page() ([]byte, error) {
 	families, err := s.registry.Gather()
--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -12,6 +12,7 @@
 	"github.com/marlwood/marlwood/internal/claims"
 	"github.com/marlwood/marlwood/internal/model"
 	"github.com/marlwood/marlwood/internal/peers/peerspb"
+	"github.com/marlwood/marlwood/internal/shares"
 )
 
 // Options are the book's bounds.
@@ -25,6 +26,10 @@
 	ShortFirst    float64                    // how strongly short jobs go first within a team's limit
 	ClaimPieces   int                        // most pieces of a gang that is claimed before it is ordered; 0: none is
 	GangWait      time.Duration              // after which a piece gives up waiting for the others; 0: never
+	Accounts      bool                       // what teams use is counted
+	Flush         time.Duration              // between two times that all use is counted
+	FairTies      bool                       // of equal jobs those of the team come first that had least of its share lately
+	ClockOff      time.Duration              // most that a controller's time of day is off
 	BeginWithin   time.Duration              // of its submission a job is to begin, or it comes to the front of the queue
 	Unhurried     time.Duration              // how long only spot machines are rented for long tasks of which nothing is asked
 	Standing      float64                    // how much of it, as a multiple of the arrivals during a boot
@@ -93,6 +98,9 @@
 type Book struct {
 	opt       Options
 	token     uint64
+	usage     *shares.Ledger       // what teams used since the term began; nil: it is not kept
+	heard     map[string]time.Time // by member: its last answer
+	mark      shares.Mark          // of the leader before
 	complete  bool
 	resumed   bool // claims that an earlier leader stored were gone on with
 	types     map[string]model.MachineType
@@ -140,16 +148,20 @@
 	if opt.Rand == nil {
 		opt.Rand = rand.New(rand.NewPCG(token, 0))
 	}
-	return &Book{opt: opt, token: token, teams: teams, types: types, jobs: model.NewTable[string, *Job](),
+	b := &Book{opt: opt, token: token, teams: teams, types: types, jobs: model.NewTable[string, *Job](),
 		machines: model.NewTable[string, *Machine](), aside: map[string]*Machine{}, wandering: map[string]*Machine{}, ofKind: map[model.Kind]int{}, owners: map[model.Kind]string{}, out: map[string][]*peerspb.Order{},
 		gone: map[string]time.Time{}, classes: model.NewTable[string, *class](), holders: map[string]*model.Table[string, *Machine]{},
 		use: map[string]*teamUse{}, ended: map[string]*model.Table[string, *Machine]{}, drains: model.NewTable[string, *Drain]()}
+	b.heard = map[string]time.Time{}
+	b.keepUsage()
+	return b
 }
 
 // SetOptions goes on with other bounds.
 func (b *Book) SetOptions(opt Options) {
 	opt.Rand, opt.Log, opt.Gave = b.opt.Rand, b.opt.Log, b.opt.Gave
 	b.opt = opt
+	b.keepUsage()
 	b.room++
 }
 
@@ -211,6 +223,9 @@
 // Orders returns the orders for a member that it has not acknowledged.
 func (b *Book) Orders(member string) []*peerspb.Order { return b.out[member] }
 
+// Heard takes in that a member has answered.
+func (b *Book) Heard(member string, now time.Time) { b.heard[member] = now }
+
 // Acknowledged drops the orders that a member has taken in.
 func (b *Book) Acknowledged(member string, applied uint64) {
 	q := b.out[member]
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -65,6 +65,7 @@
 		j.order = turn{
 			rank:       j.turnRank(),
 			guaranteed: rank(j.use.team.WithinGuarantee(j.use.size.Add(j.Spec.Size))),
+			served:     b.leastServed(j, now),
 			due:        b.due(j, now, !j.use.team.WithinLimit(j.use.wanted)),
 			patient:    b.patient(j, now),
 		}
@@ -72,6 +73,7 @@
 	b.hurryAll(out, now)
 	slices.SortFunc(out, func(x, y *Job) int {
 		return cmp.Or(compareNear(x.order.near, y.order.near), cmp.Compare(y.order.rank, x.order.rank), cmp.Compare(x.order.guaranteed, y.order.guaranteed),
+			cmp.Compare(x.order.served, y.order.served),
 			x.order.due.Compare(y.order.due), x.Accepted.Compare(y.Accepted), cmp.Compare(x.Spec.ID, y.Spec.ID))
 	})
 	b.queued = out
@@ -92,6 +94,7 @@
 	near       time.Time // since when its time to begin runs out; zero: it does not
 	rank       int
 	guaranteed int // 0 comes first
+	served     float64
 	due        time.Time
 	patient    bool // only spot machines are rented for it
 }
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -10,6 +10,7 @@
 	"github.com/marlwood/marlwood/internal/claims"
 	"github.com/marlwood/marlwood/internal/model"
 	"github.com/marlwood/marlwood/internal/peers/peerspb"
+	"github.com/marlwood/marlwood/internal/shares"
 )
 
 // State is a copy of everything in a book that its later decisions rest on, in a
@@ -35,6 +36,9 @@
 	Coming                         []JobState
 	Plan                           []PlanState
 	Drains                         []Drain
+	Lately                         map[string]shares.Recent
+	Mark                           shares.Mark
+	Heard                          map[string]time.Time
 }
 
 // OwnerState is a kind and the member that owns it.
@@ -66,6 +70,7 @@
 	OrderPatient               bool
 	OrderNear                  time.Time
 	Hurried                    bool
+	OrderServed                float64
 	Claim                      *claims.Claim
 	Unclaimed                  bool
 	Rank                       int
@@ -132,6 +137,7 @@
 	Stopping      bool
 	Grace         time.Duration
 	Told          uint64
+	Counted       time.Time
 	Claimed       bool
 }
 
@@ -168,6 +174,9 @@
 	s := &State{Token: b.token, Complete: b.complete, Resumed: b.resumed, Split: b.split, FewParts: b.fewParts, OrderID: b.orderID,
 		Attempts: b.attempts, Saves: b.saves, Room: b.room, Rounds: b.rounds, Capacity: b.capacity, Gathering: b.gathering, Types: b.types, Out: map[string][][]byte{}, Gone: b.gone,
 		Use: map[string]UseState{}, Urgencies: b.urgencies}
+	if s.Mark, s.Heard = b.mark, b.heard; b.usage != nil {
+		s.Lately = b.usage.Export()
+	}
 	for k, m := range b.owners {
 		s.Owners = append(s.Owners, OwnerState{k, m})
 	}
@@ -182,7 +191,7 @@
 		s.Machines = append(s.Machines, e)
 		for _, t := range m.tasks.All() {
 			s.Tasks = append(s.Tasks, TaskState{t.job.Spec.ID, t.index, t.attempt, m.Name, t.state, t.token, t.order, t.since,
-				t.bornAt, t.stopping, t.grace, t.told, t.claimed})
+				t.bornAt, t.stopping, t.grace, t.told, t.counted, t.claimed})
 		}
 	}
 	for member, orders := range b.out {
@@ -221,7 +230,7 @@
 		Finished: j.finished.Words(), Next: j.next, Again: j.again, RetryAt: j.retryAt, Fails: j.fails, Empty: j.empty,
 		Tried: j.tried, Turn: j.turn, Sought: j.sought, Waiting: j.waiting, Cleared: j.cleared, Writing: j.writing, Dirty: j.dirty, WroteAt: j.wroteAt,
 		Attempt: j.attempt, OrderRank: j.order.rank, OrderGuaranteed: j.order.guaranteed, OrderDue: j.order.due,
-		OrderPatient: j.order.patient, OrderNear: j.order.near, Hurried: j.hurried, Unclaimed: j.unclaimed, Rank: j.rank, Within: j.within, Per: j.per, Bulky: j.bulky}
+		OrderPatient: j.order.patient, OrderNear: j.order.near, OrderServed: j.order.served, Hurried: j.hurried, Unclaimed: j.unclaimed, Rank: j.rank, Within: j.within, Per: j.per, Bulky: j.bulky}
 	if j.claim != nil {
 		c := *j.claim
 		c.Machines = slices.Clone(c.Machines)
@@ -265,7 +274,13 @@
 	b := NewBook(opt, s.Token, teams, s.Types)
 	b.complete, b.split, b.fewParts, b.orderID = s.Complete, s.Split, s.FewParts, s.OrderID
 	b.attempts, b.saves, b.room, b.urgencies = s.Attempts, s.Saves, s.Room, s.Urgencies
-	b.resumed = s.Resumed
+	b.resumed, b.mark = s.Resumed, s.Mark
+	for member, at := range s.Heard {
+		b.heard[member] = at
+	}
+	if b.usage != nil {
+		b.usage.Import(s.Lately)
+	}
 	b.rounds, b.capacity, b.gathering = s.Rounds, s.Capacity, s.Gathering
 	b.kindsGen = 1 // above that of all jobs, which have no kinds yet
 	for _, o := range s.Owners {
@@ -299,7 +314,7 @@
 			return nil, fmt.Errorf("state: task %s/%d on %s: no such job or machine", e.Job, e.Index, e.Machine)
 		}
 		t := &Task{job: j, index: e.Index, attempt: e.Attempt, machine: m, state: e.State, token: e.Token, order: e.Order,
-			since: e.Since, bornAt: e.BornAt, stopping: e.Stopping, grace: e.Grace, told: e.Told, claimed: e.Claimed}
+			since: e.Since, bornAt: e.BornAt, stopping: e.Stopping, grace: e.Grace, told: e.Told, counted: e.Counted, claimed: e.Claimed}
 		j.bound.Put(t.index, t)
 		m.tasks.Put(taskKey{e.Job, e.Index}, t)
 	}
@@ -341,7 +356,7 @@
 		use: b.useOf(s.Spec.Team), finished: model.TaskSetOf(s.Finished), stored: model.TaskSetOf(s.Stored),
 		bound: model.NewTable[int, *Task](), next: s.Next, again: s.Again, retryAt: s.RetryAt, fails: s.Fails, empty: s.Empty,
 		tried: s.Tried, turn: s.Turn, sought: s.Sought, hurried: s.Hurried, unclaimed: s.Unclaimed, waiting: s.Waiting, cleared: s.Cleared, writing: s.Writing, dirty: s.Dirty, wroteAt: s.WroteAt,
-		attempt: s.Attempt, order: turn{s.OrderNear, s.OrderRank, s.OrderGuaranteed, s.OrderDue, s.OrderPatient}, rank: s.Rank,
+		attempt: s.Attempt, order: turn{s.OrderNear, s.OrderRank, s.OrderGuaranteed, s.OrderServed, s.OrderDue, s.OrderPatient}, rank: s.Rank,
 		within: s.Within, per: s.Per, bulky: s.Bulky}
 	if s.Claim != nil {
 		c := *s.Claim
--- a/internal/placement/tasks.go
+++ b/internal/placement/tasks.go
@@ -29,6 +29,7 @@
 	token    uint64 // under which it was ordered
 	order    uint64
 	since    time.Time // when it entered its state
+	counted  time.Time // until when its use is counted
 	bornAt   time.Time // when it was bound
 	stopping bool
 	grace    time.Duration
@@ -49,6 +50,9 @@
 // unless it is finished.
 func (b *Book) release(t *Task, now time.Time) {
 	m, j := t.machine, t.job
+	b.drop(t, now)
+	b.count(t, now)
+	b.repeat(t, now, j.finished.Has(t.index))
 	t.unbind()
 	b.room++
 	j.pieceLost(t)
@@ -104,6 +108,7 @@
 			// Started by an earlier leader.
 			t = &Task{job: j, index: key.index, attempt: r.Attempt, machine: m, state: state, token: b.token, since: now}
 			b.bind(t)
+			b.adopt(t, now)
 			seen[key] = true
 			b.shown(now, t, state)
 		default:
@@ -129,7 +134,7 @@
 
 func (b *Book) bind(t *Task) {
 	b.binds++
-	t.bornAt = t.since
+	t.bornAt, t.counted = t.since, t.since
 	t.job.bound.Put(t.index, t)
 	t.machine.tasks.Put(taskKey{t.job.Spec.ID, t.index}, t)
 	t.machine.load = t.machine.load.Add(t.job.Spec.Size)
@@ -151,6 +156,7 @@
 // shown takes in a bound task's state from a report.
 func (b *Book) shown(now time.Time, t *Task, state model.TaskState) {
 	j := t.job
+	b.count(t, now)
 	t.to(state, now)
 	if state != model.TaskFetching {
 		b.hasImage(t.machine, j.Spec)
@@ -221,6 +227,9 @@
 // exited takes in the end of a bound task.
 func (b *Book) exited(now time.Time, t *Task, r *peerspb.Task) {
 	j, m := t.job, t.machine
+	b.drop(t, now)
+	b.count(t, now)
+	b.repeat(t, now, r.Saved || model.Cause(r.Cause) == model.CauseDone)
 	t.to(model.TaskExited, now)
 	if j.claim != nil && j.claim.Attempt == t.attempt {
 		b.giveUp(j, now)
--- a/internal/replay/whatif_test.go
+++ b/internal/replay/whatif_test.go
@@ -160,7 +160,9 @@
 	whole := 0
 	for _, g := range gangs {
 		j, ran := x.Jobs.At(g[0].Job).Spec, 0
+		pieces := map[int]bool{} // one that was lost before all ran is ordered once more
 		for _, a := range g {
+			pieces[a.Index] = true
 			if a.Running >= 0 {
 				ran++
 			}
@@ -168,8 +170,8 @@
 				t.Errorf("gang %s is spread over zones", j.ID)
 			}
 		}
-		if len(g) != j.Tasks || ran != 0 && ran != j.Tasks {
-			t.Errorf("gang %s: %d of %d tasks ordered, %d ran", j.ID, len(g), j.Tasks, ran)
+		if len(pieces) != j.Tasks || ran != 0 && ran != j.Tasks {
+			t.Errorf("gang %s: %d of %d tasks ordered, %d ran", j.ID, len(pieces), j.Tasks, ran)
 		}
 		if ran == j.Tasks {
 			whole++
--- a/internal/settings/defaults.sexp
+++ b/internal/settings/defaults.sexp
@@ -52,5 +52,9 @@
     (plaintext "no"))     ; "yes": without certificates, on a loopback address only
   (metrics                ; a page of text at /metrics; see docs/operators/scale.md
     (listen "off"))       ; address and port; ":9400" is that port on the host that siblings reach this controller at
+  (accounts               ; what teams have used; see docs/operators/shares.md
+    (keep "no")           ; "yes": it is counted and stored
+    (flush "10s")         ; how often it is written
+    (ties "age"))         ; "share": of jobs alike in priority and guarantee those of the team come first that had least of its share lately
   (record
     (lines "off")))       ; "stderr": what a leader takes in and decides is written there as lines
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -77,6 +77,11 @@
 	Metrics struct {
 		Listen string `sexp:"listen"`
 	} `sexp:"metrics"`
+	Accounts struct {
+		Keep  string        `sexp:"keep" oneof:"yes no"`
+		Flush time.Duration `sexp:"flush"`
+		Ties  string        `sexp:"ties" oneof:"age share"`
+	} `sexp:"accounts"`
 	Record struct {
 		Lines string `sexp:"lines" oneof:"off stderr"`
 	} `sexp:"record"`
--- a/internal/settings/platform.go
+++ b/internal/settings/platform.go
@@ -35,6 +35,7 @@
 	ReportEvery time.Duration
 	Lease       time.Duration
 	CancelWait  time.Duration
+	ClockOff    time.Duration // most that a controller's time of day is off
 	GangWait    time.Duration // after which a gang's piece gives up waiting for the others; 0: not given
 
 	// What the state service takes, and will take from some moment on: the
@@ -78,7 +79,8 @@
 			Class   string  `json:"class"`
 			WithinS float64 `json:"within_s"`
 		} `json:"objectives"`
-		Workers struct {
+		ClockOffMS float64 `json:"clock_off_ms"`
+		Workers    struct {
 			ReportS   float64 `json:"report_s"`
 			LeaseS    float64 `json:"lease_s"`
 			CancelS   float64 `json:"cancel_s"`
@@ -187,7 +189,7 @@
 		Member: w.Member, Zone: w.Zone, Listen: w.Listen, PeerListen: w.PeerListen,
 		CloudAddr: w.Services.Cloud, StateAddr: w.Services.State, Teams: map[string]model.Team{}, Aims: map[string]model.Aim{},
 		ReportEvery: model.Seconds(w.Params.Workers.ReportS), Lease: model.Seconds(w.Params.Workers.LeaseS),
-		CancelWait: model.Seconds(w.Params.Workers.CancelS), GangWait: model.Seconds(w.Params.Workers.GangWaitS),
+		CancelWait: model.Seconds(w.Params.Workers.CancelS), GangWait: model.Seconds(w.Params.Workers.GangWaitS), ClockOff: model.Seconds(w.Params.ClockOffMS / 1000),
 		CloudRPS: w.Params.Cloud.RPS,
 		MemoryMB: w.Params.Limits.MemoryMB, MaxConns: w.Params.Limits.Sockets,
 	}
--- /dev/null
+++ b/internal/shares/book.go
@@ -0,0 +1,296 @@
+package shares
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/klauspost/compress/zstd"
+)
+
+// Keys of the state service: the total and each leader's line, in parts by team.
+const (
+	Prefix      = "usage/"
+	TotalPrefix = Prefix + "total/"
+)
+
+// MarkKey holds a Mark. It is written with every line, and read by the next leader.
+const MarkKey = "usage-mark"
+
+// Mark tells when a line was last written, and which attempts had been ordered by then: what the
+// next leader finds running of these is counted from then on.
+type Mark struct {
+	AtMS    int64  `json:"at_ms"`
+	Attempt uint64 `json:"attempt"`
+}
+
+// parts is into how many values a line is cut: 40 teams of 100 classes on both sorts of machines
+// are 8000 rows, and a value of 8 KiB holds some 500.
+const parts = 32
+
+func partOf(a Account) int { return int(xxhash.Sum64String(a.Team+"\x00"+a.Class) % parts) }
+
+func lineKey(token uint64, part int) string {
+	return fmt.Sprintf("%s%016x/%02d", Prefix, token, part)
+}
+func totalKey(part int) string { return fmt.Sprintf("%s%02d", TotalPrefix, part) }
+
+// keyOf tells whose part a key is; token 0 is the total's.
+func keyOf(key string) (token uint64, part int, err error) {
+	rest, ok := strings.CutPrefix(key, Prefix)
+	line, tail, cut := strings.Cut(rest, "/")
+	if ok && cut && line != "total" {
+		token, err = strconv.ParseUint(line, 16, 64)
+	}
+	n, perr := strconv.Atoi(tail)
+	if err = errors.Join(err, perr); !ok || !cut || err != nil || n < 0 || n >= parts {
+		return 0, 0, fmt.Errorf("usage record %q: not a key of this version", key)
+	}
+	return token, n, nil
+}
+
+var coder = sync.OnceValues(func() (*zstd.Encoder, *zstd.Decoder) {
+	enc, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(64<<10), zstd.WithLowerEncoderMem(true))
+	if err != nil {
+		panic("shares: " + err.Error()) // the options are constants
+	}
+	dec, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(8<<20))
+	if err != nil {
+		panic("shares: " + err.Error())
+	}
+	return enc, dec
+})
+
+// Encode is rows as they are stored: CBOR in zstd in base64, as a JSON text.
+func Encode(rows []Row) (json.RawMessage, error) {
+	text, err := cbor.Marshal(rows)
+	if err != nil {
+		return nil, fmt.Errorf("usage: %w", err)
+	}
+	enc, _ := coder()
+	return json.Marshal(base64.StdEncoding.EncodeToString(enc.EncodeAll(text, nil)))
+}
+
+// Decode reads what Encode wrote.
+func Decode(value json.RawMessage) (rows []Row, err error) {
+	var text string
+	if err := json.Unmarshal(value, &text); err != nil {
+		return nil, fmt.Errorf("usage: %w", err)
+	}
+	packed, err := base64.StdEncoding.DecodeString(text)
+	if err != nil {
+		return nil, fmt.Errorf("usage: %w", err)
+	}
+	_, dec := coder()
+	plain, err := dec.DecodeAll(packed, nil)
+	if err != nil {
+		return nil, fmt.Errorf("usage: %w", err)
+	}
+	if err := cbor.Unmarshal(plain, &rows); err != nil {
+		return nil, fmt.Errorf("usage: %w", err)
+	}
+	return rows, nil
+}
+
+// Item is a stored value.
+type Item struct {
+	Key   string
+	Value json.RawMessage
+	Stamp uint64
+}
+
+// Change is one write of a transaction: the key must have the stamp (0: it is not there). A nil
+// value removes it.
+type Change struct {
+	Key   string
+	Stamp uint64
+	Value json.RawMessage
+}
+
+// Phase is where the accounts stand with the state service.
+type Phase int
+
+// The phases.
+const (
+	Loading Phase = iota // what earlier leaders left is to be read, or what became of a write
+	Idle
+	Writing // a transaction is under way
+)
+
+// Accounts are all that is stored of what was used, and a leader's own line. The line is named by
+// the token that the term began with; a fresh token of the same term changes nothing.
+type Accounts struct {
+	Own    *Ledger
+	token  uint64
+	phase  Phase
+	stored map[string]Item   // by key, as last known
+	total  map[int][]Row     // by part, what the total's values hold
+	others map[uint64]bool   // earlier lines that are not folded yet
+	flying map[string]Change // by key
+	rows   map[string][]Row  // what flying writes hold
+	due    []int             // parts of the own line that flying writes hold
+}
+
+// NewAccounts begins a leader's accounts; what is stored is to be loaded first.
+func NewAccounts(token uint64, own *Ledger) *Accounts {
+	return &Accounts{Own: own, token: token, stored: map[string]Item{}, total: map[int][]Row{}, others: map[uint64]bool{}}
+}
+
+// to is the one place where the phase changes.
+func (a *Accounts) to(p Phase) { a.phase = p }
+
+// Behind tells that there is more to write than the last transaction took.
+func (a *Accounts) Behind() bool { return len(a.others) > 0 || len(a.due) > 0 && len(a.Own.dirty) > 0 }
+
+// Phase tells what is to be done: Loading wants Load, Idle wants Next.
+func (a *Accounts) Phase() Phase { return a.phase }
+
+// Load takes in everything that is stored. Under way nothing may be.
+func (a *Accounts) Load(items []Item) error {
+	stored, total, others := map[string]Item{}, map[int][]Row{}, map[uint64]bool{}
+	for _, it := range items {
+		token, part, err := keyOf(it.Key)
+		if err != nil {
+			return err
+		}
+		rows, err := Decode(it.Value)
+		if err != nil {
+			return fmt.Errorf("%s: %w", it.Key, err)
+		}
+		stored[it.Key] = it
+		switch {
+		case token == 0:
+			total[part] = rows
+		case token != a.token:
+			others[token] = true
+		}
+	}
+	a.stored, a.total, a.others = stored, total, others
+	a.to(Idle)
+	return nil
+}
+
+// Next is the transaction that is due, if any: the fold of an earlier line, or the parts of the own
+// line that changed. All of it is carried out or nothing. At most ops writes, of which each value
+// takes at most bytes; what does not fit is left out and told of by an error.
+func (a *Accounts) Next(ops, bytes int) ([]Change, error) {
+	if a.phase != Idle {
+		return nil, nil
+	}
+	a.flying, a.rows, a.due = map[string]Change{}, map[string][]Row{}, nil
+	put := func(key string, rows []Row) error {
+		value, err := Encode(rows)
+		if err == nil && len(value) > bytes {
+			err = fmt.Errorf("%s: %d rows take %d bytes, more than the state service holds", key, len(rows), len(value))
+		}
+		if err == nil {
+			a.flying[key], a.rows[key] = Change{key, a.stored[key].Stamp, value}, rows
+		}
+		return err
+	}
+	for token := range a.others {
+		for part := range parts {
+			it, ok := a.stored[lineKey(token, part)]
+			if !ok || len(a.flying)+2 > ops {
+				continue
+			}
+			rows, err := Decode(it.Value)
+			if err != nil {
+				return nil, err
+			}
+			if err := put(totalKey(part), merge(a.total[part], rows)); err != nil {
+				return nil, err
+			}
+			a.flying[it.Key] = Change{Key: it.Key, Stamp: it.Stamp}
+		}
+		if len(a.flying) > 0 {
+			break // one line at a time: two of them change the same total
+		}
+		delete(a.others, token)
+	}
+	if len(a.flying) == 0 {
+		for part := range a.Own.dirty {
+			if len(a.due) == ops {
+				break
+			}
+			delete(a.Own.dirty, part)
+			if err := put(lineKey(a.token, part), a.Own.Rows(func(of Account) bool { return partOf(of) == part })); err != nil {
+				return nil, err
+			}
+			a.due = append(a.due, part)
+		}
+	}
+	if len(a.flying) == 0 {
+		return nil, nil
+	}
+	a.to(Writing)
+	out := make([]Change, 0, len(a.flying))
+	for _, c := range a.flying {
+		out = append(out, c)
+	}
+	slices.SortFunc(out, func(x, y Change) int { return strings.Compare(x.Key, y.Key) })
+	return out, nil
+}
+
+// Done takes in that the transaction was carried out, as of a revision.
+func (a *Accounts) Done(stamp uint64) {
+	for key, c := range a.flying {
+		if c.Value == nil {
+			delete(a.stored, key)
+			continue
+		}
+		a.stored[key] = Item{key, c.Value, stamp}
+		if token, part, err := keyOf(key); err == nil && token == 0 {
+			a.total[part] = a.rows[key]
+		}
+	}
+	a.flying = nil
+	a.to(Idle)
+}
+
+// Failed takes in that the transaction was refused, or that nobody knows: it may be carried out
+// late. All is read again before the next; a late one then fails by its stamps, or was read.
+func (a *Accounts) Failed() {
+	for _, part := range a.due {
+		a.Own.dirty[part] = true
+	}
+	a.flying, a.due = nil, nil
+	a.to(Loading)
+}
+
+// merge adds rows up.
+func merge(x, y []Row) []Row {
+	l := NewLedger()
+	for _, r := range slices.Concat(x, y) {
+		s := l.rows[r.Account]
+		if s == nil {
+			s = &Sums{}
+			l.rows[r.Account] = s
+		}
+		*s = s.add(r.Sums)
+	}
+	return l.Rows(func(Account) bool { return true })
+}
+
+// Rows are all that is known: the total, earlier lines, and the own line as of now.
+func (a *Accounts) Rows() []Row {
+	out := a.Own.Rows(func(Account) bool { return true })
+	for _, rows := range a.total {
+		out = merge(out, rows)
+	}
+	for key, it := range a.stored {
+		if token, _, err := keyOf(key); err == nil && token != 0 && token != a.token {
+			if rows, err := Decode(it.Value); err == nil {
+				out = merge(out, rows)
+			}
+		}
+	}
+	return out
+}
