pack: one place for what is stored small; deaf machines need an unanswered call as well

Cause: claims and shares each had their own coder. And a report that does not show a fresh token was left unanswered if only one answer had been lost; where thousands of machines wait for their turn to be called, answers to their reports are what reaches them.

Change: internal/pack; a machine is refused only when a call to it went unanswered as well.

--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -5,15 +5,13 @@
 package claims
 
 import (
-	"encoding/base64"
 	"errors"
 	"fmt"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
-	"github.com/klauspost/compress/zstd"
+	"github.com/marlwood/marlwood/internal/pack"
 )
 
 // State is where a claim stands.
@@ -110,40 +108,17 @@
 type Record struct {
 	Attempt  uint64 `json:"attempt"`
 	Pieces   int    `json:"pieces"`
-	Machines string `json:"machines"` // names by piece, one a line, in zstd and base64
+	Machines string `json:"machines"` // names by piece, one a line, packed (package pack)
 }
 
-// coder is shared: what it holds is large, and it may be used by many at once.
-var coder = sync.OnceValues(func() (*zstd.Encoder, *zstd.Decoder) {
-	enc, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(16<<10), zstd.WithLowerEncoderMem(true))
-	if err != nil {
-		panic("claims: " + err.Error()) // the options are constants
-	}
-	dec, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(maxText))
-	if err != nil {
-		panic("claims: " + err.Error())
-	}
-	return enc, dec
-})
-
-// maxText bounds what a stored claim may unfold to.
-const maxText = 4 << 20
-
 // Record is the claim as it is to be stored.
 func (c *Claim) Record() *Record {
-	enc, _ := coder()
-	text := enc.EncodeAll([]byte(strings.Join(c.Machines, "\n")), nil)
-	return &Record{Attempt: c.Attempt, Pieces: len(c.Machines), Machines: base64.StdEncoding.EncodeToString(text)}
+	return &Record{Attempt: c.Attempt, Pieces: len(c.Machines), Machines: pack.Pack([]byte(strings.Join(c.Machines, "\n")))}
 }
 
 // Restore is a claim that an earlier leader stored.
 func (r *Record) Restore(now time.Time) (*Claim, error) {
-	packed, err := base64.StdEncoding.DecodeString(r.Machines)
-	if err != nil {
-		return nil, fmt.Errorf("claim %x: machines: %w", r.Attempt, err)
-	}
-	_, dec := coder()
-	text, err := dec.DecodeAll(packed, nil)
+	text, err := pack.Unpack(r.Machines)
 	if err != nil {
 		return nil, fmt.Errorf("claim %x: machines: %w", r.Attempt, err)
 	}
--- /dev/null
+++ b/internal/pack/pack.go
@@ -0,0 +1,47 @@
+// Package pack makes small values of the state service smaller: zstd, in base64, for values are
+// JSON. It may be used by many at once.
+package pack
+
+import (
+	"encoding/base64"
+	"fmt"
+	"sync"
+
+	"github.com/klauspost/compress/zstd"
+)
+
+// largest bounds what a stored text may unfold to.
+const largest = 8 << 20
+
+// coder is shared: what it holds is large.
+var coder = sync.OnceValues(func() (*zstd.Encoder, *zstd.Decoder) {
+	enc, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(64<<10), zstd.WithLowerEncoderMem(true))
+	if err != nil {
+		panic("pack: " + err.Error()) // the options are constants
+	}
+	dec, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(largest))
+	if err != nil {
+		panic("pack: " + err.Error())
+	}
+	return enc, dec
+})
+
+// Pack is a text as it is stored.
+func Pack(text []byte) string {
+	enc, _ := coder()
+	return base64.StdEncoding.EncodeToString(enc.EncodeAll(text, nil))
+}
+
+// Unpack reads what Pack wrote. A text of more than 8 MiB is an error, as is a damaged one.
+func Unpack(packed string) ([]byte, error) {
+	raw, err := base64.StdEncoding.DecodeString(packed)
+	if err != nil {
+		return nil, fmt.Errorf("packed text: %w", err)
+	}
+	_, dec := coder()
+	text, err := dec.DecodeAll(raw, nil)
+	if err != nil {
+		return nil, fmt.Errorf("packed text: %w", err)
+	}
+	return text, nil
+}
--- a/internal/placement/usage.go
+++ b/internal/placement/usage.go
@@ -10,7 +10,7 @@
 
 // What teams use (package shares) is counted from the states of bound tasks, as reports show them.
 
-// Keep begins to count what teams use.
+// keepUsage begins to count what teams use, if that is wanted.
 func (b *Book) keepUsage() {
 	if b.opt.Accounts && b.usage == nil {
 		b.usage = shares.NewLedger()
--- a/internal/shares/book.go
+++ b/internal/shares/book.go
@@ -1,18 +1,17 @@
 package shares
 
 import (
-	"encoding/base64"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
-	"github.com/klauspost/compress/zstd"
+
+	"github.com/marlwood/marlwood/internal/pack"
 )
 
 // Keys of the state service: the total and each leader's line, in parts by team.
@@ -56,26 +55,13 @@
 	return token, n, nil
 }
 
-var coder = sync.OnceValues(func() (*zstd.Encoder, *zstd.Decoder) {
-	enc, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(64<<10), zstd.WithLowerEncoderMem(true))
-	if err != nil {
-		panic("shares: " + err.Error()) // the options are constants
-	}
-	dec, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(8<<20))
-	if err != nil {
-		panic("shares: " + err.Error())
-	}
-	return enc, dec
-})
-
-// Encode is rows as they are stored: CBOR in zstd in base64, as a JSON text.
+// Encode is rows as they are stored: CBOR, packed (package pack), as a JSON text.
 func Encode(rows []Row) (json.RawMessage, error) {
 	text, err := cbor.Marshal(rows)
 	if err != nil {
 		return nil, fmt.Errorf("usage: %w", err)
 	}
-	enc, _ := coder()
-	return json.Marshal(base64.StdEncoding.EncodeToString(enc.EncodeAll(text, nil)))
+	return json.Marshal(pack.Pack(text))
 }
 
 // Decode reads what Encode wrote.
@@ -84,12 +70,7 @@
 	if err := json.Unmarshal(value, &text); err != nil {
 		return nil, fmt.Errorf("usage: %w", err)
 	}
-	packed, err := base64.StdEncoding.DecodeString(text)
-	if err != nil {
-		return nil, fmt.Errorf("usage: %w", err)
-	}
-	_, dec := coder()
-	plain, err := dec.DecodeAll(packed, nil)
+	plain, err := pack.Unpack(text)
 	if err != nil {
 		return nil, fmt.Errorf("usage: %w", err)
 	}
--- a/internal/workers/calls.go
+++ b/internal/workers/calls.go
@@ -109,6 +109,7 @@
 	// be called again and again without end. A session that we did not know is
 	// worth one more try.
 	m.failed = outcome != Executed && (r == nil || r.Session == c.Session)
+	m.lost = m.lost || outcome == Unanswered
 	if c.Token != d.token {
 		return // orders of an earlier token are void; the next report decides its starts
 	}
--- a/internal/workers/desk.go
+++ b/internal/workers/desk.go
@@ -43,6 +43,7 @@
 	quiet   bool   // no report for longer than they are apart
 	reach   reach  // whether what we say reaches it
 	asked   bool   // a report that did not show our token was answered with it
+	lost    bool   // and a call went unanswered, since it last showed our token
 	odd     uint64 // session of a report that came late or from a worker that began anew; 0: none did
 	reborn  bool   // its worker began anew under this token; see Called
 	call    uint64 // number of the direct call under way, or 0
@@ -165,7 +166,7 @@
 		m.ended = m.session
 	}
 	if p == Joining || p == Current {
-		m.asked = false
+		m.asked, m.lost = false, false
 	}
 	m.phase = p
 	d.mayCall(m)
--- a/internal/workers/late.go
+++ b/internal/workers/late.go
@@ -64,13 +64,13 @@
 }
 
 // refuses tells that a machine's report is not answered: an earlier one was answered with our
-// token, and it shows none of it.
+// token, a call went unanswered, and it shows nothing of either.
 //
 // Guard: a machine that hears nothing can't show our token. Answered over and over, it counted
 // as alive, its lease was never over, and a takeover waited for it for as long as it was deaf.
 // Unanswered, its lease runs out whatever it hears. Meanwhile it is called.
 func (d *Desk) refuses(m *machine, r *model.Report) bool {
-	if m.phase != Joining || !m.asked || r.Token == d.token {
+	if m.phase != Joining || !m.asked || !m.lost || r.Token == d.token {
 		return false
 	}
 	m.failed = false
--- a/internal/workers/rounds.go
+++ b/internal/workers/rounds.go
@@ -76,7 +76,7 @@
 		// meanwhile. Counted from what this desk last heard, the machine was
 		// called expired although it lived, and its reports were refused.
 		m.pending, m.cordon, m.failed, m.ended, m.quiet = nil, false, false, 0, false
-		m.asked, m.odd = false, 0
+		m.asked, m.lost, m.odd = false, false, 0
 		if m.reborn {
 			// What it said before it began anew says nothing of it any more, and shows an
 			// earlier token; what shows this one it has said since.
