--- a/internal/placement/line.go
+++ b/internal/placement/line.go
@@ -217,7 +217,8 @@
 
 // hurryAll works out which of the jobs that wait are near (package precedence). Where those that
 // have waited for long take more than a quarter of the time to gather, they may use standing room
-// and are not stopped: with less to do nearly all begin in time without that.
+// and are not stopped, and go by what each has left to gather: with less to do nearly all begin in
+// time without that.
 func (b *Book) hurryAll(waiting []*Job, now time.Time) {
 	rule, others := b.rule(), time.Duration(0)
 	pressed := b.gathering > rule.Within/4
@@ -236,6 +237,11 @@
 		}
 		if since, near := rule.Near(f, now); near {
 			j.order.near, j.hurried = since, j.hurried || pressed
+			if pressed {
+				// Guard: by age all of them were begun a little too late. Of what is left to begin
+				// that goes first which takes least, so that most are in time.
+				j.order.near = now.Add(f.Gather())
+			}
 		}
 	}
 	b.gathering = others
--- a/internal/placement/replicas_test.go
+++ b/internal/placement/replicas_test.go
@@ -48,7 +48,9 @@
 			typ.FetchGBPerS, typ.CacheGB = 0.2, 200
 			b.types[name] = typ
 		}
-		b.job("x", func(j *model.Job) { j.Shape, j.Tasks, j.Size, j.ImageGB = c.shape, 2, model.Size{CPUs: 2, MemoryGB: 2}, c.gb })
+		b.job("x", func(j *model.Job) {
+			j.Shape, j.Tasks, j.Size, j.ImageGB = c.shape, 2, model.Size{CPUs: 2, MemoryGB: 2}, c.gb
+		})
 		b.job("other", func(j *model.Job) {
 			j.Shape, j.Tasks, j.Size, j.Image, j.ImageGB = model.Service, 10, model.Size{CPUs: 1, MemoryGB: 1}, "other", 30
 		})
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -91,7 +91,7 @@
 
 // turn is what a job's place in the queue goes by, before its age.
 type turn struct {
-	near       time.Time // since when its time to begin runs out; zero: it does not
+	near       time.Time // orders jobs whose time to begin runs out; zero: it does not
 	rank       int
 	guaranteed int // 0 comes first
 	served     float64
--- a/internal/precedence/precedence.go
+++ b/internal/precedence/precedence.go
@@ -4,7 +4,8 @@
 // A job begins when as many of its tasks have started as its team's limit allows at once, of a
 // gang or a service all. It is near from a lead before its time is over until it has begun or its
 // time is over, and goes before all that are not near, by the moment from which it was near: by
-// age, large jobs sooner, for they take longer to gather. Nothing is stopped for that; limits
+// age, large jobs sooner, for they take longer to gather. (While more is near than can be begun in
+// time, the queue goes by what each has left.) Nothing is stopped for that; limits
 // hold; what has begun, what is late and what is not yet near goes by priority and guarantee.
 package precedence
 
