questions leave near jobs as they are; an account that can't be folded holds up nothing

Cause, found by reading the whole change: working the queue out for a question of operators noted which jobs were hurried and what others gather, so later decisions hung on questions, which recordings do not hold. And an earlier line too large to be folded kept the leader's own line from being written.

--- a/internal/placement/line.go
+++ b/internal/placement/line.go
@@ -219,6 +219,9 @@
 // have waited for long take more than a quarter of the time to gather, they may use standing room
 // and are not stopped, and go by what each has left to gather: with less to do nearly all begin in
 // time without that.
+//
+// Guard: questions of operators work the queue out as well. A question asked while jobs were near
+// changed what was decided later, and a recording, which holds no questions, was decided otherwise.
 func (b *Book) hurryAll(waiting []*Job, now time.Time) {
 	rule, others := b.rule(), time.Duration(0)
 	pressed := b.gathering > rule.Within/4
@@ -236,7 +239,10 @@
 			others += of.Gather()
 		}
 		if since, near := rule.Near(f, now); near {
-			j.order.near, j.hurried = since, j.hurried || pressed
+			j.order.near = since
+			if !b.asked {
+				j.hurried = j.hurried || pressed
+			}
 			if pressed {
 				// Guard: by age all of them were begun a little too late. Of what is left to begin
 				// that goes first which takes least, so that most are in time.
@@ -244,7 +250,9 @@
 			}
 		}
 	}
-	b.gathering = others
+	if !b.asked {
+		b.gathering = others
+	}
 }
 
 // beginMargin is what a job that is near has for its turn, its starts, and for what its user
--- a/internal/placement/line_test.go
+++ b/internal/placement/line_test.go
@@ -129,6 +129,15 @@
 		b.machine("m", "small", "a")
 		b.machines.At("m").reserve("standing", reservation{size: model.Size{CPUs: 2}, class: "standing", rank: 2, until: at(1000)})
 		b.Settle()
+		before, err := b.Export()
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Explain("low", at(c.age))
+		b.JobRows("", at(c.age))
+		if after, err := b.Export(); err != nil || !sameState(before, after) {
+			t.Errorf("%s: a question changed the book: %v", c.name, err)
+		}
 		if q := b.queue(at(c.age)); q[0].Spec.ID != c.first {
 			t.Errorf("%s: %s is first", c.name, q[0].Spec.ID)
 		}
--- a/internal/shares/book.go
+++ b/internal/shares/book.go
@@ -160,7 +160,8 @@
 
 // Next is the transaction that is due, if any: the fold of an earlier line, or the parts of the own
 // line that changed. All of it is carried out or nothing. At most ops writes, of which each value
-// takes at most bytes; what does not fit is left out and told of by an error.
+// takes at most bytes; what does not fit is left as it is and told of by an error: an earlier line
+// that can't be folded counts all the same, and does not keep the own line from being written.
 func (a *Accounts) Next(ops, bytes int) ([]Change, error) {
 	if a.phase != Idle {
 		return nil, nil
@@ -176,6 +177,7 @@
 		}
 		return err
 	}
+	var failed error
 	for token := range a.others {
 		for part := range parts {
 			it, ok := a.stored[lineKey(token, part)]
@@ -183,11 +185,12 @@
 				continue
 			}
 			rows, err := Decode(it.Value)
-			if err != nil {
-				return nil, err
+			if err == nil {
+				err = put(totalKey(part), merge(a.total[part], rows))
 			}
-			if err := put(totalKey(part), merge(a.total[part], rows)); err != nil {
-				return nil, err
+			if err != nil {
+				failed = errors.Join(failed, err)
+				continue
 			}
 			a.flying[it.Key] = Change{Key: it.Key, Stamp: it.Stamp}
 		}
@@ -203,13 +206,14 @@
 			}
 			delete(a.Own.dirty, part)
 			if err := put(lineKey(a.token, part), a.Own.Rows(func(of Account) bool { return partOf(of) == part })); err != nil {
-				return nil, err
+				failed = errors.Join(failed, err)
+				continue
 			}
 			a.due = append(a.due, part)
 		}
 	}
 	if len(a.flying) == 0 {
-		return nil, nil
+		return nil, failed
 	}
 	a.to(Writing)
 	out := make([]Change, 0, len(a.flying))
@@ -217,7 +221,7 @@
 		out = append(out, c)
 	}
 	slices.SortFunc(out, func(x, y Change) int { return strings.Compare(x.Key, y.Key) })
-	return out, nil
+	return out, failed
 }
 
 // Done takes in that the transaction was carried out, as of a revision.
--- a/internal/shares/shares_test.go
+++ b/internal/shares/shares_test.go
@@ -177,6 +177,28 @@
 	t.Logf("largest value %d bytes", largest)
 }
 
+// An earlier line that can't be folded counts all the same, and the own line is written.
+func TestTooLargeToFold(t *testing.T) {
+	count := func(l *Ledger, classes int) *Ledger {
+		for i := range classes {
+			l.Count(Account{"team", fmt.Sprintf("class-%05d", i*7919), false}, model.Kind{}, Run, model.Size{CPUs: 1}, time.Duration(i*i+1)*time.Second, t0)
+		}
+		return l
+	}
+	value, err := Encode(count(NewLedger(), 300).Rows(func(Account) bool { return true }))
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := NewAccounts(3, count(NewLedger(), 1))
+	if err := a.Load([]Item{{Key: lineKey(2, 0), Value: value, Stamp: 5}}); err != nil {
+		t.Fatal(err)
+	}
+	changes, err := a.Next(5, 1000)
+	if err == nil || len(changes) != 1 || changes[0].Key != lineKey(3, partOf(Account{Team: "team", Class: "class-00000"})) || len(a.Rows()) != 300 {
+		t.Errorf("changes %v, %v, %d rows", changes, err, len(a.Rows()))
+	}
+}
+
 // Half of what was used counts after each minute, so who has had least comes first.
 func TestLately(t *testing.T) {
 	l := NewLedger()
