leadership: a claim that is carried out late keeps its own hold alive

The next look shows the key as ours, but it is attached to the first hold and the second one was kept alive: the key was gone within its five seconds, in the middle of the takeover, and everything began anew. Change: the key's value names its hold, and a look that shows our own key takes it from there.

--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -12,10 +12,13 @@
 
 // Value is what the key holds. Boot and Claim make every claim of every
 // process distinct, so that an unanswered claim can be recognised by reading.
+// Hold is the lease of the state service that the key is attached to; 0: it was
+// written by a version that did not say.
 type Value struct {
 	Member string `json:"member"`
 	Boot   string `json:"boot"`
 	Claim  int    `json:"claim"`
+	Hold   uint64 `json:"hold,omitempty"`
 }
 
 // State is where a node stands.
@@ -141,7 +144,7 @@
 	}
 }
 
-func (m *Machine) value() Value { return Value{m.opt.Member, m.opt.Boot, m.claim} }
+func (m *Machine) value() Value { return Value{m.opt.Member, m.opt.Boot, m.claim, m.hold} }
 
 // Tick asks for what is due.
 func (m *Machine) Tick(now time.Time) []Action {
@@ -197,6 +200,13 @@
 	}
 	if mine {
 		// A claim whose answer never came has been carried out after all.
+		//
+		// Guard: it may be an earlier one than the last. The key goes with the hold of the
+		// claim that was carried out; kept alive was that of the last one, and the key
+		// was gone within its five seconds, in the middle of the takeover.
+		if v.Hold != 0 {
+			m.hold = v.Hold
+		}
 		m.token, m.checked, m.viewed = stamp, sent, sent // there is no job yet that it could be wrong about
 		m.to(Leading, now)
 		return nil
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -35,7 +35,7 @@
 // meanwhile, and counts from when the check was sent.
 func TestRightToAct(t *testing.T) {
 	m := lead(t)
-	m.KeyRead(at(9), at(5), true, Value{"n0", "b0", 1}, 7)
+	m.KeyRead(at(9), at(5), true, Value{Member: "n0", Boot: "b0", Claim: 1}, 7)
 	m.Viewed(at(5))
 	for _, c := range []struct {
 		at   float64
@@ -50,6 +50,42 @@
 	}
 }
 
+// A claim that is carried out late, after a later one was begun, keeps the hold alive that its
+// key is attached to, not that of the later claim.
+func TestLateClaimKeepsItsHold(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		hold uint64 // that the key's value names
+		want uint64 // that is kept alive
+	}{{"as written now", 3, 3}, {"as the version before writes it", 0, 4}} {
+		m := node()
+		m.Tick(at(0))
+		m.KeyRead(at(0), at(0), false, Value{}, 1)
+		first := m.HoldMade(at(0), 3)[0].Claim
+		if first.Hold != 3 {
+			t.Fatalf("the claim names hold %d", first.Hold)
+		}
+		m.Written(at(2), at(0), false, false, 0) // no answer; the key is absent still
+		m.KeyRead(at(2), at(2), false, Value{}, 1)
+		m.HoldMade(at(2), 4)
+		m.Written(at(3), at(2), true, false, 9) // the first one came before it
+		first.Hold = c.hold
+		m.KeyRead(at(3.1), at(3), true, first, 8)
+		if m.State() != Leading || m.Token() != 8 {
+			t.Fatalf("%s: %v with %d", c.name, m.State(), m.Token())
+		}
+		touched := uint64(0)
+		for _, a := range m.Tick(at(3.1)) {
+			if a.Op == Touch {
+				touched = a.Hold
+			}
+		}
+		if touched != c.want {
+			t.Errorf("%s: hold %d is kept alive, want %d", c.name, touched, c.want)
+		}
+	}
+}
+
 // The right to act counts from the older of the last look at the key and the last full
 // view of the jobs: the key alone does not show what users asked for meanwhile.
 func TestViewCounts(t *testing.T) {
@@ -73,7 +109,7 @@
 			if c.renewed && i == len(c.looks)-1 {
 				stamp = 9
 			}
-			m.KeyRead(at(s), at(s), true, Value{"n0", "b0", 1}, stamp)
+			m.KeyRead(at(s), at(s), true, Value{Member: "n0", Boot: "b0", Claim: 1}, stamp)
 		}
 		for _, s := range c.views {
 			m.Viewed(at(s))
@@ -85,7 +121,7 @@
 }
 
 func TestTransitions(t *testing.T) {
-	mine := Value{"n0", "b0", 1}
+	mine := Value{Member: "n0", Boot: "b0", Claim: 1}
 	for _, c := range []struct {
 		name  string
 		do    func(m *Machine)
@@ -94,7 +130,7 @@
 	}{
 		{"stays", func(m *Machine) { m.KeyRead(at(1), at(1), true, mine, 7) }, Leading, 7},
 		{"key gone", func(m *Machine) { m.KeyRead(at(1), at(1), false, Value{}, 0) }, Following, 0},
-		{"another's key", func(m *Machine) { m.KeyRead(at(1), at(1), true, Value{"n1", "b1", 1}, 9) }, Following, 0},
+		{"another's key", func(m *Machine) { m.KeyRead(at(1), at(1), true, Value{Member: "n1", Boot: "b1", Claim: 1}, 9) }, Following, 0},
 		{"higher token heard", func(m *Machine) { m.Heard(at(1), 9) }, Following, 0},
 		{"higher token heard, then a look from before it", func(m *Machine) {
 			m.Heard(at(1), 9)
@@ -110,7 +146,7 @@
 		{"renewal found by a look", func(m *Machine) {
 			m.Renew(at(1))
 			m.Written(at(1), at(1), false, false, 0)
-			m.KeyRead(at(2), at(2), true, Value{"n0", "b0", 2}, 12)
+			m.KeyRead(at(2), at(2), true, Value{Member: "n0", Boot: "b0", Claim: 2}, 12)
 		}, Leading, 12},
 		{"look from before the renewal", func(m *Machine) {
 			m.Renew(at(1))
@@ -136,12 +172,16 @@
 		claim bool
 	}{
 		{"nobody leads", func(m *Machine) []Action { return m.KeyRead(at(0), at(0), false, Value{}, 0) }, 0, true},
-		{"another leads", func(m *Machine) []Action { return m.KeyRead(at(0), at(0), true, Value{"n1", "b", 1}, 5) }, 0, false},
+		{"another leads", func(m *Machine) []Action {
+			return m.KeyRead(at(0), at(0), true, Value{Member: "n1", Boot: "b", Claim: 1}, 5)
+		}, 0, false},
 		// This member's earlier process cannot act any more: no wait for its hold.
-		{"own earlier process leads", func(m *Machine) []Action { return m.KeyRead(at(0), at(0), true, Value{"n0", "old", 1}, 5) }, 5, true},
+		{"own earlier process leads", func(m *Machine) []Action {
+			return m.KeyRead(at(0), at(0), true, Value{Member: "n0", Boot: "old", Claim: 1}, 5)
+		}, 5, true},
 		{"old news of own earlier process", func(m *Machine) []Action {
 			m.Heard(at(0), 9)
-			return m.KeyRead(at(0), at(0), true, Value{"n0", "old", 1}, 5)
+			return m.KeyRead(at(0), at(0), true, Value{Member: "n0", Boot: "old", Claim: 1}, 5)
 		}, 0, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -167,7 +207,7 @@
 	if m.State() != Following {
 		t.Fatalf("believed an unanswered claim: %v", m.State())
 	}
-	m.KeyRead(at(3), at(2.9), true, Value{"n0", "b0", 1}, 7)
+	m.KeyRead(at(3), at(2.9), true, Value{Member: "n0", Boot: "b0", Claim: 1}, 7)
 	if m.State() != Leading || m.Token() != 7 || !m.Checked().Equal(at(2.9)) {
 		t.Errorf("%v with %d since %v", m.State(), m.Token(), m.Checked())
 	}
@@ -177,7 +217,7 @@
 // answer, and ends by itself.
 func TestMayAct(t *testing.T) {
 	m := lead(t)
-	m.KeyRead(at(15), at(5), true, Value{"n0", "b0", 1}, 7)
+	m.KeyRead(at(15), at(5), true, Value{Member: "n0", Boot: "b0", Claim: 1}, 7)
 	m.Viewed(at(10))
 	for s, want := range map[float64]bool{15: true, 24.9: true, 25: false, 60: false} {
 		if got := m.MayAct(at(s)); got != want {
@@ -189,7 +229,7 @@
 // The first look tells which tokens are over; later ones change nothing, and a
 // failed one tells nothing.
 func TestLeast(t *testing.T) {
-	other := Value{"n1", "b1", 1}
+	other := Value{Member: "n1", Boot: "b1", Claim: 1}
 	for _, c := range []struct {
 		name string
 		do   func(m *Machine)
