--- a/internal/explore/cmd/main.go
+++ b/internal/explore/cmd/main.go
@@ -32,6 +32,7 @@
 	For     time.Duration `help:"How long to explore." default:"1m"`
 	Most    uint64        `help:"Most schedules; 0: no bound."`
 	Workers int           `help:"Schedules at once; 0: one a processor."`
+	Meet    bool          `help:"Draw troubles that meet as well." default:"true" negatable:""`
 	Repeat  bool          `help:"Play the schedule of --seed alone and tell its story."`
 	Log     slog.Level    `help:"What controllers log is told from this level on: debug, info, warn, error." default:"error"`
 	Shrink  time.Duration `help:"How long to make a finding smaller." default:"30s"`
@@ -52,7 +53,7 @@
 // Run explores.
 func (c *runCmd) Run() error {
 	if c.Repeat {
-		return c.tell(explore.Plans.Example(int(c.Seed)), c.Seed)
+		return c.tell(c.plans().Example(int(c.Seed)), c.Seed)
 	}
 	debug.SetGCPercent(800) // what a schedule leaves is gone at once
 	workers := c.Workers
@@ -70,7 +71,7 @@
 				if c.Most > 0 && seed >= c.Seed+c.Most {
 					return
 				}
-				out := explore.Run(explore.Plans.Example(int(seed)), nil, 0)
+				out := explore.Run(c.plans().Example(int(seed)), nil, 0)
 				played.Add(1)
 				starts.Add(uint64(out.Starts))
 				if out.Broken != "" {
@@ -100,8 +101,16 @@
 		fmt.Println("no rule was broken")
 		return nil
 	}
-	fmt.Printf("seed %d breaks %s; making it smaller\n", seed, explore.Run(explore.Plans.Example(int(seed)), nil, 0).Broken)
-	return c.tell(shrink(seed, c.Shrink), seed)
+	fmt.Printf("seed %d breaks %s; making it smaller\n", seed, explore.Run(c.plans().Example(int(seed)), nil, 0).Broken)
+	return c.tell(shrink(c.plans(), seed, c.Shrink), seed)
+}
+
+// plans is what schedules are drawn from.
+func (c *runCmd) plans() *rapid.Generator[explore.Plan] {
+	if c.Meet {
+		return explore.Meetings
+	}
+	return explore.Plans
 }
 
 // tell prints a schedule's story.
@@ -113,11 +122,11 @@
 		fmt.Println("no rule was broken")
 		return nil
 	}
-	return fmt.Errorf("%w: %s; --seed %d --repeat plays it as it was found", errFound, out.Broken, seed)
+	return fmt.Errorf("%w: %s; --seed %d --repeat%s plays it as it was found", errFound, out.Broken, seed, map[bool]string{false: " --no-meet"}[c.Meet])
 }
 
 // shrink has rapid make a schedule smaller. It stays one that breaks a rule.
-func shrink(seed uint64, atMost time.Duration) explore.Plan {
+func shrink(plans *rapid.Generator[explore.Plan], seed uint64, atMost time.Duration) explore.Plan {
 	testing.Init() // rapid looks at the flags of tests
 	if err := flag.CommandLine.Parse(nil); err != nil {
 		panic(err)
@@ -128,10 +137,10 @@
 			panic(err) // a flag of the library is gone
 		}
 	}
-	smallest := explore.Plans.Example(int(seed))
+	smallest := plans.Example(int(seed))
 	rule := explore.Run(smallest, nil, 0).Broken
 	rapid.Check(&recorder{}, func(t *rapid.T) {
-		p := explore.Plans.Draw(t, "plan")
+		p := plans.Draw(t, "plan")
 		if out := explore.Run(p, nil, 0); out.Broken == rule {
 			smallest = p
 			t.Fatalf("%s", out.Broken)
--- a/internal/explore/cmd/mutants.go
+++ b/internal/explore/cmd/mutants.go
@@ -62,11 +62,27 @@
 	{"a report counts as complete without our token", []edit{{"workers/desk.go", "if r.Token == d.token {\n\t\tphase = Current", "if true {\n\t\tphase = Current"}}},
 	{"a machine that hears nothing gets tasks", []edit{{"workers/late.go", "x.deaf = x.deaf || m.session > 0 && now.Sub(x.answered) < d.opt.Lease", ""},
 		{"workers/late.go", "x.deaf = x.deaf || x.misses >= mostMisses", ""}, {"placement/faults.go", "m.wanders = member != m.knockedAt && gap > wanderLeast; m.wanders", "false"}}},
+	{"the lease is no part of the budget", []edit{{"settings/platform.go", "left := p.CancelWait - p.Lease", "left := p.CancelWait"}}},
+	{"a view of the jobs counts from its answer", []edit{{"controller/records.go", "t.changes(events)\n\t\t\t\t}\n\t\t\t\tt.viewed(asked)", "t.changes(events)\n\t\t\t\t}\n\t\t\t\tt.viewed(t.n.world.Now())"}}},
+	{"a look at the key counts as a view of the jobs", []edit{{"leadership/leadership.go", "m.token, m.checked = stamp, sent\n\t\t\treturn nil", "m.token, m.checked, m.viewed = stamp, sent, sent\n\t\t\treturn nil"}}},
+	{"a grant counts from its arrival", []edit{{"workers/rounds.go", "d.start.Add(time.Duration(r.GrantUntilNs)); until.After(d.grant)", "now.Add(3 * time.Second); r.GrantUntilNs > 0 && until.After(d.grant)"}}},
+	{"a direct call has no end", []edit{{"controller/node.go", "if !n.world.Now().Before(c.Until) {", "if false {"}}},
+	{"messages go out after the right to act", []edit{{"controller/rounds.go", "if !n.lead.MayAct(now) {", "if n.lead.Token() == 0 {"}, {"controller/rounds.go", "if n.mayAct() {", "if true {"},
+		{"controller/node.go", "if n.term != nil && n.lead.MayAct(now) {", "if n.term != nil {"}}},
+	{"tasks of a cancelled job are not stopped", []edit{{"placement/jobs.go", "\t\tb.stopOne(t, 0)\n\t}\n\tfor i := range j.Spec.Tasks", "\t\t_ = t\n\t}\n\tfor i := range j.Spec.Tasks"}}},
+	{"a late claim keeps the last hold", []edit{{"leadership/leadership.go", "if v.Hold != 0 {", "if false {"}}},
+	{"a submission without an answer is accepted", []edit{{"intake/intake.go", "if err == nil && out.OK() {\n\t\treturn answer(201", "if out.OK() && (err == nil || errors.Is(err, store.ErrUnknown)) {\n\t\treturn answer(201"}}},
+	{"a cancellation without an answer is confirmed", []edit{{"intake/intake.go", "if err == nil && out.OK() {\n\t\t\tin.finals", "if out.OK() && (err == nil || errors.Is(err, store.ErrUnknown)) {\n\t\t\tin.finals"}}},
+	{"a cancellation does not guard the record", []edit{{"intake/intake.go", "Guards: []store.Guard{{Key: key, Stamp: l.stamp}, {Key: placement.DonePrefix + id}},", ""}}},
+	{"a save does not guard the record", []edit{{"controller/records.go", "txn.Guards = append(txn.Guards, store.Guard{Key: placement.JobPrefix + s.ID, Stamp: s.Stamp})\n", ""}}},
+	{"a save without an answer counts as stored", []edit{{"controller/records.go", "ok := err == nil && out.OK()", "ok := out.OK() && (err == nil || errors.Is(err, store.ErrUnknown))"}}},
+	{"a question is answered from memory without a look", []edit{{"intake/board.go", "if g.done.Wait(ctx, wait) {\n\t\treturn g.err", "if g.done.Wait(ctx, 0) || b.rev > 0 {\n\t\treturn nil"}}},
 	{"a machine that expired while its record was written is used", []edit{{"placement/machines.go", "m.Phase != Expired, stamp, false", "true, stamp, false"}}},
 }
 
 type mutantsCmd struct {
 	For  time.Duration `help:"How long to explore each." default:"1m"`
+	Meet bool          `help:"Draw troubles that meet as well." default:"true" negatable:""`
 	Only string        `help:"Only those whose names contain this."`
 }
 
@@ -88,16 +104,20 @@
 		if err != nil {
 			return fmt.Errorf("%s: %w", m.name, err)
 		}
-		out, err := exec.Command(program, "run", "--for", c.For.String(), "--shrink", "6s").Output()
+		written, err := scripted(dir)
+		if err != nil {
+			return fmt.Errorf("%s: %w", m.name, err)
+		}
+		out, err := exec.Command(program, "run", "--for", c.For.String(), "--shrink", "6s", fmt.Sprintf("--meet=%v", c.Meet)).Output()
 		var failed *exec.ExitError
 		if err != nil && !errors.As(err, &failed) {
 			return fmt.Errorf("%s: %w", m.name, err)
 		}
 		if f := foundAfter.FindStringSubmatch(string(out)); f != nil {
-			fmt.Printf("| %s | %s | %s | %s | %s jobs, %s faults |\n", m.name, f[3], f[1], f[2], f[4], f[5])
+			fmt.Printf("| %s | %s | %s | %s | %s jobs, %s faults | %s |\n", m.name, f[3], f[1], f[2], f[4], f[5], written)
 		} else {
 			missed++
-			fmt.Printf("| %s | not found | %s | | |\n", m.name, strings.SplitN(string(out), " on ", 2)[0])
+			fmt.Printf("| %s | not found | %s | | | %s |\n", m.name, strings.SplitN(string(out), " on ", 2)[0], written)
 		}
 	}
 	if missed > 0 {
@@ -106,6 +126,31 @@
 	return nil
 }
 
+// failedRow is a line of a scripted meeting that broke a rule or whose tasks stayed too long.
+var failedRow = regexp.MustCompile(`(?m)^\s+meetings_test\.go:\d+: (.*), (?:planimetra|donorline), seed \d+: (.*)$`)
+
+// scripted plays the scripted meetings with the mistake that was built last, and tells how many of
+// their rows find it, and the first that does.
+func scripted(dir string) (string, error) {
+	out, err := exec.Command("go", "test", "-overlay", filepath.Join(dir, "overlay.json"), "-count=1", "-run", "^(TestGap|TestMeetings)$", "./internal/explore").CombinedOutput()
+	var failed *exec.ExitError
+	if err != nil && !errors.As(err, &failed) {
+		return "", err
+	}
+	found := failedRow.FindAllStringSubmatch(string(out), -1)
+	switch {
+	case err == nil:
+		return "no row", nil
+	case len(found) == 0:
+		return "", fmt.Errorf("the scripted meetings: %.400s", out)
+	}
+	rows := map[string]bool{}
+	for _, f := range found {
+		rows[f[1]] = true
+	}
+	return fmt.Sprintf("%d rows, first \"%s\": %s", len(rows), found[0][1], found[0][2]), nil
+}
+
 // build makes an explorer with the mistake in it.
 func (m mutant) build(dir string) (string, error) {
 	root, err := os.Getwd()
--- a/internal/explore/explore_test.go
+++ b/internal/explore/explore_test.go
@@ -83,6 +83,11 @@
 				if out.Broken != "" {
 					t.Errorf("seed %d breaks %s", seed, out.Broken)
 				}
+				if seed%3 == 0 {
+					if met := Run(Meetings.Example(seed), nil, 0); met.Broken != "" {
+						t.Errorf("seed %d, with troubles that meet, breaks %s", seed, met.Broken)
+					}
+				}
 				lock.Lock()
 				starts += out.Starts
 				lock.Unlock()
@@ -101,7 +106,6 @@
 
 // The rules are checked against what is on the machines and what users were told.
 func TestRules(t *testing.T) {
-	const sec = time.Second
 	type at struct {
 		w    *world
 		x, y *job // y needs x
--- a/internal/explore/machines.go
+++ b/internal/explore/machines.go
@@ -343,7 +343,7 @@
 		return
 	}
 	m.sent = 0
-	m.schedule(sent + s.Between(reportEvery*3/4, reportEvery*5/4))
+	m.schedule(sent + s.Between(m.world.plan.report()*3/4, m.world.plan.report()*5/4))
 	if v.Token < m.token {
 		return // dropped: neither orders nor lease
 	}
--- a/internal/explore/plan.go
+++ b/internal/explore/plan.go
@@ -18,6 +18,7 @@
 type Plan struct {
 	Seed     uint64
 	Machines int           // at most at once, of each kind, ordinary and spot
+	Report   time.Duration // between a worker's reports; 0: one second
 	Lease    time.Duration // of workers
 	Cancel   time.Duration // within which a cancelled job is gone; decides how long a leader may act
 	Jobs     []Submission
@@ -37,6 +38,7 @@
 	Spot    bool
 	Takes   time.Duration
 	Cancel  time.Duration // after its submission; 0: never
+	Beside  bool          // cancelled through a controller that the state service does not refuse
 	Needs   []int         // numbers of earlier jobs
 }
 
@@ -61,6 +63,14 @@
 var later = []string{"deafen machine", "deafen machine", "deafen zone", "late copies", "late copies", "alone with workers", "alone with workers",
 	"crash back", "crash back", "crash all back", "machine back", "machine back", "machine back"}
 
+// Those that meet: of a controller, and of a machine beside a controller's end.
+var (
+	meetsNode = []string{"store refuses node", "store refuses node", "outage", "outage", "late writes", "late writes", "slow store", "alone with workers",
+		"cut node from store", "cut node from nodes", "cut node from workers", "cut into node", "freeze", "crash", "crash back", "crash all back", "late copies", "refuse"}
+	meetsMachine = []string{"deafen machine", "hang machine", "cut machine", "machine back", "late copies", "deafen zone", "cut zone",
+		"crash", "crash back", "crash all back", "store refuses node", "freeze", "late writes"}
+)
+
 // changes are what makes another controller lead.
 var changes = []string{"cut node", "cut node", "cut node from store", "store refuses node", "freeze", "crash", "cut zone"}
 
@@ -79,7 +89,7 @@
 
 // bound is when all jobs must be over.
 func (p Plan) bound() time.Duration {
-	out := troubles + patience
+	out := p.calmFrom() + patience
 	for _, j := range p.Jobs {
 		out += 2 * j.Takes
 	}
@@ -141,6 +151,37 @@
 	return out
 }
 
+// Meetings draws schedules in which two or three troubles of the same controller or machine meet:
+// each begins near the beginning or the end of an earlier one. A job may be cancelled about then.
+var Meetings = rapid.Custom(func(t *rapid.T) Plan {
+	p := Plans.Draw(t, "plan")
+	for range rapid.IntRange(1, 2).Draw(t, "meetings") {
+		p.meet(t)
+	}
+	return p
+})
+
+// meet adds one meeting to a schedule.
+func (p *Plan) meet(t *rapid.T) {
+	some, whom := meetsNode, rapid.SampledFrom([]int{7, 7, 7, 0, 1, 2}).Draw(t, "met")
+	if rapid.IntRange(0, 2).Draw(t, "of a machine") == 2 {
+		some = meetsMachine
+	}
+	edges := []time.Duration{seconds(t, "met at", 6, 30)}
+	for range rapid.IntRange(2, 3).Draw(t, "troubles") {
+		at := max(0, rapid.SampledFrom(edges).Draw(t, "edge")+seconds(t, "off", -2, 2))
+		f := Fault{Kind: rapid.SampledFrom(some).Draw(t, "meets"), At: at, A: whom, Hold: rapid.Bool().Draw(t, "meets hold")}
+		f.For = max(time.Second, min(seconds(t, "meets for", 1, 30), troubles-at))
+		edges = append(edges, at, at+f.For)
+		p.Faults = append(p.Faults, f)
+	}
+	if i := rapid.IntRange(0, len(p.Jobs)-1).Draw(t, "cancelled then"); rapid.Bool().Draw(t, "cancels") {
+		j := &p.Jobs[i]
+		j.Cancel = max(time.Second, rapid.SampledFrom(edges).Draw(t, "cancelled at")+seconds(t, "cancelled off", -2, 3)-j.At)
+		j.Takes = max(j.Takes, j.Cancel)
+	}
+}
+
 // atOnce is how long a process or a machine is away that is back at once: 50 to 900 ms.
 func (f Fault) atOnce() time.Duration { return 50*time.Millisecond + f.For%(850*time.Millisecond) }
 
@@ -152,6 +193,18 @@
 	return out + 500*time.Millisecond
 }
 
+// calmFrom is when nothing goes wrong any more: later than troubles in schedules that are written,
+// not drawn.
+func (p Plan) calmFrom() time.Duration { return max(troubles, p.ended()) }
+
+// report is the time between a worker's reports.
+func (p Plan) report() time.Duration {
+	if p.Report == 0 {
+		return reportEvery
+	}
+	return p.Report
+}
+
 // calm tells that only controllers end in a schedule, for less than pieces of a gang wait for each
 // other: none may wait in vain then.
 func (p Plan) calm() bool {
@@ -194,7 +247,12 @@
 	Broken string // the rule, or ""
 	Events uint64
 	Starts int // tasks that were on a machine
-	Trace  uint64
+	// Gone is the longest time from a user's being told that a job is cancelled until the last of
+	// its tasks was gone, Cancelled how many were told so, and Again when a job first began to run
+	// after the last trouble: 0 if none did.
+	Gone, Again time.Duration
+	Cancelled   int
+	Trace       uint64
 }
 
 // Run plays a schedule. story, if not nil, takes in what happens, and what the
@@ -238,12 +296,13 @@
 		w.countAgain()
 	}
 	out.Broken, out.Starts = w.sim.broken, w.starts
+	out.Gone, out.Cancelled, out.Again = w.gone, w.told, w.again
 	return out
 }
 
 // served tells that faults have ended and every job is over for its user.
 func (w *world) served() bool {
-	if w.sim.Now() < troubles {
+	if w.sim.Now() < w.plan.calmFrom() {
 		return false
 	}
 	for _, j := range w.all {
@@ -319,6 +378,10 @@
 		cut(func(from, to *place) bool {
 			return from.role == controllerRole && to.role == workerRole && to.zone == z
 		})
+	case "late writes":
+		w.lateWrites = max(w.lateWrites, s.Now()+f.For)
+	case "slow store":
+		w.slowStore = max(w.slowStore, s.Now()+f.For)
 	case "late copies":
 		w.copies = max(w.copies, s.Now()+f.For)
 	case "alone with workers":
--- a/internal/explore/store.go
+++ b/internal/explore/store.go
@@ -26,7 +26,17 @@
 			reply(result[T]{none, store.ErrRefused})
 			return
 		}
-		do(func(x T, err error) { reply(result[T]{x, err}) })
+		slow := time.Duration(0)
+		if n.world.sim.Now() < n.world.slowStore {
+			slow = n.world.sim.Between(0, 3*time.Second)
+		}
+		do(func(x T, err error) {
+			if slow > 0 {
+				n.world.sim.After(slow, func() { reply(result[T]{x, err}) })
+				return
+			}
+			reply(result[T]{x, err})
+		})
 	})
 	if !ok {
 		return r.v, store.ErrUnknown
@@ -58,11 +68,31 @@
 
 func (c storeClient) Do(_ context.Context, t store.Txn) (store.Outcome, error) {
 	return storeCall(c, storeTimeout, func(reply func(store.Outcome, error)) {
-		out, err := c.n.world.store.Txn(t)
+		w := c.n.world
+		if w.sim.Now() < w.lateWrites && w.sim.Rand.IntN(2) == 0 {
+			w.sim.After(w.sim.Between(2*time.Second, 12*time.Second), func() { c.late(t) })
+			return
+		}
+		out, err := w.store.Txn(t)
 		reply(out, err)
 	})
 }
 
+// late carries out a transaction whose sender got no answer; in an outage, after it.
+func (c storeClient) late(t store.Txn) {
+	w := c.n.world
+	if w.store.Refuses("") {
+		w.sim.After(time.Second, func() { c.late(t) })
+		return
+	}
+	out, err := w.store.Txn(t)
+	var keys []string
+	for _, x := range t.Writes {
+		keys = append(keys, x.Set+x.Delete)
+	}
+	w.sim.tell("carried out late, of %s: %v; guards that failed %v, error %v", c.n.place.name, keys, out.Failed, err)
+}
+
 type news struct {
 	events []store.Event
 	rev    uint64
--- a/internal/explore/users.go
+++ b/internal/explore/users.go
@@ -90,7 +90,7 @@
 			}
 			for !j.told.Final() {
 				j.wantCancel = true
-				w.ask(j, "cancellation", func(n *node) httpwire.Answer { return n.node.Users().Cancel(context.Background(), id) })
+				w.via(j, "cancellation", w.choose(s.Beside), func(n *node) httpwire.Answer { return n.node.Users().Cancel(context.Background(), id) })
 				if !j.told.Final() {
 					w.users.Sleep(time.Second)
 				}
@@ -99,18 +99,33 @@
 	}
 }
 
-// ask has a user ask something. An answer to what was asked before the user was told
-// more is no news.
+// ask has a user ask something.
 func (w *world) ask(j *job, what string, do func(n *node) httpwire.Answer) {
+	w.via(j, what, w.choose(false), do)
+}
+
+// via has a user ask a controller something. An answer to what was asked before the user was told
+// more is no news.
+func (w *world) via(j *job, what string, n *node, do func(n *node) httpwire.Answer) {
 	sent := w.sim.Now()
-	if a := w.request(do); sent >= j.toldAt {
+	if a := w.request(n, do); sent >= j.toldAt {
 		w.hear(j, what, a)
 	}
 }
 
-// request asks some controller and waits up to five seconds; status 0: no answer.
-func (w *world) request(do func(n *node) httpwire.Answer) httpwire.Answer {
-	n := w.nodes[w.sim.Rand.IntN(len(w.nodes))]
+// choose draws a controller; beside: one that the state service does not refuse, if there is one.
+func (w *world) choose(beside bool) *node {
+	i := w.sim.Rand.IntN(len(w.nodes))
+	for k := range w.nodes {
+		if n := w.nodes[(i+k)%len(w.nodes)]; !beside || !w.store.Refuses(n.place.name) {
+			return n
+		}
+	}
+	return w.nodes[i]
+}
+
+// request asks a controller and waits up to five seconds; status 0: no answer.
+func (w *world) request(n *node, do func(n *node) httpwire.Answer) httpwire.Answer {
 	if n.process.Dead() {
 		return httpwire.Answer{}
 	}
@@ -179,6 +194,7 @@
 		return
 	}
 	j.cancelled = w.sim.Now()
+	w.told++
 	w.sim.After(w.plan.Cancel, func() {
 		if len(j.on) > 0 {
 			w.sim.breaks("ran_cancelled", "%s has tasks on machines %v after it was cancelled", j.id, w.plan.Cancel)
@@ -198,6 +214,9 @@
 	s, j := w.sim, t.job
 	name := model.TaskName(j.id, t.index)
 	w.starts++
+	if w.again == 0 && s.Now() > w.plan.ended() {
+		w.again = s.Now() - w.plan.ended()
+	}
 	s.tell("%s is on %s, attempt %x", name, m.name, t.attempt)
 	if other := j.on[t.index]; other != nil {
 		s.breaks("ran_twice", "%s starts on %s while it is on %s", name, m.name, other.name)
@@ -237,6 +256,9 @@
 func (w *world) left(m *worker, t *copyOf) {
 	if t.job.on[t.index] == m {
 		delete(t.job.on, t.index)
+		if t.job.cancelled >= 0 {
+			w.gone = max(w.gone, w.sim.Now()-t.job.cancelled)
+		}
 	}
 }
 
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -48,8 +48,14 @@
 	operated map[string]bool          // names that an operator has drained
 	used     map[string]time.Duration // by team: CPU time that its tasks have run
 	attempts map[string]int           // by team: tasks that have run
-	copies   time.Duration            // until then reports are delivered once more, later
-	old      time.Duration            // until then the first controller reads an earlier form of records
+	gone     time.Duration            // see Outcome
+	again    time.Duration            // see Outcome
+	told     int                      // cancellations that users were told of
+	// Until then half of the transactions get no answer and are carried out 2 to 12 s later,
+	// and the state service answers up to 3 s late.
+	lateWrites, slowStore time.Duration
+	copies                time.Duration // until then reports are delivered once more, later
+	old                   time.Duration // until then the first controller reads an earlier form of records
 }
 
 // node is a member, through all its processes.
@@ -108,7 +114,7 @@
 	w := n.world
 	n.process = w.sim.NewProcess(n.place.name)
 	cfg := &settings.Platform{Member: n.place.name, Zone: n.place.zone, Listen: "127.0.0.1:1", PeerListen: "127.0.0.1:1",
-		Teams: teams, ReportEvery: reportEvery, Lease: w.plan.Lease, CancelWait: w.plan.Cancel, GangWait: gangWait, StateRPS: 1000, StateWriteRPS: 1000,
+		Teams: teams, ReportEvery: w.plan.report(), Lease: w.plan.Lease, CancelWait: w.plan.Cancel, GangWait: gangWait, StateRPS: 1000, StateWriteRPS: 1000,
 		ValueBytes: 8192, WideValueBytes: 8192, TxnOps: 16, CloudRPS: 100, MemoryMB: 100, MaxConns: 1000}
 	for _, o := range w.nodes {
 		if o != n {
