explorer: rows for what is held in the gap, and a bound by the budget

Need: each row fails when its guard is taken away. Tried on the seeded mistakes, two guards of the gap had no row: a grant that counts from its arrival, and a look at the key that counts as a view. Change: three rows (the leader's messages held, its store heard late, machines' calls and answers held); a row's tasks must be gone within the budget of docs/safety.md, not within cancel_s less a second; the two shrunk schedules stand in a test of their own, which the mistakes are tried on too.

--- a/internal/explore/cmd/mutants.go
+++ b/internal/explore/cmd/mutants.go
@@ -127,12 +127,12 @@
 }
 
 // failedRow is a line of a scripted meeting that broke a rule or whose tasks stayed too long.
-var failedRow = regexp.MustCompile(`(?m)^\s+meetings_test\.go:\d+: (.*), (?:planimetra|donorline), seed \d+: (.*)$`)
+var failedRow = regexp.MustCompile(`(?m)^\s+(?:meetings|explore)_test\.go:\d+: (.*?)(?:, (?:planimetra|donorline), seed \d+)?: (.*)$`)
 
 // scripted plays the scripted meetings with the mistake that was built last, and tells how many of
 // their rows find it, and the first that does.
 func scripted(dir string) (string, error) {
-	out, err := exec.Command("go", "test", "-overlay", filepath.Join(dir, "overlay.json"), "-count=1", "-run", "^(TestGap|TestMeetings)$", "./internal/explore").CombinedOutput()
+	out, err := exec.Command("go", "test", "-overlay", filepath.Join(dir, "overlay.json"), "-count=1", "-run", "^(TestGap|TestMeetings|TestShrunk)$", "./internal/explore").CombinedOutput()
 	var failed *exec.ExitError
 	if err != nil && !errors.As(err, &failed) {
 		return "", err
--- a/internal/explore/explore_test.go
+++ b/internal/explore/explore_test.go
@@ -58,15 +58,19 @@
 	}
 }
 
-// The schedule that once broke a rule, and a few thousand others, break none. The
-// explorer's command plays as many as one likes.
-func TestSchedules(t *testing.T) {
+// Schedules that broke a rule once, as the explorer found and shrank them.
+func TestShrunk(t *testing.T) {
 	if out := Run(refused, nil, 0); out.Broken != "" || out.Starts < 5 {
 		t.Errorf("controllers that cannot talk: %+v", out)
 	}
 	if out := Run(blind, nil, 0); out.Broken != "" || out.Starts < 2 {
 		t.Errorf("a leader that nothing reaches: %+v", out)
 	}
+}
+
+// Seeds that once broke a rule, and a few thousand others, break none. The explorer's
+// command plays as many as one likes.
+func TestSchedules(t *testing.T) {
 	for _, seed := range found {
 		if out := Run(Plans.Example(seed), nil, 0); out.Broken != "" {
 			t.Errorf("seed %d, found before: %+v", seed, out)
--- a/internal/explore/meetings_test.go
+++ b/internal/explore/meetings_test.go
@@ -34,6 +34,10 @@
 	return p
 }
 
+// margin is what of cancel_s the budget leaves for drift and slow timers (docs/safety.md), less what
+// clocks drift apart here: tasks that stay longer were kept by what the budget doesn't know of.
+const margin = 1900 * time.Millisecond
+
 // each plays a schedule for both deployments and some seeds, and tells the worst of them: how long
 // tasks of a cancelled job stayed, and how long after the last trouble anything began. least is how
 // many cancellations must have been told in each.
@@ -52,7 +56,7 @@
 					t.Errorf("%s, %s, seed %d: %s", name, x.name, seed+1, out.Broken)
 				case out.Cancelled < least || out.Starts < 8:
 					t.Errorf("%s, %s, seed %d: %d cancellations, %d starts: it shows nothing", name, x.name, seed+1, out.Cancelled, out.Starts)
-				case out.Gone > x.cancel-sec:
+				case out.Gone > x.cancel-margin:
 					t.Errorf("%s, %s, seed %d: gone only after %v", name, x.name, seed+1, out.Gone)
 				}
 				gone, again = max(gone, out.Gone), max(again, out.Again)
@@ -126,12 +130,15 @@
 		{"a slow state service that refuses the leader", []Fault{f("slow store", 38, 40, 0), f("store refuses node", 41, 14, 7)}},
 		{"slow, refused alone, out for all", []Fault{f("slow store", 38, 8, 0), f("store refuses node", 42, 14, 7), f("outage", 44.5, 60, 0)}},
 		{"two gaps in a row, the second before the takeover is over", []Fault{f("store refuses node", 40, 10, 7), f("outage", 41.5, 30, 0), f("store refuses node", 72, 10, 7), f("outage", 72.8, 70, 0)}},
+		{"the gap, the leader's messages are held", []Fault{f("store refuses node", 40, 14, 7), held("cut node from nodes", 40.2, 21, 7), f("outage", 41, 90, 0)}},
+		{"the gap, the leader hears its store late", []Fault{f("slow store", 30, 20, 0), f("store refuses node", 42.6, 14, 7), f("outage", 45.2, 90, 0)}},
+		{"the gap, calls and answers of machines are held", []Fault{held("cut machine", 39.8, 24, 0), held("cut machine", 39.8, 22, 3), held("deafen zone", 40, 25, 1), f("store refuses node", 40, 14, 7), f("outage", 41, 90, 0)}},
 		{"the gap, machines hear nothing", []Fault{f("deafen zone", 38, 90, 0), f("store refuses node", 40, 14, 7), f("outage", 42, 60, 0)}},
 		{"the gap, a machine hangs and goes on", []Fault{f("hang machine", 39, 17, 0), f("hang machine", 39.5, 21, 1), f("store refuses node", 40, 14, 7), f("outage", 42, 60, 0)}},
 		{"the gap, the leader stands still in it", []Fault{f("store refuses node", 40, 14, 7), f("freeze", 41, 11, 7), f("outage", 42, 60, 0), f("freeze", 54, 9, 7)}},
 		{"the gap, the leader is back at once", []Fault{f("store refuses node", 40, 14, 7), f("outage", 42, 60, 0), f("crash back", 41.8, 1, 7)}},
 	} {
-		gone, again := each(t, c.name, 4, 4, func(d int, seed uint64) Plan {
+		gone, again := each(t, c.name, 6, 4, func(d int, seed uint64) Plan {
 			return long(d, seed, 50*sec, near, c.faults...)
 		})
 		t.Logf("%-60s gone after %6.2f s, again after %6.2f s", c.name, gone.Seconds(), again.Seconds())
