explorer: rows for a leader that nothing reaches, then out for all

Need: the shrunk schedule that once showed a right to act which hangs on the key alone no longer finds that mistake: delays are drawn otherwise by now. Change: two scripted rows. Nothing reaches the leader for less than a lease, its own messages keep its key; then a look at the key is answered, and the state service is out for all before the jobs are.

--- a/internal/explore/meetings_test.go
+++ b/internal/explore/meetings_test.go
@@ -132,6 +132,8 @@
 		{"two gaps in a row, the second before the takeover is over", []Fault{f("store refuses node", 40, 10, 7), f("outage", 41.5, 30, 0), f("store refuses node", 72, 10, 7), f("outage", 72.8, 70, 0)}},
 		{"the gap, the leader's messages are held", []Fault{f("store refuses node", 40, 14, 7), held("cut node from nodes", 40.2, 21, 7), f("outage", 41, 90, 0)}},
 		{"the gap, the leader hears its store late", []Fault{f("slow store", 30, 20, 0), f("store refuses node", 42.6, 14, 7), f("outage", 45.2, 90, 0)}},
+		{"nothing reaches the leader, then out for all at once", []Fault{f("cut into node", 39.9, 24.1, 7), f("outage", 64.2, 90, 0)}},
+		{"nothing reaches the leader, then out for all a moment later", []Fault{f("cut into node", 39.9, 24.1, 7), f("outage", 64.32, 90, 0)}},
 		{"the gap, calls and answers of machines are held", []Fault{held("cut machine", 39.8, 24, 0), held("cut machine", 39.8, 22, 3), held("deafen zone", 40, 25, 1), f("store refuses node", 40, 14, 7), f("outage", 41, 90, 0)}},
 		{"the gap, machines hear nothing", []Fault{f("deafen zone", 38, 90, 0), f("store refuses node", 40, 14, 7), f("outage", 42, 60, 0)}},
 		{"the gap, a machine hangs and goes on", []Fault{f("hang machine", 39, 17, 0), f("hang machine", 39.5, 21, 1), f("store refuses node", 40, 14, 7), f("outage", 42, 60, 0)}},
