--- /dev/null
+++ b/internal/controller/load_test.go
@@ -0,0 +1,163 @@
+package controller
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/hosts"
+	"github.com/marlwood/marlwood/internal/httpwire"
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/peers/peerspb"
+	"github.com/marlwood/marlwood/internal/placement"
+	"github.com/marlwood/marlwood/internal/settings"
+	"github.com/marlwood/marlwood/internal/standin"
+	"github.com/marlwood/marlwood/internal/store"
+	"github.com/marlwood/marlwood/internal/workers"
+)
+
+// BenchmarkLoad is a repeatable profile of a controller's processor time and memory by duty: three
+// controllers over loopback, as many machines as the smaller deployments have, jobs that come and go
+// and users who ask.
+//
+//	go test -run '^$' -bench Load -benchtime 1x -cpuprofile cpu.out -memprofile mem.out ./internal/controller
+//	go tool pprof -top -tagfocus controller controller.test cpu.out
+//
+// It reports the heap that is live at the end, the stand-ins' included, in MB.
+func BenchmarkLoad(b *testing.B) {
+	const machines, users, length = 240, 150, 20 * time.Second
+	for b.Loop() {
+		s := newSiteOn(b, standin.Options{Lease: 26 * time.Second, Report: 4 * time.Second, Soon: 500 * time.Millisecond,
+			Types: []*standin.Type{{Name: "s8", Size: model.Size{CPUs: 8, MemoryGB: 32}, CacheGB: 50, FetchGBPerS: 100, Price: 1, SpotPrice: 0.4,
+				Boot: 500 * time.Millisecond, Zones: []string{"a", "b", "c"}, Limit: machines / 6}},
+			Takes: func(_ *model.Job, i int) time.Duration { return time.Duration(4+i%5) * time.Second }},
+			func(_ int, cfg *settings.Platform, op *settings.Operator) {
+				usual, err := settings.LoadOperator("")
+				if err != nil {
+					b.Fatal(err)
+				}
+				*op = *usual
+				cfg.StateRPS, cfg.StateWriteRPS, cfg.CloudRPS, cfg.MemoryMB, cfg.MaxConns = 120, 25, 3, 54, 600
+			})
+		var group sync.WaitGroup
+		end := time.Now().Add(length)
+		submit := func(id string, tasks int) int {
+			resp, err := client.Post("http://"+s.addrs[len(id)%3]+"/api/jobs", "application/json", strings.NewReader(job(id, "batch", tasks)))
+			if err != nil {
+				return 503
+			}
+			_ = resp.Body.Close()
+			return resp.StatusCode
+		}
+		for u := range users {
+			group.Go(func() {
+				for n := 0; time.Now().Before(end); n++ {
+					id := fmt.Sprintf("req-%d-%d", u, n)
+					for submit(id, 40+u%100) == 503 && time.Now().Before(end) {
+						time.Sleep(time.Second) // as users do
+					}
+					for k := 0; k < 5 && time.Now().Before(end); k++ {
+						time.Sleep(2 * time.Second)
+						s.ask("GET", "/api/jobs/"+id, "")
+					}
+				}
+			})
+		}
+		group.Wait()
+		runtime.GC()
+		var mem runtime.MemStats
+		runtime.ReadMemStats(&mem)
+		b.ReportMetric(float64(mem.HeapAlloc)/(1<<20), "MB-live")
+		b.ReportMetric(float64(s.cloud.Running()), "tasks")
+	}
+}
+
+// What a report of four running tasks allocates, from its bytes to those of its answer, is
+// bounded: reports come by the machine and second, and the collector is paid from the same share
+// of a core.
+func TestAllocationsOfAReport(t *testing.T) {
+	tm, _, _ := leading(t)
+	var pieces []string
+	for i := range 4 {
+		pieces = append(pieces, fmt.Sprintf(`{"piece":"req-000412/%d","try":2,"stage":"running"}`, i))
+	}
+	seq := 0
+	allocs := testing.AllocsPerRun(200, func() {
+		seq++
+		text := fmt.Sprintf(`{"berth":"vm-000231","addr":"10.1.0.232:9000","hull":"big","yard":"b","shift":1,"tally":%d,"baton":7,"pieces":[%s]}`, seq, strings.Join(pieces, ","))
+		req, _, err := httpwire.ParseRequest(fmt.Appendf(nil, "POST /checkin HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(text), text), httpwire.Limits{Head: 8 << 10, Body: 64 << 10})
+		if err != nil {
+			t.Fatal(err)
+		}
+		r, err := readReport(req.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		tm.n.Report(time.Now(), r, func(v workers.Verdict) { verdictAnswer(v).Append(nil) })
+	})
+	t.Logf("%v allocations", allocs)
+	if allocs > 60 {
+		t.Errorf("a report takes %v allocations", allocs)
+	}
+}
+
+// A takeover of half as many machines again as the smaller deployments have, each with sixteen tasks,
+// and of five hundred jobs whose records are as large as they get, fits the smallest limit of memory
+// (54 MB): with the 17 MB that a controller without work holds, its code included, 15 MB are to spare.
+func TestTakeoverFitsMemory(t *testing.T) {
+	const machines, jobs, mostMB = 360, 500, 22.0
+	live := func() float64 {
+		runtime.GC()
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc) / (1 << 20)
+	}
+	tm, l, _ := leading(t)
+	draw := rand.New(rand.NewPCG(1, 2))
+	before := live()
+	var hostItems, jobItems []store.Item
+	answer := says("first", 7, 5)
+	answer.Machines = nil
+	kind := model.Kind{Type: "big", Zone: "a"}
+	for i := range machines {
+		name := fmt.Sprintf("vm-%06d", i)
+		w := store.Put(hosts.SinglePrefix+name, hosts.Host{Kind: kind, Addr: "10.0.0.1:9000"})
+		hostItems = append(hostItems, store.Item{Key: w.Set, Value: w.Value, Stamp: uint64(i + 20)})
+		m := &peerspb.Machine{Name: name, Addr: "10.0.0.1:9000", Kind: &peerspb.Kind{Type: "big", Zone: "a"}, Phase: "current", Session: 1, Seq: 1, NoticeMs: -1}
+		for k := range 16 {
+			m.Tasks = append(m.Tasks, &peerspb.Task{Job: fmt.Sprintf("req-%06d", i%jobs), Index: uint32(i/jobs*16 + k), Attempt: 7<<20 + 1, State: string(model.TaskRunning)})
+		}
+		answer.Machines = append(answer.Machines, m)
+	}
+	for i := range jobs {
+		set := model.NewTaskSet(100_000) // as many tasks as a job may have, and marks that don't pack
+		for k := range model.PartTasks(8192 - 2048) {
+			if draw.IntN(2) == 0 {
+				set.Add(k)
+			}
+		}
+		v, err := json.Marshal(placement.Record{Job: &model.Job{ID: fmt.Sprintf("req-%06d", i), Team: "t", Shape: model.Array, Priority: model.Normal, Tasks: 100_000,
+			Size: model.Size{CPUs: 0.1, MemoryGB: 0.1}, Image: "i"}, Finished: set.Encode(0, model.PartTasks(8192-2048)), Count: set.Len()})
+		if err != nil || len(v) > 8192 {
+			t.Fatal(len(v), err)
+		}
+		jobItems = append(jobItems, store.Item{Key: placement.JobPrefix + fmt.Sprintf("req-%06d", i), Value: v, Stamp: uint64(i + 2000)})
+	}
+	tm.core.Load(time.Now(), hostItems, nil, jobItems, nil, nil, nil)
+	tm.receive(l, 7, time.Now(), answer, nil)
+	after := live()
+	runtime.KeepAlive(jobItems)
+	t.Logf("%.1f MB with %d machines and %d jobs, %d bytes a record", after-before, tm.core.Machines().Len(), tm.core.Jobs().Len(), len(jobItems[0].Value))
+	if tm.core.Machines().Len() < machines || tm.core.Jobs().Len() < jobs {
+		t.Errorf("only %d machines and %d jobs were taken in", tm.core.Machines().Len(), tm.core.Jobs().Len())
+	}
+	if after-before > mostMB {
+		t.Errorf("a takeover holds %.1f MB", after-before)
+	}
+}
--- a/internal/controller/node_test.go
+++ b/internal/controller/node_test.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime/pprof"
 	"strings"
 	"testing"
 	"time"
@@ -21,7 +22,7 @@
 )
 
 // ports finds free loopback ports.
-func ports(t *testing.T, n int) []string {
+func ports(t testing.TB, n int) []string {
 	var out []string
 	for range n {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -36,7 +37,7 @@
 
 // site is three controllers among stand-ins.
 type site struct {
-	*testing.T
+	testing.TB
 	state *standin.State
 	cloud *standin.Cloud
 	addrs []string
@@ -45,23 +46,30 @@
 	down  map[int]bool // that were stopped
 }
 
-func newSite(t *testing.T, change ...func(i int, cfg *settings.Platform, op *settings.Operator)) *site {
+// newSite makes one whose machines are quick.
+func newSite(t testing.TB, change ...func(i int, cfg *settings.Platform, op *settings.Operator)) *site {
+	return newSiteOn(t, standin.Options{Lease: 2 * time.Second, Report: 20 * time.Millisecond, Soon: 10 * time.Millisecond,
+		Types: []*standin.Type{{Name: "s4", Size: model.Size{CPUs: 4, MemoryGB: 16}, CacheGB: 50, FetchGBPerS: 100, Price: 1, SpotPrice: 0.4,
+			Boot: 10 * time.Millisecond, Zones: []string{"a", "b"}}},
+		Takes: func(*model.Job, int) time.Duration { return 50 * time.Millisecond }}, change...)
+}
+
+// newSiteOn makes one whose machines are as told. All that a controller runs carries its name as
+// the label "controller", for profiles.
+func newSiteOn(t testing.TB, machines standin.Options, change ...func(i int, cfg *settings.Platform, op *settings.Operator)) *site {
 	op, err := settings.LoadOperator("")
 	if err != nil {
 		t.Fatal(err)
 	}
 	op.Leadership.Hold, op.Leadership.Poll, op.Leadership.Grant = time.Second, 100*time.Millisecond, 500*time.Millisecond
 	op.Fleet.Tick = 100 * time.Millisecond
-	s := &site{T: t, state: standin.NewState(), addrs: ports(t, 6)}
+	s := &site{TB: t, state: standin.NewState(), addrs: ports(t, 6)}
 	members := map[string]string{}
 	for i := range 3 {
 		members[fmt.Sprintf("n%d", i)] = s.addrs[i]
 	}
-	s.cloud = standin.NewCloud(standin.Options{Nodes: members, Lease: 2 * time.Second, Report: 20 * time.Millisecond,
-		Soon: 10 * time.Millisecond, Jobs: s.state.Job,
-		Types: []*standin.Type{{Name: "s4", Size: model.Size{CPUs: 4, MemoryGB: 16}, CacheGB: 50, FetchGBPerS: 100, Price: 1, SpotPrice: 0.4,
-			Boot: 10 * time.Millisecond, Zones: []string{"a", "b"}}},
-		Takes: func(*model.Job, int) time.Duration { return 50 * time.Millisecond }})
+	machines.Nodes, machines.Jobs = members, s.state.Job
+	s.cloud = standin.NewCloud(machines)
 	t.Cleanup(func() {
 		for _, stop := range s.stops {
 			stop()
@@ -74,7 +82,7 @@
 		cfg := &settings.Platform{Member: fmt.Sprintf("n%d", i), Zone: []string{"a", "b", "c"}[i], Listen: s.addrs[i], PeerListen: s.addrs[3+i],
 			CloudAddr: s.cloud.Listener.Addr().String(), StateAddr: s.state.Listener.Addr().String(),
 			Teams:       map[string]model.Team{"t": {Name: "t"}},
-			ReportEvery: 20 * time.Millisecond, Lease: 2 * time.Second, CancelWait: 8 * time.Second,
+			ReportEvery: machines.Report, Lease: machines.Lease, CancelWait: 4 * machines.Lease,
 			StateRPS: 5000, StateWriteRPS: 1000, ValueBytes: 8192, WideValueBytes: 8192, TxnOps: 16, CloudRPS: 100, MemoryMB: 500, MaxConns: 400}
 		for k := range 3 {
 			if k != i {
@@ -85,14 +93,16 @@
 		for _, f := range change {
 			f(i, cfg, op)
 		}
-		n, err := New(cfg, op, slog.New(slog.NewTextHandler(io.Discard, nil)))
-		if err != nil {
-			t.Fatal(err)
-		}
 		ctx, stop := context.WithCancel(context.Background())
 		s.stops = append(s.stops, stop)
-		s.nodes = append(s.nodes, n)
-		go func() { _ = n.Run(ctx) }()
+		pprof.Do(ctx, pprof.Labels("controller", cfg.Member), func(ctx context.Context) {
+			n, err := New(cfg, op, slog.New(slog.NewTextHandler(io.Discard, nil)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.nodes = append(s.nodes, n)
+			go func() { _ = n.Run(ctx) }()
+		})
 	}
 	return s
 }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -326,6 +326,33 @@
 	}
 }
 
+// What a question allocates is bounded, whether its answer may still change or not: users ask by the
+// second, and the collector is paid from the same share of a core.
+func TestAllocationsOfAQuestion(t *testing.T) {
+	ctx := context.Background()
+	for _, c := range []struct {
+		name string
+		end  bool
+		most float64
+	}{{"open, from memory after a look", false, 50}, {"over", true, 12}} {
+		in, s := setup(t)
+		in.Submit(ctx, body())
+		if c.end {
+			finish(s)
+		}
+		in.Ask(ctx, "req-1")
+		allocs := testing.AllocsPerRun(50, func() {
+			if a := in.Ask(ctx, "req-1"); a.Status != 200 {
+				t.Fatal(a.Status)
+			}
+		})
+		t.Logf("%s: %g allocations", c.name, allocs)
+		if allocs > c.most {
+			t.Errorf("%s: a question takes %g allocations", c.name, allocs)
+		}
+	}
+}
+
 func TestRoute(t *testing.T) {
 	in, _ := setup(t)
 	for _, c := range []struct {
--- a/internal/placement/scale_test.go
+++ b/internal/placement/scale_test.go
@@ -54,6 +54,10 @@
 		b.quietRound(10)
 		cost[machines] = testing.AllocsPerRun(20, func() { b.quietRound(11) })
 	}
+	t.Logf("%g allocations", cost[1000])
+	if cost[1000] > 6 {
+		t.Errorf("a quiet round takes %g allocations", cost[1000])
+	}
 	if cost[16000] >= 2*max(cost[1000], 1) {
 		t.Errorf("a quiet round takes %g allocations with 1000 machines, %g with 16000", cost[1000], cost[16000])
 	}
--- a/internal/workers/scale_test.go
+++ b/internal/workers/scale_test.go
@@ -59,6 +59,10 @@
 			i++
 		})
 	}
+	t.Logf("%g allocations", cost[1000])
+	if cost[1000] > 16 {
+		t.Errorf("a quiet report and a quiet message take %g allocations", cost[1000])
+	}
 	if cost[16000] >= 2*max(cost[1000], 1) {
 		t.Errorf("a report and a round take %g allocations with 1000 machines, %g with 16000", cost[1000], cost[16000])
 	}
