operators: a drain that is carried out late is void once drains have changed since

Change: changes of drains take turns and each guards and writes one key, the fence; a late one finds it moved and fails. A version that doesn't know the key ignores it. The explorer's operator checks that what it was told is undrained stays so, and goes on to undrain when an unanswered attempt was followed by a refusal: without that a late drain of its own kept a job from being served (, a fault of the model).

--- /dev/null
+++ b/internal/controller/fence.go
@@ -0,0 +1,87 @@
+package controller
+
+import (
+	"errors"
+
+	"github.com/marlwood/marlwood/internal/placement"
+	"github.com/marlwood/marlwood/internal/store"
+)
+
+// fence puts the changes of a kind of records into one order: each change writes the fence's own key
+// and guards the stamp that the change before gave it. So a transaction that is carried out late, after a
+// newer change, fails, whatever keys it names.
+//
+// Guard: a record's own stamp voids no late transaction that creates it. A drain went unanswered, was
+// repeated, stored, and ended; carried out then, the first one had the machine drained again,
+// after an operator was told that it was not.
+//
+// A version that doesn't know the fence neither reads nor moves it; its own changes are as safe as
+// they were. Late ones of an earlier leader fail by their fencing token. It is not safe for concurrent use.
+type fence struct {
+	key   string
+	state fenceState
+	stamp uint64 // of the key as last known; 0: it doesn't exist
+	next  []func()
+}
+
+// fenceState is where the changes stand.
+type fenceState int
+
+// The states.
+const (
+	fenceIdle     fenceState = iota // the stamp is known
+	fenceChanging                   // a change is under way
+	fenceUnsure                     // what became of one isn't known: the stamp is read before the next
+)
+
+func (f *fence) to(s fenceState) { f.state = s }
+
+// mostChanges bounds how many changes wait for their turn.
+const mostChanges = 64
+
+// begin runs a change when it is its turn; false: too many wait.
+func (f *fence) begin(change func()) bool {
+	switch {
+	case f.state != fenceChanging:
+		change()
+	case len(f.next) >= mostChanges:
+		return false
+	default:
+		f.next = append(f.next, change)
+	}
+	return true
+}
+
+// guard adds the fence to a change that is about to be sent, whose turn it is.
+func (f *fence) guard(txn store.Txn) store.Txn {
+	f.to(fenceChanging)
+	txn.Guards = append(txn.Guards, store.Guard{Key: f.key, Stamp: f.stamp})
+	txn.Writes = append(txn.Writes, store.Put(f.key, struct{}{}))
+	return txn
+}
+
+// settled takes in the stamp after a change, if it is known, and runs the next change.
+func (f *fence) settled(stamp uint64, known bool) {
+	f.to(fenceUnsure)
+	if known {
+		f.stamp = stamp
+		f.to(fenceIdle)
+	}
+	if len(f.next) > 0 {
+		change := f.next[0]
+		f.next = f.next[1:]
+		change()
+	}
+}
+
+// drainsFence is the fence of drains.
+const drainsFence = placement.OpsPrefix + "drains-fence"
+
+// readFence reads the stamp of a fence. It runs outside the loop.
+func (t *term) readFence(key string) (stamp uint64, known bool) {
+	it, err := t.n.store.Get(t.ctx, key)
+	if errors.Is(err, store.ErrNotFound) {
+		return 0, true
+	}
+	return it.Stamp, err == nil
+}
--- /dev/null
+++ b/internal/controller/fence_test.go
@@ -0,0 +1,89 @@
+package controller
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/marlwood/marlwood/internal/store"
+	"github.com/marlwood/marlwood/internal/virtual"
+)
+
+// A drain that went unanswered, was repeated, stored and ended is void when it is carried out late;
+// so is the end of a drain after the drain was made anew.
+func TestLateDrainIsVoid(t *testing.T) {
+	const key = "ops/drain/node/m1"
+	for _, c := range []struct {
+		name  string
+		late  int // which of the changes goes unanswered and is carried out last
+		there bool
+	}{{"a drain, after its repeat was ended", 0, false}, {"an end, after the machine was drained anew", 1, true}} {
+		v := virtual.NewStore(virtual.New(1), 16)
+		f := fence{key: drainsFence}
+		var late store.Txn
+		stamp := func() uint64 { it, _ := v.Get(key); return it.Stamp }
+		change := func(n int, w store.Write) {
+			txn := store.Txn{Guards: []store.Guard{{Key: key}}, Writes: []store.Write{w}}
+			if w.Delete != "" {
+				txn.Guards[0].Stamp = stamp()
+			}
+			txn = f.guard(txn)
+			if n == c.late {
+				late = txn // no answer; the fence is read instead
+				it, err := v.Get(drainsFence)
+				if err != nil {
+					it.Stamp = 0
+				}
+				f.settled(it.Stamp, true)
+				return
+			}
+			out, err := v.Txn(txn)
+			if err != nil || !out.OK() {
+				t.Fatalf("%s: change %d: %v %v", c.name, n, out, err)
+			}
+			f.settled(out.Revision, true)
+		}
+		drain, end := store.Put(key, struct{}{}), store.Del(key)
+		steps := []store.Write{drain, drain, end}
+		if c.late == 1 {
+			steps = []store.Write{drain, end, end, drain}
+		}
+		for n, w := range steps {
+			change(n, w)
+		}
+		out, err := v.Txn(late)
+		if err != nil || !slices.Contains(out.Failed, drainsFence) {
+			t.Errorf("%s: carried out late: %v %v", c.name, out, err)
+		}
+		if _, err := v.Get(key); (err == nil) != c.there {
+			t.Errorf("%s: in the end there is %v", c.name, err)
+		}
+	}
+}
+
+// Changes have their turn one after the other, also after one whose outcome isn't known; more than a
+// bound are turned away.
+func TestChangesTakeTurns(t *testing.T) {
+	f := fence{key: "k"}
+	var ran []int
+	begin := func(n int) bool {
+		return f.begin(func() { ran = append(ran, n); f.guard(store.Txn{}) })
+	}
+	for n := range mostChanges + 3 {
+		if ok := begin(n); ok != (n <= mostChanges) {
+			t.Errorf("change %d is taken: %v", n, ok)
+		}
+	}
+	f.settled(7, true)
+	f.settled(0, false)
+	if fmt.Sprint(ran) != "[0 1 2]" || f.state != fenceChanging || f.stamp != 7 {
+		t.Errorf("ran %v, %v with stamp %d", ran, f.state, f.stamp)
+	}
+	f.next = nil
+	if f.settled(0, false); f.state != fenceUnsure {
+		t.Errorf("after an outcome that isn't known: %v", f.state)
+	}
+	if begin(99); ran[len(ran)-1] != 99 || f.state != fenceChanging {
+		t.Errorf("the next one does not begin: %v", ran)
+	}
+}
--- a/internal/controller/operators.go
+++ b/internal/controller/operators.go
@@ -319,8 +319,28 @@
 // Guard: a transaction without an answer may be applied, at once or much later. The key
 // is read, and all records are read again for a while: what is stored must be in force.
 func (t *term) recordDrain(txn store.Txn, key string, told func(it *store.Item, err error)) {
+	if !t.fence.begin(func() { t.recordNow(txn, key, told) }) {
+		told(nil, status.Errorf(codes.ResourceExhausted, "%d changes of drains are under way: try again", mostChanges))
+	}
+}
+
+// recordNow is recordDrain when it is its turn.
+func (t *term) recordNow(txn store.Txn, key string, told func(it *store.Item, err error)) {
 	want := txn.Writes[0].Value // nil: it is to be removed
+	unread := t.fence.state == fenceUnsure
+	txn = t.fence.guard(txn)
 	t.n.world.Go(func() {
+		if unread {
+			stamp, known := t.readFence(drainsFence)
+			if !known {
+				t.n.post(func() {
+					t.fence.settled(0, false)
+					told(nil, status.Error(codes.Unavailable, "nothing was recorded: the state service does not answer"))
+				})
+				return
+			}
+			txn.Guards[len(txn.Guards)-1].Stamp = stamp
+		}
 		out, err := t.do(txn)
 		it := &store.Item{Key: key, Value: want, Stamp: out.Revision}
 		unsure := errors.Is(err, store.ErrUnknown)
@@ -341,12 +361,17 @@
 			err = status.Errorf(codes.Unavailable, "%s leads no more; nothing was recorded", t.n.cfg.Member)
 		case err == nil:
 			unsure = true // our records are not what is stored
-			err = status.Error(codes.Aborted, "somebody else has changed this drain just now: look at marlwood drains")
+			err = status.Error(codes.Aborted, "drains have been changed just now: look at marlwood drains")
 		case status.Code(err) == codes.Unknown && !errors.Is(err, store.ErrRefused) && !errors.Is(err, store.ErrTooLarge):
 		default:
 			err = status.Errorf(codes.Unavailable, "nothing was recorded: %v", err)
 		}
+		stamp, known := out.Revision, err == nil && !unsure
+		if !known {
+			stamp, known = t.readFence(drainsFence)
+		}
 		t.n.post(func() {
+			defer t.fence.settled(stamp, known)
 			if t.ctx.Err() != nil && err == nil {
 				err = status.Error(codes.Unknown, "recorded, but the leader has changed since: the next one goes on with it")
 			}
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -96,6 +96,8 @@
 			t.drains[it.Key] = it
 		case it.Key == settingsKey:
 			t.n.adopt(it)
+		case it.Key == drainsFence:
+			t.fence.stamp = it.Stamp
 		}
 	}
 	t.core.Load(now, machines, charters, jobs, parts, drains, mark)
--- a/internal/explore/cmd/mutants.go
+++ b/internal/explore/cmd/mutants.go
@@ -77,6 +77,7 @@
 	{"a save does not guard the record", []edit{{"controller/records.go", "txn.Guards = append(txn.Guards, store.Guard{Key: placement.JobPrefix + s.ID, Stamp: s.Stamp})\n", ""}}},
 	{"a save without an answer counts as stored", []edit{{"controller/records.go", "ok := err == nil && out.OK()", "ok := out.OK() && (err == nil || errors.Is(err, store.ErrUnknown))"}}},
 	{"a question is answered from memory without a look", []edit{{"intake/board.go", "if g.done.Wait(ctx, wait) {\n\t\treturn g.err", "if g.done.Wait(ctx, 0) || b.rev > 0 {\n\t\treturn nil"}}},
+	{"changes of drains do not guard their fence", []edit{{"controller/fence.go", "txn.Guards = append(txn.Guards, store.Guard{Key: f.key, Stamp: f.stamp})\n", ""}}},
 	{"a machine that expired while its record was written is used", []edit{{"placement/machines.go", "m.Phase != Expired, stamp, false", "true, stamp, false"}}},
 }
 
--- a/internal/explore/operators.go
+++ b/internal/explore/operators.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/marlwood/marlwood/internal/operators/operatorspb"
+	"github.com/marlwood/marlwood/internal/placement"
 )
 
 // Draining is what an operator does: a drain, and its end after a while.
@@ -29,9 +30,9 @@
 // again until one has an answer.
 func (w *world) drain(d Draining) {
 	q := &operatorspb.DrainRequest{Zone: d.Zone, DeadlineS: d.Deadline.Seconds(), Force: d.Force}
-	name := "zone " + d.Zone
+	name, scope, what := "zone "+d.Zone, placement.ZoneScope, d.Zone
 	if m := w.machine(d.Machine); d.Zone == "" && m != nil {
-		q.Node, name = m.name, m.name
+		q.Node, name, scope, what = m.name, m.name, placement.NodeScope, m.name
 	}
 	// Two operators of the same name race: what the first was told may be undone by the
 	// second before it arrives. Drains of different names overlap as they like.
@@ -41,7 +42,7 @@
 	w.operated[name] = true
 	until := w.sim.Now() + d.For
 	w.users.Spawn(func() {
-		tried := false
+		tried, unsure := false, false
 		for w.sim.Now() < until {
 			err := w.operate(&operatorspb.Request{Caller: &operatorspb.Caller{Name: "operator"}, What: &operatorspb.Request_Drain{Drain: q}})
 			tried = true
@@ -51,8 +52,12 @@
 				break
 			}
 			if c := status.Code(err); c == codes.NotFound || c == codes.FailedPrecondition || c == codes.InvalidArgument {
+				if unsure { // an earlier attempt may yet be recorded
+					break
+				}
 				return
 			}
+			unsure = true
 			w.users.Sleep(500 * time.Millisecond)
 		}
 		w.users.Sleep(max(0, until-w.sim.Now()))
@@ -61,10 +66,16 @@
 			err := w.operate(&operatorspb.Request{What: &operatorspb.Request_Undrain{Undrain: &operatorspb.UndrainRequest{Node: q.Node, Zone: q.Zone}}})
 			if err == nil {
 				w.sim.tell("%s is undrained", name)
+				w.sim.After(settled, func() {
+					if it, gone := w.store.Get((&placement.Drain{Scope: scope, Name: what}).Key()); gone == nil {
+						w.sim.breaks("undrained", "%s is drained again by %s, %v after an operator was told that it is not", name, it.Value, settled)
+					}
+				})
+				return
 			}
 			// A drain without an answer may yet be recorded: only one that is surely not
 			// there ends this.
-			if (err == nil || status.Code(err) == codes.NotFound) && w.sim.Now() > until+settled {
+			if status.Code(err) == codes.NotFound && w.sim.Now() > until+settled {
 				return
 			}
 			w.users.Sleep(time.Second)
