shares: a gang's attempt number doesn't show that it was ordered before the mark

Cause: explorer, with troubles that meet (`counted_twice`), after 80,741 schedules: a leader numbers a gang's attempt and claims its machines; a later one goes on with the claim and orders the pieces 13 s later; the next one reads the first one's mark, takes the number as ordered by then, and counts the time since for pieces that run for three seconds: 75.6 s of CPU time for 20.4 s. Change: of an adopted piece of a gang no more is counted than what a flush leaves open.

--- a/internal/explore/explore_test.go
+++ b/internal/explore/explore_test.go
@@ -49,8 +49,8 @@
 var found = []int{31030852, 50063006, 60055782, 70071424, 200001641, 210000006, 210000040, 210009384}
 
 // foundMet are seeds that did so with troubles that meet: use that was counted of a machine whose
-// worker had begun anew while the state service was out.
-var foundMet = []int{800035852}
+// worker had begun anew while the state service was out, and of a gang that a later leader had ordered.
+var foundMet = []int{800035852, 900080711}
 
 // The same schedule leads to the same events.
 func TestRepeats(t *testing.T) {
--- a/internal/placement/usage.go
+++ b/internal/placement/usage.go
@@ -107,13 +107,22 @@
 // adopt counts a task that an earlier leader started and that runs: from when that one's sums were
 // last written, if it had ordered the task by then. The clocks of two controllers may be apart by
 // twice what the settings say; that much is left out, so that nothing counts twice.
+//
+// Guard: a gang's attempt may have been ordered by a later leader than the one that numbered it, which
+// went on with its claim: its number doesn't show that it was ordered when the sums were written. All of
+// the time since then was counted for pieces that had just begun (explorer, 900080711). Of gangs no more
+// is counted than what a flush leaves open.
 func (b *Book) adopt(t *Task, now time.Time) {
 	if b.usage == nil {
 		return
 	}
 	t.counted = now
 	if t.state == model.TaskRunning && t.attempt <= b.mark.Attempt {
-		if from := time.UnixMilli(b.mark.AtMS).Add(2 * b.opt.ClockOff); from.Before(now) {
+		from := time.UnixMilli(b.mark.AtMS).Add(2 * b.opt.ClockOff)
+		if open := now.Add(-b.opt.Flush - unheardFor); t.job.Spec.Shape == model.Gang && from.Before(open) {
+			from = open
+		}
+		if from.Before(now) {
 			t.counted = from
 		}
 	}
--- a/internal/placement/usage_test.go
+++ b/internal/placement/usage_test.go
@@ -52,3 +52,32 @@
 		}
 	}
 }
+
+// What an earlier leader had ordered when its sums were written is counted from then on; of a gang, whose
+// attempt a later leader may have ordered, no more than what a flush leaves open.
+func TestAdoptedUse(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		shape   model.Shape
+		attempt uint64
+		want    float64 // CPU seconds at 60 s, the mark being of 10 s
+	}{
+		{"ordered before the mark", model.Array, 4<<20 + 1, 100},
+		{"ordered after it", model.Array, 4<<20 + 9, 0},
+		{"a gang's piece, numbered before it", model.Gang, 4<<20 + 1, 26},
+		{"a gang's piece, numbered after it", model.Gang, 4<<20 + 9, 0},
+	} {
+		b := newBench(t)
+		b.opt.Accounts, b.opt.Flush = true, 10*time.Second
+		b.keepUsage()
+		b.mark = shares.Mark{AtMS: at(10).UnixMilli(), Attempt: 4<<20 + 5}
+		b.job("j", func(j *model.Job) { j.Shape = c.shape })
+		b.Heard("n0", at(60))
+		b.Machine(at(60), "n0", &peerspb.Machine{Name: "m", Kind: &peerspb.Kind{Type: "small", Zone: "a"}, Phase: "current", NoticeMs: -1,
+			Tasks: []*peerspb.Task{task("j", 0, c.attempt, model.TaskRunning, "")}}, 0, false)
+		b.Usage(at(60))
+		if got := b.usage.Team("free")[shares.Run].CPUSeconds(); got != c.want {
+			t.Errorf("%s: %v CPU seconds, want %v", c.name, got, c.want)
+		}
+	}
+}
