--- a/internal/explore/cmd/main.go
+++ b/internal/explore/cmd/main.go
@@ -32,7 +32,7 @@
 	For     time.Duration `help:"How long to explore." default:"1m"`
 	Most    uint64        `help:"Most schedules; 0: no bound."`
 	Workers int           `help:"Schedules at once; 0: one a processor."`
-	Meet    bool          `help:"Draw troubles that meet as well." default:"true" negatable:""`
+	Draw    string        `help:"What to draw: faults, those and meetings, or those and further ones." enum:"faults,meetings,further" default:"further"`
 	Repeat  bool          `help:"Play the schedule of --seed alone and tell its story."`
 	Log     slog.Level    `help:"What controllers log is told from this level on: debug, info, warn, error." default:"error"`
 	Shrink  time.Duration `help:"How long to make a finding smaller." default:"30s"`
@@ -107,10 +107,7 @@
 
 // plans is what schedules are drawn from.
 func (c *runCmd) plans() *rapid.Generator[explore.Plan] {
-	if c.Meet {
-		return explore.Meetings
-	}
-	return explore.Plans
+	return map[string]*rapid.Generator[explore.Plan]{"faults": explore.Plans, "meetings": explore.Meetings, "further": explore.Further}[c.Draw]
 }
 
 // tell prints a schedule's story.
@@ -122,7 +119,7 @@
 		fmt.Println("no rule was broken")
 		return nil
 	}
-	return fmt.Errorf("%w: %s; --seed %d --repeat%s plays it as it was found", errFound, out.Broken, seed, map[bool]string{false: " --no-meet"}[c.Meet])
+	return fmt.Errorf("%w: %s; --seed %d --repeat --draw %s plays it as it was found", errFound, out.Broken, seed, c.Draw)
 }
 
 // shrink has rapid make a schedule smaller. It stays one that breaks a rule.
--- a/internal/explore/cmd/mutants.go
+++ b/internal/explore/cmd/mutants.go
@@ -78,12 +78,26 @@
 	{"a save without an answer counts as stored", []edit{{"controller/records.go", "ok := err == nil && out.OK()", "ok := out.OK() && (err == nil || errors.Is(err, store.ErrUnknown))"}}},
 	{"a question is answered from memory without a look", []edit{{"intake/board.go", "if g.done.Wait(ctx, wait) {\n\t\treturn g.err", "if g.done.Wait(ctx, 0) || b.rev > 0 {\n\t\treturn nil"}}},
 	{"changes of drains do not guard their fence", []edit{{"controller/fence.go", "txn.Guards = append(txn.Guards, store.Guard{Key: f.key, Stamp: f.stamp})\n", ""}}},
+	{"a known job's repeat is judged by its body", []edit{{"intake/intake.go", "if id := model.JobID(body); id != \"\" {", "if id := model.JobID(body); id == \"\" {"}}},
+	{"a question joins a look that was sent before it", []edit{{"intake/board.go", "b.next = nil // later questions need a later look\n\t\tif g == nil {", "if g == nil {"},
+		{"intake/board.go", "b.failing = g.err != nil\n", "b.failing = g.err != nil\n\t\tb.next = nil\n"}}},
+	{"a job that is not found is unknown after a lost answer", []edit{{"intake/intake.go", "if err != nil || !l.known {\n\t\treturn Fail(503, errUnsure.Error())\n\t}\n\treturn in.tellKnown", "if err != nil {\n\t\treturn Fail(503, errUnsure.Error())\n\t}\n\tif !l.known {\n\t\treturn Fail(422, \"\")\n\t}\n\treturn in.tellKnown"}}},
+	{"a cancellation of a done job is confirmed", []edit{{"intake/intake.go", "return answer(200, stateAnswer{ID: id, Stage: l.stage})", "return answer(200, stateAnswer{ID: id, Stage: model.Cancelled})"}}},
+	{"what is over is not looked up before a job is unknown", []edit{{"intake/board.go", "return firstKnown(ctx, id, in.findFinal, in.findOpen, in.findWaiting)", "return look{}, nil"}}},
+	{"a job that fits no machine is taken in", []edit{{"intake/intake.go", "if !fits {", "if false {"}}},
+	{"a stop is not told anew under a fresh token", []edit{{"placement/tasks.go", "if t.stopping && t.told != b.token {", "if false {"}}},
+	{"tasks of a job that is over go on under the next leader", []edit{{"placement/tasks.go", "} else {\n\t\t\t\tstrays++\n\t\t\t\tb.stopReported(m, r)\n\t\t\t}\n\t\t\tcontinue", "} else {\n\t\t\t\tstrays++\n\t\t\t}\n\t\t\tcontinue"}}},
+	{"tasks of a job that is over hold nothing back", []edit{{"placement/round.go", "if !b.complete || b.strays() > 0 {", "if !b.complete {"}, {"placement/round.go", "m.Notice < 0 && m.strays == 0 &&", "m.Notice < 0 &&"}}},
+	{"cancelled tasks do not count against the limit", []edit{{"placement/jobs.go", "\t\tb.stopOne(t, 0)\n\t}\n\tfor i := range j.Spec.Tasks", "\t\tb.stopOne(t, 0)\n\t\tt.job.use.remove(t.job.Spec.Size)\n\t}\n\tfor i := range j.Spec.Tasks"}}},
+	{"a cancelled task's place is free at once", []edit{{"placement/jobs.go", "\t\tb.stopOne(t, 0)\n\t}\n\tfor i := range j.Spec.Tasks", "\t\tb.stopOne(t, 0)\n\t\tt.unbind()\n\t}\n\tfor i := range j.Spec.Tasks"}}},
+	{"a machine's record without an answer counts as stored", []edit{{"controller/records.go", "case err == nil && out.OK():\n\t\t\t\tt.hostsSettled", "case err == nil && out.OK() || errors.Is(err, store.ErrUnknown):\n\t\t\t\tt.hostsSettled"}}},
+	{"the zone of what is out of reach does not count", []edit{{"placement/round.go", "\tfor _, t := range j.bound.All() {\n\t\tif t.machine.Kind.Zone == zone {", "\tfor _, t := range j.bound.All() {\n\t\tif t.machine.Quiet {\n\t\t\tcontinue\n\t\t}\n\t\tif t.machine.Kind.Zone == zone {"}}},
 	{"a machine that expired while its record was written is used", []edit{{"placement/machines.go", "m.Phase != Expired, stamp, false", "true, stamp, false"}}},
 }
 
 type mutantsCmd struct {
-	For  time.Duration `help:"How long to explore each." default:"1m"`
-	Meet bool          `help:"Draw troubles that meet as well." default:"true" negatable:""`
+	For  time.Duration `help:"How long to explore each; 0: play the scripted rows alone." default:"1m"`
+	Draw string        `help:"What to draw; see run." enum:"faults,meetings,further" default:"further"`
 	Only string        `help:"Only those whose names contain this."`
 }
 
@@ -109,7 +123,11 @@
 		if err != nil {
 			return fmt.Errorf("%s: %w", m.name, err)
 		}
-		out, err := exec.Command(program, "run", "--for", c.For.String(), "--shrink", "6s", fmt.Sprintf("--meet=%v", c.Meet)).Output()
+		if c.For == 0 {
+			fmt.Printf("| %s | %s |\n", m.name, written)
+			continue
+		}
+		out, err := exec.Command(program, "run", "--for", c.For.String(), "--shrink", "6s", "--draw", c.Draw).Output()
 		var failed *exec.ExitError
 		if err != nil && !errors.As(err, &failed) {
 			return fmt.Errorf("%s: %w", m.name, err)
@@ -128,12 +146,12 @@
 }
 
 // failedRow is a line of a scripted meeting that broke a rule or whose tasks stayed too long.
-var failedRow = regexp.MustCompile(`(?m)^\s+(?:meetings|explore)_test\.go:\d+: (.*?)(?:, (?:planimetra|donorline), seed \d+)?: (.*)$`)
+var failedRow = regexp.MustCompile(`(?m)^\s+[a-z]+_test\.go:\d+: (.*?)(?:, (?:planimetra|donorline), seed \d+)?: (.*)$`)
 
 // scripted plays the scripted meetings with the mistake that was built last, and tells how many of
 // their rows find it, and the first that does.
 func scripted(dir string) (string, error) {
-	out, err := exec.Command("go", "test", "-overlay", filepath.Join(dir, "overlay.json"), "-count=1", "-run", "^(TestGap|TestMeetings|TestShrunk)$", "./internal/explore").CombinedOutput()
+	out, err := exec.Command("go", "test", "-overlay", filepath.Join(dir, "overlay.json"), "-count=1", "-run", "^(TestGap|TestMeetings|TestFurtherMeetings|TestShrunk)$", "./internal/explore").CombinedOutput()
 	var failed *exec.ExitError
 	if err != nil && !errors.As(err, &failed) {
 		return "", err
--- a/internal/explore/further.go
+++ b/internal/explore/further.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/marlwood/marlwood/internal/httpwire"
 	"github.com/marlwood/marlwood/internal/leadership"
 	"github.com/marlwood/marlwood/internal/model"
@@ -40,6 +42,34 @@
 	MetKinds
 )
 
+// The further troubles that are drawn: of a controller's end, of a machine, of users.
+var furtherKinds = []string{"lost answers", "lost answers", "copies for the next", "copies for the next", "close looks", "close looks", "close looks", "cancel at end", "cancel at end",
+	"cancel now", "cancel now", "mute machine", "mute machine", "mute zone", "odd requests", "late writes", "crash", "crash back", "outage", "hang machine"}
+
+// Further draws schedules in which further troubles meet what Meetings draws: one to three of them, each
+// near the beginning or the end of another; in a quarter of them every team has a limit.
+var Further = rapid.Custom(func(t *rapid.T) Plan {
+	p := Meetings.Draw(t, "plan")
+	var edges []time.Duration
+	for _, f := range p.Faults {
+		edges = append(edges, f.At, min(f.At+f.For, troubles-time.Second))
+	}
+	for range rapid.IntRange(1, 3).Draw(t, "further") {
+		at := max(0, rapid.SampledFrom(edges).Draw(t, "further edge")+seconds(t, "further off", -2, 2))
+		f := Fault{Kind: rapid.SampledFrom(furtherKinds).Draw(t, "further kind"), At: at, A: rapid.SampledFrom([]int{7, 7, 0, 1, 2}).Draw(t, "further of"),
+			For: max(time.Second, min(seconds(t, "further for", 1, 40), troubles-at)), Hold: rapid.Bool().Draw(t, "further hold")}
+		edges = append(edges, f.At, f.At+f.For)
+		p.Faults = append(p.Faults, f)
+	}
+	p.Limits = rapid.IntRange(0, 3).Draw(t, "limits") == 3
+	for i := range p.Jobs {
+		if j := &p.Jobs[i]; p.Limits && (j.Shape != model.Array || j.Tasks > 2) {
+			j.Tasks = min(j.Tasks, 2) // all that its team's limit has room for
+		}
+	}
+	return p
+})
+
 // further are the troubles of the users' second page of meetings, until when each lasts, and what
 // they keep.
 type further struct {
