explorer: tasks save when stopped, priorities and a guarantee in schedules of their own

Cause: no task of the explorer saved and all jobs were of one priority, so stops with time to save, and second stops, were never played. Change: workers follow the protocol on stops with windDownS, orderly stops of gangs included (saving.go); a task that saved, or passed a checkpoint by itself, takes less time at its next start. Preempting draws priorities, a team with a guarantee, checkpoints and a pair that competes for a zone, on top of Meetings.

--- a/internal/explore/further.go
+++ b/internal/explore/further.go
@@ -302,7 +302,7 @@
 	}
 	if out {
 		w.met[MetOutOfReach]++
-		if !w.teams[j.spec.Team].WithinLimit(used.Add(j.spec.Size)) {
+		if !w.plan.teams()[j.spec.Team].WithinLimit(used.Add(j.spec.Size)) {
 			w.met[MetAtLimit]++
 		}
 	}
--- a/internal/explore/machines.go
+++ b/internal/explore/machines.go
@@ -125,7 +125,9 @@
 	down   bool // ended, and back soon
 	life   int  // of the worker: how often the machine was back
 	hung   bool
-	queue  []func() // what came while it hung
+	hungAt time.Duration // since when
+	stood  time.Duration // how long it hung, in all
+	queue  []func()      // what came while it hung
 	drift  float64
 
 	session, seq, token uint64
@@ -148,6 +150,11 @@
 	cause   model.Cause
 	ranAt   time.Duration // since when it runs; 0: it does not
 	on      bool          // has its image and has not ended: it is on its machine
+	from    time.Duration // progress that it began with
+	reached time.Duration // progress when it began to save; 0: it did not
+	stored  bool          // has saved, and waits for its gang
+	saved   bool          // ended with its progress saved
+	caught  bool          // was saving when its job was cancelled
 }
 
 func newWorker(w *world, name string, kind model.Kind, spot bool) *worker {
@@ -249,8 +256,13 @@
 }
 
 func (m *worker) hang(d time.Duration) {
-	m.hung = true
+	if !m.hung {
+		m.hung, m.hungAt = true, m.world.sim.Now()
+	}
 	m.world.sim.After(d, func() {
+		if m.hung {
+			m.stood += m.world.sim.Now() - m.hungAt
+		}
 		m.hung = false
 		work := m.queue
 		m.queue = nil
@@ -266,7 +278,7 @@
 	r := &model.Report{Machine: m.name, Addr: m.name, Type: m.kind.Type, Zone: m.kind.Zone, Spot: m.spot,
 		Session: m.session, Seq: m.seq, Token: m.token}
 	for _, t := range m.tasks {
-		r.Tasks = append(r.Tasks, model.WireTask{Task: model.TaskName(t.job.id, t.index), Attempt: t.attempt, State: t.state, Cause: t.cause})
+		r.Tasks = append(r.Tasks, model.WireTask{Task: model.TaskName(t.job.id, t.index), Attempt: t.attempt, State: t.state, Cause: t.cause, Saved: t.saved})
 	}
 	return r
 }
@@ -426,7 +438,7 @@
 			}
 		case "stop":
 			if t != nil && t.state != model.TaskExited {
-				m.exit(t, model.CauseStopped)
+				m.stop(t, model.Seconds(*c.GraceS))
 			}
 		case "forget":
 			for i, x := range m.tasks {
@@ -495,15 +507,15 @@
 }
 
 func (m *worker) run(t *copyOf) {
-	t.state, t.ranAt = model.TaskRunning, m.world.sim.Now()
+	t.state, t.ranAt, t.from = model.TaskRunning, m.world.sim.Now(), t.job.kept[t.part()]
 	m.world.attempts[t.job.spec.Team]++
 	m.kick()
 	if t.job.spec.Shape == model.Service {
 		return
 	}
-	m.world.sim.After(t.job.takes, func() {
+	m.world.sim.After(max(0, t.job.takes-t.from), func() {
 		m.enter(func() {
-			if !m.has(t) || t.state != model.TaskRunning {
+			if !m.has(t) || t.state != model.TaskRunning || t.job.halts[t.attempt] != nil {
 				return
 			}
 			if t.job.spec.Shape != model.Gang {
@@ -549,6 +561,7 @@
 	}
 	t.on = false
 	w := m.world
+	w.lose(t)
 	if t.ranAt > 0 {
 		w.used[t.job.spec.Team] += time.Duration(float64(w.sim.Now()-t.ranAt) * t.job.spec.Size.CPUs)
 		t.ranAt = 0
--- a/internal/explore/plan.go
+++ b/internal/explore/plan.go
@@ -17,31 +17,35 @@
 // Plan is a schedule: what users ask for and what goes wrong. With its seed, which
 // draws delays and other small chances, it repeats exactly.
 type Plan struct {
-	Seed     uint64
-	Machines int           // at most at once, of each kind, ordinary and spot
-	Report   time.Duration // between a worker's reports; 0: one second
-	Lease    time.Duration // of workers
-	Cancel   time.Duration // within which a cancelled job is gone; decides how long a leader may act
-	Jobs     []Submission
-	Faults   []Fault
-	Drains   []Draining
-	Accounts bool // what teams use is kept
-	Limits   bool // every team has a limit, of two tasks at once
+	Seed      uint64
+	Machines  int           // at most at once, of each kind, ordinary and spot
+	Report    time.Duration // between a worker's reports; 0: one second
+	Lease     time.Duration // of workers
+	Cancel    time.Duration // within which a cancelled job is gone; decides how long a leader may act
+	Jobs      []Submission
+	Faults    []Fault
+	Drains    []Draining
+	Accounts  bool // what teams use is kept
+	Guarantee bool // there is a team with one
+	Limits    bool // every team has a limit, of two tasks at once
 }
 
 // Submission is a user's job.
 type Submission struct {
-	At      time.Duration
-	Shape   model.Shape
-	Tasks   int
-	Team    int
-	OneZone bool
-	Zone    string // the only one allowed, or ""
-	Spot    bool
-	Takes   time.Duration
-	Cancel  time.Duration // after its submission; 0: never
-	Beside  bool          // cancelled through a controller that the state service does not refuse
-	Needs   []int         // numbers of earlier jobs
+	At       time.Duration
+	Shape    model.Shape
+	Tasks    int
+	Team     int
+	OneZone  bool
+	Zone     string // the only one allowed, or ""
+	Spot     bool
+	Takes    time.Duration
+	Cancel   time.Duration  // after its submission; 0: never
+	Beside   bool           // cancelled through a controller that the state service does not refuse
+	Needs    []int          // numbers of earlier jobs
+	Priority model.Priority // "": normal
+	Every    time.Duration  // progress after which it saves by itself; 0: it never saves
+	Cost     time.Duration  // that saving takes when it is stopped
 }
 
 // Fault is something that goes wrong for a time.
@@ -95,7 +99,7 @@
 	for _, j := range p.Jobs {
 		out += 2 * j.Takes
 	}
-	return out
+	return out + p.saveTimes()
 }
 
 // Plans draws schedules. Each has faults of a few kinds only, soon after each other:
@@ -260,9 +264,13 @@
 	// after the last trouble: 0 if none did.
 	Gone, Again time.Duration
 	Cancelled   int
-	Missed      int           // faults that found nothing to hit
-	Met         [MetKinds]int // what came about, of each kind
-	Trace       uint64
+	// Saves is how many tasks began to save, Caught how many of them saved while their user was told
+	// that their job is cancelled, CaughtGone the longest from then until one of these was gone.
+	Saves, Caught int
+	CaughtGone    time.Duration
+	Missed        int           // faults that found nothing to hit
+	Met           [MetKinds]int // what came about, of each kind
+	Trace         uint64
 }
 
 // Run plays a schedule. story, if not nil, takes in what happens, and what the
@@ -307,6 +315,7 @@
 	}
 	out.Broken, out.Starts = w.sim.broken, w.starts
 	out.Gone, out.Cancelled, out.Again, out.Missed, out.Met = w.gone, w.told, w.again, w.missed, w.met
+	out.Saves, out.Caught, out.CaughtGone = w.saves, w.caught, w.caughtGone
 	return out
 }
 
--- /dev/null
+++ b/internal/explore/saving.go
@@ -0,0 +1,236 @@
+package explore
+
+import (
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/marlwood/marlwood/internal/model"
+)
+
+// Preempting draws schedules on top of those that meet: jobs of different priority, one team has a
+// guarantee, tasks save when they are stopped. A pair of jobs competes for one zone, and the one
+// that gives way may be cancelled while it saves.
+var Preempting = rapid.Custom(func(t *rapid.T) Plan {
+	p := Meetings.Draw(t, "plan")
+	p.preempt(t)
+	return p
+})
+
+// preempt adds priorities, a guarantee, checkpoints and the pair to a schedule.
+func (p *Plan) preempt(t *rapid.T) {
+	p.Guarantee = true
+	for i := range p.Jobs {
+		j := &p.Jobs[i]
+		j.Priority = rapid.SampledFrom([]model.Priority{model.Low, model.Normal, model.High, model.Production}).Draw(t, "priority")
+		if j.Team == 0 && rapid.IntRange(0, 2).Draw(t, "guaranteed") == 2 {
+			j.Team = 2
+		}
+		if j.Shape != model.Service && rapid.IntRange(0, 2).Draw(t, "saves") > 0 {
+			j.Every, j.Cost = seconds(t, "every", 1, 10), seconds(t, "cost", 1, 25)
+		}
+	}
+	if rapid.IntRange(0, 2).Draw(t, "scarce") > 0 {
+		p.Machines = 1
+	}
+	zone := rapid.SampledFrom(zones).Draw(t, "contested")
+	gives := Submission{At: seconds(t, "gives at", 0, 5), Shape: rapid.SampledFrom([]model.Shape{model.Array, model.Gang}).Draw(t, "gives shape"),
+		Tasks: 2, OneZone: true, Zone: zone, Takes: seconds(t, "gives takes", 20, 60), Priority: model.Low,
+		Every: seconds(t, "gives every", 1, 10), Cost: seconds(t, "gives cost", 3, 25)}
+	takes := Submission{At: seconds(t, "takes at", 9, 30), Shape: model.Array, Tasks: rapid.IntRange(1, 2).Draw(t, "takes tasks"), Zone: zone,
+		Takes: seconds(t, "takes", 3, 20), Priority: model.Normal}
+	if rapid.Bool().Draw(t, "by guarantee") { // not by priority
+		gives.Priority, takes.Team = model.Normal, 2
+	}
+	if rapid.IntRange(0, 2).Draw(t, "cancelled saving") > 0 {
+		gives.Cancel = takes.At + seconds(t, "saving for", 0, 8) - gives.At
+	}
+	p.Jobs = append(p.Jobs, gives, takes)
+}
+
+// saveTimes is how much longer than they run jobs may take that save: each gives way a few times.
+func (p Plan) saveTimes() (out time.Duration) {
+	for _, j := range p.Jobs {
+		out += 3 * j.Cost
+	}
+	return out
+}
+
+var (
+	teamNames       = []string{"free", "tight", "owed"}
+	guaranteedTeams = map[string]model.Team{"free": teams["free"], "tight": teams["tight"], "owed": {Name: "owed", Guarantee: model.Size{CPUs: 4}}}
+)
+
+// teams are those of a schedule.
+func (p Plan) teams() map[string]model.Team {
+	switch {
+	case p.Limits:
+		return limitedTeams
+	case p.Guarantee:
+		return guaranteedTeams
+	}
+	return teams
+}
+
+// limitedTeams have a limit of two tasks at once each.
+var limitedTeams = map[string]model.Team{"free": {Name: "free", Limit: model.Size{CPUs: 4}}, "tight": teams["tight"]}
+
+// halt is the orderly stop of a gang's attempt.
+type halt struct {
+	at      time.Duration // the first stop: progress ends
+	reached time.Duration // progress until then
+	failed  bool          // a task disappeared, or was not told in time, before one had exited with its progress saved
+	safe    bool          // one has
+}
+
+// stop carries out a command to stop. One without time to save ends a save as well; one with
+// time for it is a repeat then.
+func (m *worker) stop(t *copyOf, windDown time.Duration) {
+	spec := t.job.spec
+	switch {
+	case t.state == model.TaskSaving && windDown > 0:
+	case t.state == model.TaskRunning && spec.CheckpointEvery > 0 && windDown >= spec.SaveTime:
+		m.save(t)
+	default:
+		m.exit(t, model.CauseStopped)
+	}
+}
+
+// save begins to save a running task's progress.
+func (m *worker) save(t *copyOf) {
+	w := m.world
+	t.state, t.reached = model.TaskSaving, t.progress(w.sim.Now())
+	w.saves++
+	w.sim.tell("%s saves on %s for %v", model.TaskName(t.job.id, t.index), m.name, t.job.spec.SaveTime)
+	if t.job.spec.Shape == model.Gang {
+		w.halt(t)
+	}
+	m.kick()
+	m.write(t, m.stood, t.job.spec.SaveTime)
+}
+
+// write ends a save when its time is over. While its machine stands still nothing is written.
+func (m *worker) write(t *copyOf, stood, left time.Duration) {
+	m.world.sim.After(left, func() {
+		m.enter(func() {
+			switch more := m.stood - stood; {
+			case !m.has(t) || t.state != model.TaskSaving:
+			case more > 0:
+				m.write(t, m.stood, more)
+			case t.job.spec.Shape == model.Gang:
+				t.stored = true
+				m.world.gather(t)
+			default:
+				t.job.keep(t.index, t.reached)
+				t.saved = true
+				m.exit(t, model.CauseStopped)
+			}
+		})
+	})
+}
+
+// halt begins the orderly stop of a task's gang, if it has not begun.
+func (w *world) halt(t *copyOf) {
+	j := t.job
+	if j.halts[t.attempt] != nil {
+		return
+	}
+	if j.halts == nil {
+		j.halts = map[uint64]*halt{}
+	}
+	h := &halt{at: w.sim.Now(), reached: t.reached, failed: len(w.gang(t)) < j.spec.Tasks}
+	j.halts[t.attempt] = h
+	w.sim.After(gangPeer, func() {
+		for _, x := range w.gang(t) {
+			if x.t.state != model.TaskRunning {
+				continue
+			}
+			h.failed = h.failed || !h.safe
+			x.m.enter(func() {
+				if x.m.has(x.t) && x.t.state == model.TaskRunning {
+					x.m.exit(x.t, model.CausePeers)
+				}
+			})
+		}
+		w.gather(t)
+	})
+}
+
+// gather ends the tasks of a gang that have saved, once all have or they have waited for
+// the others.
+func (w *world) gather(t *copyOf) {
+	h, g := t.job.halts[t.attempt], w.gang(t)
+	all := true
+	for _, x := range g {
+		all = all && x.t.stored
+	}
+	if !all && w.sim.Now() < h.at+gangPeer {
+		return
+	}
+	for _, x := range g {
+		x.m.enter(func() {
+			if !x.m.has(x.t) || x.t.state != model.TaskSaving || !x.t.stored {
+				return
+			}
+			if h.safe = !h.failed; h.safe {
+				x.t.job.keep(0, h.reached)
+			}
+			x.t.saved = h.safe
+			x.m.exit(x.t, model.CauseStopped)
+		})
+	}
+}
+
+// progress is what a task has done by now of what its job takes.
+func (t *copyOf) progress(now time.Duration) time.Duration {
+	switch {
+	case t.reached > 0:
+		return t.reached
+	case t.ranAt > 0:
+		return t.from + now - t.ranAt
+	}
+	return 0
+}
+
+// part names what progress is kept of: the task, or a gang as a whole.
+func (t *copyOf) part() int {
+	if t.job.spec.Shape == model.Gang {
+		return 0
+	}
+	return t.index
+}
+
+// keep keeps progress; the next start goes on with it.
+func (j *job) keep(part int, progress time.Duration) {
+	if j.kept == nil {
+		j.kept = map[int]time.Duration{}
+	}
+	j.kept[part] = max(j.kept[part], progress)
+}
+
+// lose takes in that a task leaves its machine: what it has saved by itself is kept, and a gang
+// that was saving falls back unless its progress is safe.
+func (w *world) lose(t *copyOf) {
+	if every := t.job.spec.CheckpointEvery; every > 0 {
+		t.job.keep(t.part(), t.progress(w.sim.Now())/every*every)
+	}
+	if h := t.job.halts[t.attempt]; h != nil && !t.saved && !h.safe {
+		h.failed = true
+	}
+	if t.caught {
+		w.caughtGone = max(w.caughtGone, w.sim.Now()-t.job.cancelled)
+	}
+}
+
+// catch notes the tasks that save while their user is told that their job is cancelled.
+func (w *world) catch(j *job) {
+	for _, m := range w.cloud.machines {
+		for _, t := range m.tasks {
+			if t.job == j && t.on && t.state == model.TaskSaving {
+				t.caught = true
+				w.caught++
+				w.sim.tell("%s was saving on %s when it was cancelled", model.TaskName(j.id, t.index), m.name)
+			}
+		}
+	}
+}
--- a/internal/explore/users.go
+++ b/internal/explore/users.go
@@ -1,6 +1,7 @@
 package explore
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -19,6 +20,8 @@
 	takes    time.Duration
 	finished []bool
 	on       map[int]*worker // tasks that are on a machine
+	kept     map[int]time.Duration
+	halts    map[uint64]*halt // by attempt
 
 	accepted   bool
 	told       model.Stage   // the last answer
@@ -51,8 +54,9 @@
 // cancellation.
 func (w *world) submit(i int, s Submission) {
 	id := fmt.Sprintf("req-%d", i)
-	spec := &model.Job{ID: id, Class: "class", Team: []string{"free", "tight"}[s.Team], Shape: s.Shape, Priority: model.Normal, Tasks: s.Tasks,
-		Size: model.Size{CPUs: 2, MemoryGB: 4}, Image: "img", ImageGB: 1, OneZone: s.OneZone, Zone: s.Zone, Spot: s.Spot, Estimate: s.Takes}
+	spec := &model.Job{ID: id, Class: "class", Team: teamNames[s.Team], Shape: s.Shape, Priority: cmp.Or(s.Priority, model.Normal), Tasks: s.Tasks,
+		Size: model.Size{CPUs: 2, MemoryGB: 4}, Image: "img", ImageGB: 1, OneZone: s.OneZone, Zone: s.Zone, Spot: s.Spot, Estimate: s.Takes,
+		CheckpointEvery: s.Every, SaveTime: s.Cost}
 	j := &job{id: id, spec: spec, takes: s.Takes, finished: make([]bool, s.Tasks), on: map[int]*worker{}, cancelled: -1}
 	for _, n := range s.Needs {
 		if need := w.jobs[fmt.Sprintf("req-%d", n)]; need != nil && need.accepted && need.spec.Shape != model.Service {
@@ -219,6 +223,7 @@
 	j.cancelled = w.sim.Now()
 	w.told++
 	w.confirmed(j)
+	w.catch(j)
 	w.sim.After(w.plan.Cancel, func() {
 		if len(j.on) > 0 {
 			w.sim.breaks("ran_cancelled", "%s has tasks on machines %v after it was cancelled", j.id, w.plan.Cancel)
@@ -272,7 +277,7 @@
 			used = used.Add(o.spec.Size.Times(len(o.on)))
 		}
 	}
-	if !w.teams[j.spec.Team].WithinLimit(used) {
+	if !w.plan.teams()[j.spec.Team].WithinLimit(used) {
 		s.breaks("quota", "%s starts: team %s uses %v CPUs", name, j.spec.Team, used.CPUs)
 	}
 }
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -29,34 +29,36 @@
 
 // world is three controllers, the services, the machines and the users.
 type world struct {
-	sim      *sim
-	plan     Plan
-	net      *network
-	store    *virtual.Store
-	storeAt  *place
-	cloud    *cloud
-	nodes    []*node
-	users    *virtual.Process
-	place    *place // of users
-	jobs     map[string]*job
-	all      []*job // in the order of their submission
-	op       *settings.Operator
-	starts   int
-	level    slog.Level
-	tap      func() core.Tap          // nil: nothing is recorded
-	drained  map[string]bool          // what an operator was told is drained: machines, and zones after "zone "
-	operated map[string]bool          // names that an operator has drained
-	used     map[string]time.Duration // by team: CPU time that its tasks have run
-	attempts map[string]int           // by team: tasks that have run
-	gone     time.Duration            // see Outcome
-	again    time.Duration            // see Outcome
-	told     int                      // cancellations that users were told of
+	sim        *sim
+	plan       Plan
+	net        *network
+	store      *virtual.Store
+	storeAt    *place
+	cloud      *cloud
+	nodes      []*node
+	users      *virtual.Process
+	place      *place // of users
+	jobs       map[string]*job
+	all        []*job // in the order of their submission
+	op         *settings.Operator
+	starts     int
+	level      slog.Level
+	tap        func() core.Tap          // nil: nothing is recorded
+	drained    map[string]bool          // what an operator was told is drained: machines, and zones after "zone "
+	operated   map[string]bool          // names that an operator has drained
+	used       map[string]time.Duration // by team: CPU time that its tasks have run
+	attempts   map[string]int           // by team: tasks that have run
+	gone       time.Duration            // see Outcome
+	again      time.Duration            // see Outcome
+	told       int                      // cancellations that users were told of
+	saves      int                      // tasks that began to save
+	caught     int                      // see Outcome
+	caughtGone time.Duration            // see Outcome
 	// Until then half of the transactions get no answer and are carried out 2 to 12 s later,
 	// and the state service answers up to 3 s late.
 	lateWrites, slowStore time.Duration
 	copies                time.Duration // until then reports are delivered once more, later
 	further               further
-	teams                 map[string]model.Team
 	missed                int           // faults that hit nothing
 	met                   [MetKinds]int // what came about, of each kind
 	old                   time.Duration // until then the first controller reads an earlier form of records
@@ -92,10 +94,6 @@
 	s := &sim{Sim: virtual.New(p.Seed), story: story}
 	w := &world{sim: s, plan: p, net: &network{sim: s}, store: virtual.NewStore(s.Sim, 16), storeAt: &place{name: "store", role: storeRole}, jobs: map[string]*job{}, drained: map[string]bool{}, operated: map[string]bool{}, op: op, level: level, tap: tap,
 		place: &place{name: "users", role: userRole}}
-	w.teams = teams
-	if p.Limits {
-		w.teams = map[string]model.Team{"free": {Name: "free", Limit: model.Size{CPUs: 4}}, "tight": teams["tight"]}
-	}
 	w.used, w.attempts = map[string]time.Duration{}, map[string]int{}
 	if p.Accounts {
 		kept := *op
@@ -122,7 +120,7 @@
 	w := n.world
 	n.process = w.sim.NewProcess(n.place.name)
 	cfg := &settings.Platform{Member: n.place.name, Zone: n.place.zone, Listen: "127.0.0.1:1", PeerListen: "127.0.0.1:1",
-		Teams: w.teams, ReportEvery: w.plan.report(), Lease: w.plan.Lease, CancelWait: w.plan.Cancel, GangWait: gangWait, StateRPS: 1000, StateWriteRPS: 1000,
+		Teams: w.plan.teams(), ReportEvery: w.plan.report(), Lease: w.plan.Lease, CancelWait: w.plan.Cancel, GangWait: gangWait, StateRPS: 1000, StateWriteRPS: 1000,
 		ValueBytes: 8192, WideValueBytes: 8192, TxnOps: 16, CloudRPS: 100, MemoryMB: 100, MaxConns: 1000}
 	for _, o := range w.nodes {
 		if o != n {
