--- a/internal/explore/cmd/main.go
+++ b/internal/explore/cmd/main.go
@@ -32,7 +32,7 @@
 	For     time.Duration `help:"How long to explore." default:"1m"`
 	Most    uint64        `help:"Most schedules; 0: no bound."`
 	Workers int           `help:"Schedules at once; 0: one a processor."`
-	Draw    string        `help:"What to draw: faults, those and meetings, or those and further ones." enum:"faults,meetings,further" default:"further"`
+	Draw    string        `help:"What to draw: faults; those and meetings; those and further troubles, or priorities and saves; of these two the last for every third seed (all)." enum:"all,faults,meetings,further,preempting" default:"all"`
 	Repeat  bool          `help:"Play the schedule of --seed alone and tell its story."`
 	Log     slog.Level    `help:"What controllers log is told from this level on: debug, info, warn, error." default:"error"`
 	Shrink  time.Duration `help:"How long to make a finding smaller." default:"30s"`
@@ -53,7 +53,7 @@
 // Run explores.
 func (c *runCmd) Run() error {
 	if c.Repeat {
-		return c.tell(c.plans().Example(int(c.Seed)), c.Seed)
+		return c.tell(c.plans(c.Seed).Example(int(c.Seed)), c.Seed)
 	}
 	debug.SetGCPercent(800) // what a schedule leaves is gone at once
 	workers := c.Workers
@@ -71,7 +71,7 @@
 				if c.Most > 0 && seed >= c.Seed+c.Most {
 					return
 				}
-				out := explore.Run(c.plans().Example(int(seed)), nil, 0)
+				out := explore.Run(c.plans(seed).Example(int(seed)), nil, 0)
 				played.Add(1)
 				starts.Add(uint64(out.Starts))
 				if out.Broken != "" {
@@ -101,13 +101,25 @@
 		fmt.Println("no rule was broken")
 		return nil
 	}
-	fmt.Printf("seed %d breaks %s; making it smaller\n", seed, explore.Run(c.plans().Example(int(seed)), nil, 0).Broken)
-	return c.tell(shrink(c.plans(), seed, c.Shrink), seed)
+	fmt.Printf("seed %d breaks %s; making it smaller\n", seed, explore.Run(c.plans(seed).Example(int(seed)), nil, 0).Broken)
+	return c.tell(shrink(c.plans(seed), seed, c.Shrink), seed)
 }
 
-// plans is what schedules are drawn from.
-func (c *runCmd) plans() *rapid.Generator[explore.Plan] {
-	return map[string]*rapid.Generator[explore.Plan]{"faults": explore.Plans, "meetings": explore.Meetings, "further": explore.Further}[c.Draw]
+// drawn names what the schedule of a seed is drawn from.
+func (c *runCmd) drawn(seed uint64) string {
+	switch {
+	case c.Draw != "all":
+		return c.Draw
+	case seed%3 == 0:
+		return "preempting"
+	}
+	return "further"
+}
+
+// plans is what the schedule of a seed is drawn from.
+func (c *runCmd) plans(seed uint64) *rapid.Generator[explore.Plan] {
+	return map[string]*rapid.Generator[explore.Plan]{"faults": explore.Plans, "meetings": explore.Meetings, "further": explore.Further,
+		"preempting": explore.Preempting}[c.drawn(seed)]
 }
 
 // tell prints a schedule's story.
@@ -119,7 +131,7 @@
 		fmt.Println("no rule was broken")
 		return nil
 	}
-	return fmt.Errorf("%w: %s; --seed %d --repeat --draw %s plays it as it was found", errFound, out.Broken, seed, c.Draw)
+	return fmt.Errorf("%w: %s; --seed %d --repeat --draw %s plays it as it was found", errFound, out.Broken, seed, c.drawn(seed))
 }
 
 // shrink has rapid make a schedule smaller. It stays one that breaks a rule.
--- a/internal/explore/cmd/mutants.go
+++ b/internal/explore/cmd/mutants.go
@@ -97,7 +97,7 @@
 
 type mutantsCmd struct {
 	For  time.Duration `help:"How long to explore each; 0: play the scripted rows alone." default:"1m"`
-	Draw string        `help:"What to draw; see run." enum:"faults,meetings,further" default:"further"`
+	Draw string        `help:"What to draw; see run." enum:"all,faults,meetings,further,preempting" default:"all"`
 	Only string        `help:"Only those whose names contain this."`
 }
 
--- a/internal/explore/saving.go
+++ b/internal/explore/saving.go
@@ -73,7 +73,7 @@
 }
 
 // limitedTeams have a limit of two tasks at once each.
-var limitedTeams = map[string]model.Team{"free": {Name: "free", Limit: model.Size{CPUs: 4}}, "tight": teams["tight"]}
+var limitedTeams = map[string]model.Team{"free": {Name: "free", Limit: model.Size{CPUs: 4}}, "tight": teams["tight"], "owed": {Name: "owed", Guarantee: model.Size{CPUs: 4}, Limit: model.Size{CPUs: 4}}}
 
 // halt is the orderly stop of a gang's attempt.
 type halt struct {
