workers: a stop without time that comes during a call is called too

Cause: a call that carried a stop with time to save counted as having told any stop of that task, so the second one, of a cancellation, waited for the next report. Result: TestSecondStopWhileCalled fails without it.

--- a/internal/workers/calls.go
+++ b/internal/workers/calls.go
@@ -172,10 +172,13 @@
 }
 
 // has tells whether the call carried an order.
+//
+// Guard: a second stop, without time to save, that came while a call carried the first counted as
+// delivered by it. Tasks of cancelled jobs saved on until their machine's next report was answered.
 func (c *Call) has(o *order) bool {
 	want := o.command()
 	for _, k := range c.Commands {
-		if k.Op == want.Op && k.Task == want.Task && k.Attempt == want.Attempt {
+		if k.Op == want.Op && k.Task == want.Task && k.Attempt == want.Attempt && (want.GraceS == nil || *k.GraceS == *want.GraceS) {
 			return true
 		}
 	}
--- a/internal/workers/desk_test.go
+++ b/internal/workers/desk_test.go
@@ -446,6 +446,34 @@
 	}
 }
 
+// A stop without time to save that comes while a call carries one with it is called as well: the
+// first call's answer says nothing of it.
+func TestSecondStopWhileCalled(t *testing.T) {
+	saving := model.WireTask{Task: "j/1", Attempt: 9, State: model.TaskSaving}
+	for _, second := range []uint64{0, 2000} { // milliseconds
+		d := desk()
+		d.CheckIn(at(1), report(1, 1, 5, model.WireTask{Task: "j/1", Attempt: 9, State: model.TaskRunning}))
+		first, next := ord(1, peerspb.Op_OP_STOP, 1), ord(2, peerspb.Op_OP_STOP, 1)
+		first.GraceMs, next.GraceMs = 10_000, int64(second)
+		d.Round(at(2), grant(5, 10, first))
+		calls := d.Calls(at(2))
+		if len(calls) != 1 {
+			t.Fatalf("%d calls for the first stop", len(calls))
+		}
+		d.Round(at(2.1), grant(5, 10, next)) // while it is under way
+		d.Called(at(2.2), calls[0], Executed, report(1, 2, 5, saving))
+		calls = d.Calls(at(2.2))
+		if len(calls) != 1 || len(calls[0].Commands) != 1 || *calls[0].Commands[0].GraceS != float64(second)/1000 {
+			t.Errorf("a second stop with %d ms is not called: %+v", second, calls)
+			continue
+		}
+		d.Called(at(2.3), calls[0], Executed, report(1, 3, 5, saving))
+		if calls = d.Calls(at(2.4)); len(calls) != 0 {
+			t.Errorf("told, it is called again: %+v", calls)
+		}
+	}
+}
+
 // Every answer that extends a lease counts, also that to a report which the
 // answer to a direct call overtook; and no answer brings a session back whose
 // end was told.
