placement: a task that an earlier leader had save counts as stopping

Cause: after a takeover a saving task was taken for one that has not begun; a drain stopped it without time to save, and a saving gang was stopped again. Change: what a report shows as saving is being stopped, with the time its save takes. TestCancelWhileSaving: cancellations end such tasks at once, again under each fresh token.

--- a/internal/placement/drain_test.go
+++ b/internal/placement/drain_test.go
@@ -77,6 +77,9 @@
 		{"but only if all of it has room", gang(4), model.TaskRunning, node("old", 5), 6, 3, nil},
 		{"or by force", gang(4), model.TaskRunning, &Drain{Scope: ZoneScope, Name: "a", Deadline: at(5), Force: true}, 6, 3,
 			map[string]float64{"x/0": 3, "x/1": 3, "x/2": 3, "x/3": 3}},
+		{"what an earlier leader had save saves on", func(j *model.Job) { j.Tasks, j.CheckpointEvery, j.SaveTime = 4, time.Second, time.Second },
+			model.TaskSaving, node("old", 0), 2, 8, nil},
+		{"a gang too", gang(4), model.TaskSaving, node("old", 1), 2, 8, nil},
 		{"a gang that gathers goes whole at once", gang(4), model.TaskWaiting, node("old", 0), 2, 0,
 			map[string]float64{"x/0": 0, "x/1": 0, "x/2": 0, "x/3": 0}},
 		{"a type", func(j *model.Job) { j.Tasks = 4 }, model.TaskFetching, &Drain{Scope: TypeScope, Name: "small"}, 2, 0,
@@ -102,6 +105,57 @@
 	}
 }
 
+// A task that saves is stopped without time for it when its job is cancelled, whoever told it to
+// save; and again under every fresh token, until it is gone.
+func TestCancelWhileSaving(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		open   bool // the job is still known to the leader that hears of the task first
+		told   bool // that leader told it to save
+		before bool // cancelled before it is heard of
+	}{
+		{"told by us", true, true, false},
+		{"told by an earlier leader", true, false, false},
+		{"cancelled in between", true, false, true},
+		{"of a job that was over before we led", false, false, false},
+	} {
+		b := newBench(t)
+		b.complete = true
+		b.machine("m", "small", "a")
+		if c.open {
+			b.job("x", func(j *model.Job) { j.CheckpointEvery, j.SaveTime = time.Second, 30*time.Second })
+		}
+		if c.told {
+			b.says(1, "m", "current", 9, task("x", 0, 7, model.TaskRunning, ""))
+			b.SetDrains([]*Drain{node("m", 0)}, at(1))
+			b.Evacuate(at(1))
+			if got := b.stops(); got["x/0"] != 31 {
+				t.Errorf("%s: stopped %v, want with time to save", c.name, got)
+			}
+		}
+		if c.before {
+			b.Renewed(6, at(1))
+			b.says(1, "m", "current", 9, task("x", 0, 7, model.TaskRunning, ""))
+			b.Cancel("x")
+			b.Orders("n0")
+			b.Renewed(7, at(1.2))
+		}
+		b.says(1.5, "m", "current", 9, task("x", 0, 7, model.TaskSaving, ""))
+		if c.open && !c.before {
+			b.Cancel("x")
+		}
+		if got := b.stops(); !equalStops(got, map[string]float64{"x/0": 0}) {
+			t.Errorf("%s: stopped %v, want at once", c.name, got)
+		}
+		b.Renewed(8, at(2))
+		b.Evacuate(at(2))
+		b.says(2, "m", "current", 9, task("x", 0, 7, model.TaskSaving, ""))
+		if got := b.stops(); !equalStops(got, map[string]float64{"x/0": 0}) {
+			t.Errorf("%s, under a fresh token: stopped %v, want at once", c.name, got)
+		}
+	}
+}
+
 // No task starts on a drained machine, whatever a round drew, and none in a drained zone;
 // a gang that was moved finds the room that was kept for it.
 func TestNoStartOnDrained(t *testing.T) {
--- a/internal/placement/tasks.go
+++ b/internal/placement/tasks.go
@@ -173,6 +173,11 @@
 	if (j.Cancelled || j.finished.Has(t.index)) && !t.stopping {
 		t.stopping, t.grace, t.told = true, 0, 0
 	}
+	if state == model.TaskSaving && !t.stopping {
+		// Guard: an earlier leader told it to stop. Taken for one that has not begun, it was stopped
+		// by a drain without the time to save that it had been given.
+		t.stopping, t.grace, t.told = true, graceFor(j.Spec), b.token
+	}
 	if t.stopping && t.told != b.token {
 		b.tellStop(t)
 	}
