explorer: scripted rows of cancelled jobs whose tasks save, and mistakes for them

Cause: no row had a task saving when its job's cancellation was confirmed. Change: TestSaving, 16 rows for both deployments: an array and a gang that gave way and an array on a drained zone save for longer than cancel_s; each row asserts that at least four of the six tasks were saving at the confirmation. Seven seeded mistakes; the mutants play these rows too. The desk repeats a stop while a task saves: a row of TestOrders.

--- a/internal/explore/cmd/mutants.go
+++ b/internal/explore/cmd/mutants.go
@@ -70,6 +70,13 @@
 	{"messages go out after the right to act", []edit{{"controller/rounds.go", "if !n.lead.MayAct(now) {", "if n.lead.Token() == 0 {"}, {"controller/rounds.go", "if n.mayAct() {", "if true {"},
 		{"controller/node.go", "if n.term != nil && n.lead.MayAct(now) {", "if n.term != nil {"}}},
 	{"tasks of a cancelled job are not stopped", []edit{{"placement/jobs.go", "\t\tb.stopOne(t, 0)\n\t}\n\tfor i := range j.Spec.Tasks", "\t\t_ = t\n\t}\n\tfor i := range j.Spec.Tasks"}}},
+	{"a stop without time to save is no second stop", []edit{{"placement/tasks.go", "t.stopping && t.grace <= grace && t.told == b.token", "t.stopping && t.told == b.token"}}},
+	{"every stop leaves time to save", []edit{{"placement/tasks.go", "GraceMs: t.grace.Milliseconds()})", "GraceMs: graceFor(t.job.Spec).Milliseconds()})"}}},
+	{"a stop is not told again under a fresh token", []edit{{"placement/tasks.go", "t.stopping && t.told != b.token", "false"}}},
+	{"what a takeover finds of a job that is over may save", []edit{{"placement/tasks.go", "Op: peerspb.Op_OP_STOP, Job: r.Job, Index: r.Index, Attempt: r.Attempt})", "Op: peerspb.Op_OP_STOP, Job: r.Job, Index: r.Index, Attempt: r.Attempt, GraceMs: 1e6})"}}},
+	{"a second stop does not replace the first", []edit{{"workers/orders.go", "m.pending[i] = next\n", "m.pending[i].id = next.id\n"}}},
+	{"a call has told any stop", []edit{{"workers/calls.go", " && (want.GraceS == nil || *k.GraceS == *want.GraceS)", ""}}},
+	{"a task that saves needs no other stop", []edit{{"workers/orders.go", "return t.State == string(model.TaskExited)", "return t.State == string(model.TaskExited) || t.State == string(model.TaskSaving)"}}},
 	{"a late claim keeps the last hold", []edit{{"leadership/leadership.go", "if v.Hold != 0 {", "if false {"}}},
 	{"a submission without an answer is accepted", []edit{{"intake/intake.go", "if err == nil && out.OK() {\n\t\treturn answer(201", "if out.OK() && (err == nil || errors.Is(err, store.ErrUnknown)) {\n\t\treturn answer(201"}}},
 	{"a cancellation without an answer is confirmed", []edit{{"intake/intake.go", "if err == nil && out.OK() {\n\t\t\tin.finals", "if out.OK() && (err == nil || errors.Is(err, store.ErrUnknown)) {\n\t\t\tin.finals"}}},
@@ -151,7 +158,7 @@
 // scripted plays the scripted meetings with the mistake that was built last, and tells how many of
 // their rows find it, and the first that does.
 func scripted(dir string) (string, error) {
-	out, err := exec.Command("go", "test", "-overlay", filepath.Join(dir, "overlay.json"), "-count=1", "-run", "^(TestGap|TestMeetings|TestFurtherMeetings|TestShrunk)$", "./internal/explore").CombinedOutput()
+	out, err := exec.Command("go", "test", "-overlay", filepath.Join(dir, "overlay.json"), "-count=1", "-run", "^(TestGap|TestMeetings|TestFurtherMeetings|TestSaving|TestWrites|TestShrunk)$", "./internal/explore").CombinedOutput()
 	var failed *exec.ExitError
 	if err != nil && !errors.As(err, &failed) {
 		return "", err
--- a/internal/explore/saving_test.go
+++ b/internal/explore/saving_test.go
@@ -1,6 +1,7 @@
 package explore
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -120,3 +121,89 @@
 		t.Errorf("%d tasks saved, %d of cancelled jobs: the schedules show nothing", saves, caught)
 	}
 }
+
+// saved is a schedule in which three jobs save for longer than cancel_s when they are
+// cancelled: an array and a gang that gave way to others in their zones, and an array whose zone an
+// operator drained.
+func saved(d int, seed uint64, cancels [3]time.Duration, faults []Fault) Plan {
+	x := deployments[d]
+	p := Plan{Seed: seed, Machines: 1, Report: x.report, Lease: x.lease, Cancel: x.cancel, Faults: faults,
+		Drains: []Draining{{At: 30 * sec, For: 90 * sec, Zone: "c", Force: true}}}
+	for i, shape := range []model.Shape{model.Array, model.Gang, model.Array} {
+		p.Jobs = append(p.Jobs, Submission{At: 2 * sec, Shape: shape, Tasks: 2, Zone: zones[i], Takes: 400 * sec, Priority: model.Low,
+			Every: 7 * sec, Cost: x.cancel + 20*sec, Beside: true, Cancel: cancels[i] - 2*sec})
+	}
+	for _, zone := range zones[:2] {
+		p.Jobs = append(p.Jobs, Submission{At: 30 * sec, Shape: model.Array, Tasks: 2, Zone: zone, Takes: 5 * sec, Priority: model.High})
+	}
+	return p
+}
+
+// Tasks that save when their job is cancelled are gone within cancel_s, as those that run are,
+// whatever goes wrong then: the second stop belongs to the job's state, not to a message.
+func TestSaving(t *testing.T) {
+	const saves = 6 // tasks of the three jobs
+	f := func(kind string, at, length float64, a int) Fault {
+		return Fault{Kind: kind, At: time.Duration(at * float64(sec)), For: time.Duration(length * float64(sec)), A: a}
+	}
+	held := func(kind string, at, length float64, a int) Fault {
+		x := f(kind, at, length, a)
+		x.Hold = true
+		return x
+	}
+	for _, c := range []struct {
+		name   string
+		within time.Duration // the tasks that saved are gone within; 0: what the budget allows
+		least  time.Duration // and in some schedule not sooner: else the fault missed them
+		faults []Fault
+	}{
+		{"nothing else", 2 * sec, 0, nil},
+		{"the leader ends before", 0, 2 * sec, []Fault{f("crash", 39.9, 16, 7)}},
+		{"the leader ends after", 0, 2 * sec, []Fault{f("crash", 40.03, 16, 7)}},
+		{"the leader is back at once", 0, 500 * time.Millisecond, []Fault{f("crash back", 40.03, 0.3, 7)}},
+		{"all end", 0, 2 * sec, []Fault{f("crash all", 40.08, 6, 0)}},
+		{"the leader ends as they are told to save", 0, 0, []Fault{f("crash", 31, 8, 7)}},
+		{"their machines hang", 0, 8 * sec, []Fault{f("hang machine", 39, 12, 0), f("hang machine", 39, 12, 1), f("hang machine", 39, 12, 2)}},
+		{"their machines hang, the leader ends", 0, 8 * sec, []Fault{f("hang machine", 39, 12, 0), f("hang machine", 39, 14, 1), f("hang machine", 39, 9, 2), f("crash", 41, 16, 7)}},
+		{"their machines hear nothing, and are cut off", 0, 8 * sec, []Fault{f("deafen machine", 38, 60, 0), f("cut machine", 39, 60, 1), held("cut machine", 39, 18, 2)}},
+		{"their machines are cut off, the leader ends", 0, 8 * sec, []Fault{f("cut machine", 39, 16, 0), held("cut machine", 39, 16, 1), f("cut machine", 39, 60, 2), f("crash", 40.5, 16, 7)}},
+		{"the first stops are held", 0, 0, []Fault{held("deafen zone", 30.2, 3, 0), held("deafen zone", 30.2, 5, 1), held("deafen zone", 30.2, 7, 2)}},
+		{"the second stops are held, the leader ends", 0, 8 * sec, []Fault{held("deafen zone", 39.9, 11, 0), held("deafen zone", 39.9, 13, 1), held("deafen zone", 39.9, 20, 2), f("crash", 43, 16, 7)}},
+		{"the state service refuses the leader", 0, 5 * sec, []Fault{f("store refuses node", 39.5, 14, 7)}},
+		{"refused, then out for all", 0, 20 * sec, []Fault{f("store refuses node", 39.5, 14, 7), f("outage", 41.8, 70, 0)}},
+		{"refused, the machines hang, then out for all", 0, 20 * sec, []Fault{f("store refuses node", 39.5, 14, 7), f("hang machine", 40, 12, 0), f("hang machine", 40, 15, 1), f("outage", 41.8, 70, 0)}},
+		{"writes late, the leader ends", 0, 2 * sec, []Fault{f("late writes", 39, 20, 0), f("crash", 41, 16, 7)}},
+	} {
+		var gone time.Duration
+		caught := 0
+		var group sync.WaitGroup
+		var lock sync.Mutex
+		for d, x := range deployments {
+			for seed := range uint64(4) {
+				group.Go(func() {
+					out := Run(saved(d, seed+1, [3]time.Duration{40 * sec, 40500 * time.Millisecond, 41 * sec}, c.faults), nil, 0)
+					lock.Lock()
+					defer lock.Unlock()
+					most := x.cancel - margin
+					if c.within > 0 {
+						most = c.within
+					}
+					switch {
+					case out.Broken != "":
+						t.Errorf("%s, %s, seed %d: %s", c.name, x.name, seed+1, out.Broken)
+					case out.Saves < saves || out.Caught < saves-2:
+						t.Errorf("%s, %s, seed %d: %d tasks saved, %d as their job was cancelled: it shows nothing", c.name, x.name, seed+1, out.Saves, out.Caught)
+					case out.CaughtGone > most || out.Gone > x.cancel-margin:
+						t.Errorf("%s, %s, seed %d: gone only after %v, %v", c.name, x.name, seed+1, out.CaughtGone, out.Gone)
+					}
+					gone, caught = max(gone, out.CaughtGone), caught+out.Caught
+				})
+			}
+		}
+		group.Wait()
+		if gone < c.least {
+			t.Errorf("%s: gone after %v already: it shows nothing", c.name, gone)
+		}
+		t.Logf("%-50s %2d saved as they were cancelled, gone after %6.2f s", c.name, caught, gone.Seconds())
+	}
+}
--- a/internal/workers/desk_test.go
+++ b/internal/workers/desk_test.go
@@ -141,6 +141,12 @@
 		{"a repeated order is one order", false, []step{hello,
 			{orders: []*peerspb.Order{ord(1, start, 1), ord(1, start, 1)},
 				report: report(1, 2, 5), answer: []string{"start j/1"}, open: []uint64{1}}}},
+		{"also while it saves: the last one ends that", false, []step{
+			{report: report(1, 1, 5, running)},
+			{orders: []*peerspb.Order{ord(1, stop, 1)}, report: report(1, 2, 5, running), answer: []string{"stop j/1"}},
+			{orders: []*peerspb.Order{ord(2, stop, 1)}, report: report(1, 3, 5, task(model.TaskSaving)), answer: []string{"stop j/1"}},
+			{report: report(1, 4, 5, task(model.TaskSaving)), answer: []string{"stop j/1"}},
+			{report: report(1, 5, 5, ended)}}},
 		{"stops are repeated until the task has exited", false, []step{
 			{report: report(1, 1, 5, running)},
 			{orders: []*peerspb.Order{ord(1, stop, 1)}, report: report(1, 2, 5, running), answer: []string{"stop j/1"}},
