placement: stops are told again once a machine shows the token

Cause: a stop counted as told under a token also if its machine had not shown that token yet. An owner that calls such a machine expired before its lease surely is drops its orders; the machine may live on under an earlier owner's answers, and a task of a cancelled job ran on. Change: what was told before a machine is current counts as not told. Result: TestStopAfterSilence fails without it (read in the code; no schedule showed it).

--- a/internal/placement/drain_test.go
+++ b/internal/placement/drain_test.go
@@ -156,6 +156,37 @@
 	}
 }
 
+// A stop that was told while its machine was not heard of under the token is told again once it is:
+// what its owner was to hand over went with the word that the machine had expired.
+func TestStopAfterSilence(t *testing.T) {
+	for _, phases := range [][]string{{"joining"}, {"expired"}, {"joining", "expired"}, {"expired", "joining"}} {
+		b := newBench(t)
+		b.machine("m", "small", "a")
+		b.job("x", nil)
+		b.round(1)
+		attempt := b.jobs.At("x").bound.At(0).attempt
+		b.says(1, "m", "current", 9, task("x", 0, attempt, model.TaskRunning, ""))
+		b.Renewed(6, at(2))
+		b.Cancel("x")
+		if got := b.stops(); len(got) != 1 {
+			t.Fatalf("stopped %v", got)
+		}
+		for _, phase := range phases {
+			b.says(3, "m", phase, 9)
+		}
+		b.Acknowledged("n0", 1<<40)
+		b.says(4, "m", "current", 9, task("x", 0, attempt, model.TaskRunning, ""))
+		if got := b.stops(); !equalStops(got, map[string]float64{"x/0": 0}) {
+			t.Errorf("after %v: stopped %v, want it again", phases, got)
+		}
+		b.Acknowledged("n0", 1<<40)
+		b.says(5, "m", "current", 9, task("x", 0, attempt, model.TaskRunning, ""))
+		if got := b.stops(); len(got) != 0 {
+			t.Errorf("after %v: stopped %v, though it was told", phases, got)
+		}
+	}
+}
+
 // No task starts on a drained machine, whatever a round drew, and none in a drained zone;
 // a gang that was moved finds the room that was kept for it.
 func TestNoStartOnDrained(t *testing.T) {
--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -304,6 +304,13 @@
 			m.current = b.token
 			b.recordon(m)
 		}
+		if m.Phase != Current {
+			// Guard: an owner that calls a machine expired before it has shown our token drops its
+			// orders, and it may live on all the same. Stops that were told meanwhile were lost.
+			for _, t := range m.tasks.All() {
+				t.told = 0
+			}
+		}
 		b.setPhase(m, Current, now)
 		b.reconcile(now, m, func(order uint64) bool { return order <= applied && !slices.Contains(pm.Undecided, order) })
 	}
