controller: a late part of an array's marks replaces no newer one

Cause: a save of parts alone guards the record's stamp and does not move it. Unanswered and carried out late, it replaced parts that a newer save of the same leader had written; the next leader ran their tasks once more. Change: each part in a save guards its own stamp, as known from loading, from the leader's own answered saves, or from one list of the job's parts after a save that failed or went unanswered. The stamps stand in the term, not in the book: they decide nothing but whether a write is void, so recordings and their replay stay as they are. Weighed: every parts-save moves the record (a put each, and a record that must shrink first can't be written); the record written anew after a doubt (the same, and one more state to keep over a takeover).

--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -101,6 +101,8 @@
 		}
 	}
 	t.core.Load(now, machines, charters, jobs, parts, drains, mark)
+	t.parts.load(parts)
+	t.parts.keep(t.open)
 	t.loaded, t.revision = true, rev
 	t.assignFirst(now)
 	t.nextBeat = now
@@ -153,18 +155,29 @@
 	}
 }
 
+// open tells whether a job is known and not over.
+func (t *term) open(job string) bool {
+	j := t.core.Jobs().At(job)
+	return j != nil && !j.Cancelled
+}
+
 // resync takes in a whole list of jobs after changes were missed.
 func (t *term) resync(jobs []store.Item) {
 	t.core.Resync(t.n.world.Now(), jobs)
+	t.parts.keep(t.open)
 	t.nextCheck = time.Time{}
 	t.beatSoon()
 }
 
 func (t *term) changes(events []store.Event) {
 	for _, e := range events {
-		if id, open := strings.CutPrefix(e.Delete, placement.JobPrefix); open && t.core.Jobs().At(id) != nil {
+		id, open := strings.CutPrefix(e.Delete, placement.JobPrefix)
+		if open && t.core.Jobs().At(id) != nil {
 			t.n.log.Debug("job record gone", "job", id)
 		}
+		if open {
+			delete(t.parts, id)
+		}
 	}
 	t.core.Change(t.n.world.Now(), events)
 	t.nextCheck = time.Time{}
@@ -189,17 +202,7 @@
 func (t *term) save(now time.Time) {
 	maxParts := min(t.n.cfg.TxnOps-1, 48<<10/t.n.cfg.WideValueBytes-1)
 	for _, s := range t.core.Saves(now, max(1, maxParts)) {
-		txn := t.txn()
-		txn.Guards = append(txn.Guards, store.Guard{Key: placement.JobPrefix + s.ID, Stamp: s.Stamp})
-		if s.Over != nil {
-			txn.Writes = append(txn.Writes, store.Del(placement.JobPrefix+s.ID), store.Put(placement.DonePrefix+s.ID, s.Over))
-		}
-		if s.Record != nil {
-			txn.Writes = append(txn.Writes, store.Put(placement.JobPrefix+s.ID, s.Record))
-		}
-		for part, text := range s.Parts {
-			txn.Writes = append(txn.Writes, store.Put(placement.PartPrefix+s.ID+"/"+part, text))
-		}
+		txn := saveTxn(t.txn(), s, t.parts)
 		if len(txn.Writes) == 0 { // all of it stands in parts already
 			t.core.SaveDone(now, s, recordpb.SaveDone_STORED, 0, nil)
 			continue
@@ -209,8 +212,15 @@
 			ok := err == nil && out.OK()
 			over := false
 			var fresh *store.Item
+			var parts []store.Item
+			read := false // whether parts tells what is stored
 			if !ok && (err == nil || errors.Is(err, store.ErrUnknown)) {
 				over, fresh = t.lookAgain(s.ID)
+				if len(s.Parts) > 0 && !over {
+					var lerr error
+					parts, _, lerr = t.n.store.List(t.ctx, placement.PartPrefix+s.ID+"/")
+					read = lerr == nil
+				}
 			}
 			if !ok {
 				t.n.world.Sleep(t.ctx, 200*time.Millisecond)
@@ -219,9 +229,15 @@
 				if t.ctx.Err() != nil {
 					return
 				}
+				if read && t.open(s.ID) {
+					t.parts.found(s, parts)
+				}
 				outcome := recordpb.SaveDone_FAILED
 				switch {
 				case ok:
+					if t.open(s.ID) {
+						t.parts.stored(s, out.Revision)
+					}
 					outcome = recordpb.SaveDone_STORED
 				case errors.Is(err, store.ErrTooLarge):
 					t.n.log.Warn("save refused as too large", "job", s.ID, "err", err)
