explorer: each kind of write, its answer lost or carried out late

Need: the table of late writes had kinds that no test brought about with whole controllers. Change: a scripted schedule may choose what becomes of each transaction; TestWrites has 14 kinds, each both ways: carried out at once with the answer lost, and held until a newer one of the same controller was carried out, then late, up to 25 s after it. A row fails if its kind met nothing. Plans name sizes of values and transactions.

--- a/internal/explore/plan.go
+++ b/internal/explore/plan.go
@@ -12,6 +12,7 @@
 	"github.com/marlwood/marlwood/internal/core"
 	"github.com/marlwood/marlwood/internal/leadership"
 	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/store"
 )
 
 // Plan is a schedule: what users ask for and what goes wrong. With its seed, which
@@ -28,6 +29,10 @@
 	Accounts  bool // what teams use is kept
 	Guarantee bool // there is a team with one
 	Limits    bool // every team has a limit, of two tasks at once
+	Values    int  // bytes that the state service takes as a value; 0: 8192
+	Ops       int  // changes that it takes in a transaction; 0: 16
+
+	fates func(c storeClient, t store.Txn) fate // of transactions in scripted schedules; nil: all are answered
 }
 
 // Submission is a user's job.
--- a/internal/explore/store.go
+++ b/internal/explore/store.go
@@ -69,6 +69,13 @@
 func (c storeClient) Do(_ context.Context, t store.Txn) (store.Outcome, error) {
 	return storeCall(c, storeTimeout, func(reply func(store.Outcome, error)) {
 		w := c.n.world
+		switch w.plan.fateOf(c, t) {
+		case unanswered:
+			_, _ = w.store.Txn(t)
+			return
+		case held:
+			return
+		}
 		if w.sim.Now() < w.lateWrites && w.sim.Rand.IntN(2) == 0 {
 			w.sim.After(w.sim.Between(2*time.Second, 12*time.Second), func() { c.late(t) })
 			return
@@ -86,6 +93,23 @@
 	})
 }
 
+// fate is what becomes of a transaction.
+type fate int
+
+const (
+	answered   fate = iota
+	unanswered      // carried out at once; its answer is lost
+	held            // no answer; it is carried out when whoever chose this says so, by late
+)
+
+// fateOf asks the schedule.
+func (p *Plan) fateOf(c storeClient, t store.Txn) fate {
+	if p.fates == nil {
+		return answered
+	}
+	return p.fates(c, t)
+}
+
 // late carries out a transaction whose sender got no answer; in an outage, after it.
 func (c storeClient) late(t store.Txn) {
 	w := c.n.world
--- /dev/null
+++ b/internal/explore/writes_test.go
@@ -0,0 +1,225 @@
+package explore
+
+import (
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/fleet"
+	"github.com/marlwood/marlwood/internal/hosts"
+	"github.com/marlwood/marlwood/internal/leadership"
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/placement"
+	"github.com/marlwood/marlwood/internal/shares"
+	"github.com/marlwood/marlwood/internal/store"
+)
+
+// writeKind is a row of the table in docs/meetings.md: which transactions it is about.
+type writeKind struct {
+	name  string
+	is    func(c storeClient, t store.Txn) bool
+	alone bool // none of its kind need come after it
+}
+
+func sets(t store.Txn, prefix string) *store.Write {
+	for i, w := range t.Writes {
+		if strings.HasPrefix(w.Set, prefix) {
+			return &t.Writes[i]
+		}
+	}
+	return nil
+}
+
+func deletes(t store.Txn, prefix string) bool {
+	for _, w := range t.Writes {
+		if strings.HasPrefix(w.Delete, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// ours tells whether the leader key is the sender's.
+func ours(c storeClient) bool {
+	it, err := c.n.world.store.Get(leadership.Key)
+	return err == nil && strings.Contains(string(it.Value), c.n.place.name)
+}
+
+// Kinds of writes. Submissions and cancellations have tests of their own; settings and the machine
+// types are not written in the explorer's world.
+var writeKinds = []writeKind{
+	{"claim of the leader key", func(c storeClient, t store.Txn) bool { return sets(t, leadership.Key) != nil && !ours(c) }, false},
+	{"fresh token", func(c storeClient, t store.Txn) bool { return sets(t, leadership.Key) != nil && ours(c) }, false},
+	{"release of a waiting job", func(_ storeClient, t store.Txn) bool {
+		return deletes(t, placement.WaitPrefix) && sets(t, placement.JobPrefix) != nil
+	}, true},
+	{"end of a job that waits", func(_ storeClient, t store.Txn) bool {
+		return t.Leader && deletes(t, placement.WaitPrefix) && sets(t, placement.DonePrefix) != nil
+	}, true},
+	{"completion", func(_ storeClient, t store.Txn) bool {
+		return t.Leader && deletes(t, placement.JobPrefix) && sets(t, placement.DonePrefix) != nil
+	}, false},
+	{"marks in the record", func(_ storeClient, t store.Txn) bool {
+		w := sets(t, placement.JobPrefix)
+		return t.Leader && w != nil && !strings.Contains(string(w.Value), `"claim"`) && !deletes(t, placement.WaitPrefix)
+	}, false},
+	{"claim of machines", func(_ storeClient, t store.Txn) bool {
+		w := sets(t, placement.JobPrefix)
+		return t.Leader && w != nil && strings.Contains(string(w.Value), `"claim"`)
+	}, false},
+	{"records of machines", func(_ storeClient, t store.Txn) bool {
+		return sets(t, hosts.SinglePrefix) != nil || sets(t, hosts.GroupPrefix) != nil
+	}, false},
+	{"removal of records of machines", func(_ storeClient, t store.Txn) bool {
+		return deletes(t, hosts.SinglePrefix) || deletes(t, hosts.GroupPrefix)
+	}, false},
+	{"charter of a rental", func(_ storeClient, t store.Txn) bool { return sets(t, fleet.CharterPrefix) != nil }, false},
+	{"end of a charter", func(_ storeClient, t store.Txn) bool { return deletes(t, fleet.CharterPrefix) }, false},
+	{"a drain", func(_ storeClient, t store.Txn) bool { return sets(t, placement.DrainPrefix) != nil }, false},
+	{"its end", func(_ storeClient, t store.Txn) bool { return deletes(t, placement.DrainPrefix) }, false},
+	{"lines of accounts", func(_ storeClient, t store.Txn) bool { return sets(t, shares.Prefix) != nil }, false},
+}
+
+// writesPlan has every kind of write: jobs of all shapes, some that wait, some cancelled; drains;
+// accounts; a worker that begins anew; leaders that end.
+func writesPlan(d int, seed uint64) Plan {
+	x := deployments[d]
+	return Plan{Seed: seed, Machines: 2, Report: x.report, Lease: x.lease, Cancel: x.cancel, Accounts: true,
+		Jobs: []Submission{
+			{At: 2 * sec, Shape: model.Array, Tasks: 3, Takes: 25 * sec},
+			{At: 2 * sec, Shape: model.Gang, Tasks: 2, Takes: 20 * sec, Spot: true},
+			{At: 3 * sec, Shape: model.Service, Tasks: 2, Takes: 30 * sec, Cancel: 30 * sec},
+			{At: 5 * sec, Shape: model.Array, Tasks: 1, Takes: 5 * sec, Needs: []int{0}},
+			{At: 4 * sec, Shape: model.Array, Tasks: 2, Takes: 80 * sec, Cancel: 25 * sec},
+			{At: 6 * sec, Shape: model.Array, Tasks: 1, Takes: 5 * sec, Needs: []int{4}},
+			{At: 20 * sec, Shape: model.Array, Tasks: 3, Team: 1, Takes: 6 * sec},
+			{At: 32 * sec, Shape: model.Gang, Tasks: 3, Takes: 10 * sec},
+			{At: 50 * sec, Shape: model.Array, Tasks: 2, Takes: 10 * sec},
+		},
+		Drains: []Draining{{At: 14 * sec, For: 12 * sec, Machine: 0, Deadline: 4 * sec, Force: true}, {At: 30 * sec, For: 15 * sec, Zone: "a", Force: true}},
+		Faults: []Fault{{Kind: "machine back", At: 17 * sec, For: 300 * time.Millisecond, A: 1}, {Kind: "machine back", At: 24 * sec, For: 300 * time.Millisecond, A: 2},
+			{Kind: "crash", At: 36 * sec, For: 8 * sec, A: 7}, {Kind: "stop machine", At: 41 * sec, For: sec, A: 1}, {Kind: "crash", At: 55 * sec, For: 8 * sec, A: 7}},
+	}
+}
+
+// met counts what transactions of a kind met.
+type met struct {
+	lost  int // carried out at once, the answer lost
+	late  int // carried out late
+	newer int // of these, after a newer one of the same controller that was carried out
+}
+
+// lose has the answers of a kind's transactions lost: of the first three and of each third one then.
+func (m *met) lose(k writeKind) func(c storeClient, t store.Txn) fate {
+	seen := 0
+	return func(c storeClient, t store.Txn) fate {
+		if !k.is(c, t) {
+			return answered
+		}
+		if seen++; seen > 3 && seen%3 != 0 {
+			return answered
+		}
+		m.lost++
+		return unanswered
+	}
+}
+
+// latest is how long a transaction is held at most, if no newer one comes.
+const latest = 12 * sec
+
+// hold has a kind's transactions held, one of a controller at a time, until a newer one of the same
+// controller has been carried out.
+func (m *met) hold(k writeKind) func(c storeClient, t store.Txn) fate {
+	waiting := map[string]func(newer bool){} // by controller
+	return func(c storeClient, t store.Txn) fate {
+		if !k.is(c, t) {
+			return answered
+		}
+		w, from := c.n.world, c.n.place.name
+		if after := waiting[from]; after != nil {
+			if w.passes(t) {
+				delete(waiting, from)
+				after(true)
+			}
+			return answered
+		}
+		decided := false
+		waiting[from] = func(newer bool) {
+			decided = true
+			delay := w.sim.Between(0, 300*time.Millisecond)
+			if newer && w.sim.Rand.IntN(2) == 0 { // or once much else has followed
+				delay = w.sim.Between(0, 25*sec)
+			}
+			w.sim.After(delay, func() {
+				if m.late++; newer {
+					m.newer++
+				}
+				c.late(t)
+			})
+		}
+		mine := waiting[from]
+		w.sim.After(latest, func() {
+			if !decided {
+				delete(waiting, from)
+				mine(false)
+			}
+		})
+		return held
+	}
+}
+
+// passes tells whether a transaction would be carried out now.
+func (w *world) passes(t store.Txn) bool {
+	for _, g := range t.Guards {
+		it, err := w.store.Get(g.Key)
+		if err != nil {
+			it.Stamp = 0
+		}
+		if it.Stamp != g.Stamp {
+			return false
+		}
+	}
+	return true
+}
+
+// Each kind of write, its answer lost or carried out late after newer ones of the same controller:
+// no rule breaks and all is served.
+func TestWrites(t *testing.T) {
+	for _, k := range writeKinds {
+		for _, way := range []string{"answer lost", "late"} {
+			t.Run(k.name+", "+way, func(t *testing.T) {
+				t.Parallel()
+				var group sync.WaitGroup
+				var lock sync.Mutex
+				var all met
+				for d, x := range deployments {
+					for seed := range uint64(3) {
+						group.Go(func() {
+							var m met
+							p := writesPlan(d, seed+1)
+							if p.fates = m.lose(k); way == "late" {
+								p.fates = m.hold(k)
+							}
+							out := Run(p, nil, 0)
+							if out.Broken != "" {
+								t.Errorf("%s, seed %d: %s", x.name, seed+1, out.Broken)
+							}
+							lock.Lock()
+							defer lock.Unlock()
+							if m.lost+m.late == 0 || out.Starts < 15 {
+								t.Errorf("%s, seed %d: %+v, %d starts: it shows nothing", x.name, seed+1, m, out.Starts)
+							}
+							all = met{all.lost + m.lost, all.late + m.late, all.newer + m.newer}
+						})
+					}
+				}
+				group.Wait()
+				t.Logf("%+v", all)
+				if way == "late" && all.newer == 0 && !k.alone {
+					t.Errorf("%+v: none came late after a newer one", all)
+				}
+			})
+		}
+	}
+}
