controller: a late write of accounts does not put their mark back

Cause: the mark, from which the next leader counts what still runs, was written without a guard of its own. A write of one line, unanswered and carried out late after one of another line (more lines due than a transaction takes, or a fold), put the mark back; the next leader counted again what the other line holds. Change: each write guards the mark's stamp, read with the lines and known from the leader's own writes. One guard a write, one read more when lines are read.

--- a/internal/controller/accounts.go
+++ b/internal/controller/accounts.go
@@ -79,6 +79,12 @@
 
 func (t *term) readAccounts() {
 	items, _, err := t.n.store.List(t.ctx, shares.Prefix)
+	var mark store.Item
+	if err == nil {
+		if mark, err = t.n.store.Get(t.ctx, shares.MarkKey); errors.Is(err, store.ErrNotFound) {
+			mark.Stamp, err = 0, nil
+		}
+	}
 	t.n.post(func() {
 		if err != nil || t.ctx.Err() != nil || t.accounts.Phase() != shares.Loading {
 			return
@@ -87,6 +93,7 @@
 		for _, it := range items {
 			all = append(all, shares.Item{Key: it.Key, Value: it.Value, Stamp: it.Stamp})
 		}
+		t.markStamp = mark.Stamp
 		if err := t.accounts.Load(all); err != nil { // another version's, or damaged: left as it is
 			t.n.log.Error("accounts are not written", "err", err)
 			t.nextFlush = t.n.world.Now().Add(time.Minute)
@@ -94,8 +101,14 @@
 	})
 }
 
-func (t *term) writeAccounts(changes []shares.Change, mark shares.Mark) {
-	txn := t.txn(store.Put(shares.MarkKey, mark))
+// accountsTxn makes the transaction of lines and their mark, whose stamps were read or written last, out
+// of one that has the leader's condition.
+//
+// Guard: two transactions need not have a line in common. One that is carried out late after another
+// one put the mark back, and the next leader counted again what stands in the other one's lines.
+func accountsTxn(txn store.Txn, changes []shares.Change, mark shares.Mark, markStamp uint64) store.Txn {
+	txn.Guards = append(txn.Guards, store.Guard{Key: shares.MarkKey, Stamp: markStamp})
+	txn.Writes = append(txn.Writes, store.Put(shares.MarkKey, mark))
 	for _, c := range changes {
 		w := store.Del(c.Key)
 		if c.Value != nil {
@@ -104,12 +117,18 @@
 		txn.Guards = append(txn.Guards, store.Guard{Key: c.Key, Stamp: c.Stamp})
 		txn.Writes = append(txn.Writes, w)
 	}
+	return txn
+}
+
+func (t *term) writeAccounts(changes []shares.Change, mark shares.Mark) {
+	txn := accountsTxn(t.txn(), changes, mark, t.markStamp)
 	t.n.world.Go(func() {
 		out, err := t.do(txn)
 		t.n.post(func() {
 			switch {
 			case t.ctx.Err() != nil:
 			case err == nil && out.OK():
+				t.markStamp = out.Revision
 				t.accounts.Done(out.Revision)
 			default:
 				t.n.log.Debug("accounts are read again", "err", err, "failed", out.Failed)
--- a/internal/controller/accounts_test.go
+++ b/internal/controller/accounts_test.go
@@ -8,6 +8,8 @@
 	"github.com/marlwood/marlwood/internal/operators/operatorspb"
 	"github.com/marlwood/marlwood/internal/settings"
 	"github.com/marlwood/marlwood/internal/shares"
+	"github.com/marlwood/marlwood/internal/store"
+	"github.com/marlwood/marlwood/internal/virtual"
 )
 
 // What a team used outlives its leaders, never goes back, and is what its tasks ran.
@@ -67,3 +69,38 @@
 		t.Error("nothing is stored")
 	}
 }
+
+// A write of accounts that comes late after a newer one takes neither its lines nor its mark back,
+// whatever lines the two have.
+func TestLateMarkIsVoid(t *testing.T) {
+	one, other := shares.Change{Key: shares.Prefix + "1/01", Value: []byte(`"1"`)}, shares.Change{Key: shares.Prefix + "1/02", Value: []byte(`"2"`)}
+	for _, c := range []struct {
+		name  string
+		there bool // the mark is there already
+		newer []shares.Change
+	}{
+		{"the same line", true, []shares.Change{one}},
+		{"another line", true, []shares.Change{other}},
+		{"another line, the first mark", false, []shares.Change{other}},
+	} {
+		v := virtual.NewStore(virtual.New(1), 16)
+		stamp := uint64(0)
+		if c.there {
+			out, err := v.Txn(accountsTxn(store.Txn{}, []shares.Change{{Key: shares.Prefix + "1/03", Value: []byte(`"0"`)}}, shares.Mark{AtMS: 5}, 0))
+			if err != nil || !out.OK() {
+				t.Fatal(out, err)
+			}
+			stamp = out.Revision
+		}
+		late := accountsTxn(store.Txn{}, []shares.Change{one}, shares.Mark{AtMS: 10}, stamp) // no answer; nothing of it is read
+		if out, err := v.Txn(accountsTxn(store.Txn{}, c.newer, shares.Mark{AtMS: 20}, stamp)); err != nil || !out.OK() {
+			t.Fatal(out, err)
+		}
+		if out, err := v.Txn(late); err != nil || out.OK() {
+			t.Errorf("%s: the late one: %v %v", c.name, out, err)
+		}
+		if it, err := v.Get(shares.MarkKey); err != nil || string(it.Value) != `{"at_ms":20,"attempt":0}` {
+			t.Errorf("%s: the mark is %s, %v", c.name, it.Value, err)
+		}
+	}
+}
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -50,6 +50,7 @@
 	cloudJobs   []func()
 	hosts       *hosts.Ledger
 	accounts    *shares.Accounts // nil: none are kept
+	markStamp   uint64           // of the accounts' mark as last known; 0: there is none
 	nextFlush   time.Time
 	parts       partStamps
 	expiring    map[string]uint64     // stamps by which the core knows records that are to go
