controller: settings without an answer; explorer: writes that are never carried out

Need: settings that come late had no test, and a write that only seems made showed nothing where it was made all the same.

--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -5,7 +5,9 @@
 package standin
 
 import (
+	"bytes"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"sort"
@@ -48,6 +50,9 @@
 	value   int // most bytes of a value; 0: any
 	ops     int // most changes of a transaction; 0: any
 	changed chan struct{}
+	fates   func(keys []string) Fate // of transactions, by the keys that they change; nil: all are answered
+	late    [][]byte                 // transactions that are to be carried out late
+	mux     *http.ServeMux
 	jobs    map[string]*model.Job // descriptions of all jobs that were ever stored
 }
 
@@ -61,6 +66,7 @@
 	mux.HandleFunc("POST /holds", s.hold)
 	mux.HandleFunc("POST /holds/{id}/touch", s.touch)
 	mux.HandleFunc("GET /changes", s.watch)
+	s.mux = mux
 	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		refuse := s.refuse
@@ -70,11 +76,83 @@
 			reply(w, 503, map[string]string{"error": "trouble"})
 			return
 		}
+		if r.Method == "POST" && r.URL.Path == "/txn" {
+			r = s.meet(r)
+		}
 		mux.ServeHTTP(w, r)
 	}))
 	return s
 }
 
+// Fate is what becomes of a transaction.
+type Fate int
+
+// The fates.
+const (
+	Answered   Fate = iota
+	Unanswered      // carried out at once; its answer is lost
+	Late            // no answer; carried out by Deliver
+)
+
+// Fates has f choose what becomes of transactions from now on, by the keys that they change.
+func (s *State) Fates(f func(keys []string) Fate) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fates = f
+}
+
+// meet has a transaction meet its fate; the request that it returns is to be answered.
+func (s *State) meet(r *http.Request) *http.Request {
+	s.mu.Lock()
+	fates := s.fates
+	s.mu.Unlock()
+	if fates == nil {
+		return r
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	r = again(body)
+	var t struct {
+		Writes []struct{ Set, Delete string }
+	}
+	_ = json.Unmarshal(body, &t) // what is malformed is answered as such
+	var keys []string
+	for _, w := range t.Writes {
+		keys = append(keys, w.Set+w.Delete)
+	}
+	switch fates(keys) {
+	case Unanswered:
+		s.mux.ServeHTTP(httptest.NewRecorder(), r)
+		panic(http.ErrAbortHandler)
+	case Late:
+		s.mu.Lock()
+		s.late = append(s.late, body)
+		s.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
+	return r
+}
+
+func again(body []byte) *http.Request {
+	return httptest.NewRequest("POST", "/txn", bytes.NewReader(body))
+}
+
+// Deliver carries out the transactions that are late, and returns the statuses that nobody hears.
+func (s *State) Deliver() (statuses []int) {
+	s.mu.Lock()
+	late := s.late
+	s.late = nil
+	s.mu.Unlock()
+	for _, body := range late {
+		w := httptest.NewRecorder()
+		s.mux.ServeHTTP(w, again(body))
+		statuses = append(statuses, w.Code)
+	}
+	return statuses
+}
+
 // Refuse begins or ends an outage. After it every hold has its full time.
 func (s *State) Refuse(on bool) {
 	s.mu.Lock()
