--- a/internal/controller/parts_test.go
+++ b/internal/controller/parts_test.go
@@ -3,10 +3,16 @@
 import (
 	"encoding/json"
 	"slices"
+	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/marlwood/marlwood/internal/leadership"
+	"github.com/marlwood/marlwood/internal/model"
 	"github.com/marlwood/marlwood/internal/placement"
+	"github.com/marlwood/marlwood/internal/settings"
+	"github.com/marlwood/marlwood/internal/standin"
 	"github.com/marlwood/marlwood/internal/store"
 	"github.com/marlwood/marlwood/internal/virtual"
 )
@@ -118,3 +124,64 @@
 		t.Errorf("kept %v, guards %v", p, txn.Guards)
 	}
 }
+
+// A huge array over real sockets whose marks go in several parts a second: a save of parts alone has no
+// answer, and is carried out at once, or late after a newer one of the same part. No marks are lost,
+// and the job goes on to its end.
+func TestPartsUnanswered(t *testing.T) {
+	const tasks = 9000
+	for _, c := range []struct {
+		name   string
+		fate   standin.Fate
+		status []int // of what is carried out late
+	}{{"carried out at once", standin.Unanswered, nil}, {"late after a newer one", standin.Late, []int{409}}} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSiteOn(t, standin.Options{Lease: 4 * time.Second, Report: 100 * time.Millisecond, Soon: 50 * time.Millisecond,
+				Types: []*standin.Type{{Name: "s64", Size: model.Size{CPUs: 64, MemoryGB: 1024}, CacheGB: 50, FetchGBPerS: 100, Price: 1, SpotPrice: 0.4,
+					Boot: 10 * time.Millisecond, Zones: []string{"a", "b"}, Limit: 6}},
+				Takes: func(*model.Job, int) time.Duration { return 200 * time.Millisecond }},
+				func(_ int, cfg *settings.Platform, op *settings.Operator) {
+					cfg.ValueBytes, cfg.WideValueBytes, cfg.TxnOps = 1024, 1024, 2
+					op.Placement.TasksPerRound = 2000
+				})
+			var lock sync.Mutex
+			var met, newer []string
+			s.state.Fates(func(keys []string) standin.Fate {
+				lock.Lock()
+				defer lock.Unlock()
+				alone := !slices.ContainsFunc(keys, func(k string) bool { return !strings.HasPrefix(k, placement.PartPrefix) })
+				switch {
+				case len(met) == 0 && len(keys) > 0 && alone:
+					met = keys
+					return c.fate
+				case slices.ContainsFunc(keys, func(k string) bool { return slices.Contains(met, k) }):
+					newer = append(newer, keys...)
+				}
+				return standin.Answered
+			})
+			body := strings.Replace(job("huge", "batch", tasks), `"cpus":2`, `"cpus":0.1`, 1)
+			if status, v := s.ask("POST", "/api/jobs", body); status != 201 {
+				t.Fatalf("%d %v", status, v)
+			}
+			for deadline := time.Now().Add(60 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+				lock.Lock()
+				seen := len(newer) > 0
+				lock.Unlock()
+				if seen {
+					break
+				}
+			}
+			time.Sleep(100 * time.Millisecond) // the newer one is carried out
+			if got := s.state.Deliver(); !slices.Equal(got, c.status) {
+				t.Errorf("carried out late: %v", got)
+			}
+			s.until("huge", done)
+			lock.Lock()
+			defer lock.Unlock()
+			if len(met) == 0 || len(newer) == 0 {
+				t.Errorf("it shows nothing: without an answer %v, newer %v", met, newer)
+			}
+			t.Logf("without an answer %v, %d starts", met, s.cloud.Started())
+		})
+	}
+}
