explorer: late writes meet the leadership that sent them

Cause: fresh tokens and leaders' ends in the script made most late writes void by the fencing token, so the guards of their own were not tried. Change: only the row of fresh tokens has workers that begin anew; a late write counts as after a newer one only while its token holds.

--- a/internal/explore/writes_test.go
+++ b/internal/explore/writes_test.go
@@ -18,9 +18,10 @@
 
 // writeKind is a row of the table in docs/meetings.md: which transactions it is about.
 type writeKind struct {
-	name  string
-	is    func(c storeClient, t store.Txn) bool
-	alone bool // none of its kind need come after it
+	name   string
+	is     func(c storeClient, t store.Txn) bool
+	alone  bool // none of its kind need come after it
+	tokens bool // it needs workers that begin anew
 }
 
 func sets(t store.Txn, prefix string) *store.Write {
@@ -50,41 +51,41 @@
 // Kinds of writes. Submissions and cancellations have tests of their own, and settings, which are not
 // written in the explorer's world.
 var writeKinds = []writeKind{
-	{"claim of the leader key", func(c storeClient, t store.Txn) bool { return sets(t, leadership.Key) != nil && !ours(c) }, false},
-	{"fresh token", func(c storeClient, t store.Txn) bool { return sets(t, leadership.Key) != nil && ours(c) }, false},
+	{"claim of the leader key", func(c storeClient, t store.Txn) bool { return sets(t, leadership.Key) != nil && !ours(c) }, false, false},
+	{"fresh token", func(c storeClient, t store.Txn) bool { return sets(t, leadership.Key) != nil && ours(c) }, false, true},
 	{"release of a waiting job", func(_ storeClient, t store.Txn) bool {
 		return deletes(t, placement.WaitPrefix) && sets(t, placement.JobPrefix) != nil
-	}, true},
+	}, true, false},
 	{"end of a job that waits, by whoever finds it", func(_ storeClient, t store.Txn) bool {
 		return deletes(t, placement.WaitPrefix) && sets(t, placement.DonePrefix) != nil
-	}, true},
+	}, true, false},
 	{"completion", func(_ storeClient, t store.Txn) bool {
 		return t.Leader && deletes(t, placement.JobPrefix) && sets(t, placement.DonePrefix) != nil
-	}, false},
+	}, false, false},
 	{"marks in the record", func(_ storeClient, t store.Txn) bool {
 		w := sets(t, placement.JobPrefix)
 		return t.Leader && w != nil && !strings.Contains(string(w.Value), `"claim"`) && !deletes(t, placement.WaitPrefix)
-	}, false},
+	}, false, false},
 	{"claim of machines", func(_ storeClient, t store.Txn) bool {
 		w := sets(t, placement.JobPrefix)
 		return t.Leader && w != nil && strings.Contains(string(w.Value), `"claim"`)
-	}, false},
+	}, false, false},
 	{"records of machines", func(_ storeClient, t store.Txn) bool {
 		return sets(t, hosts.SinglePrefix) != nil || sets(t, hosts.GroupPrefix) != nil
-	}, false},
+	}, false, false},
 	{"removal of records of machines", func(_ storeClient, t store.Txn) bool {
 		return deletes(t, hosts.SinglePrefix) || deletes(t, hosts.GroupPrefix)
-	}, false},
-	{"charter of a rental", func(_ storeClient, t store.Txn) bool { return sets(t, fleet.CharterPrefix) != nil }, false},
-	{"end of a charter", func(_ storeClient, t store.Txn) bool { return deletes(t, fleet.CharterPrefix) }, false},
-	{"a drain", func(_ storeClient, t store.Txn) bool { return sets(t, placement.DrainPrefix) != nil }, false},
-	{"its end", func(_ storeClient, t store.Txn) bool { return deletes(t, placement.DrainPrefix) }, false},
-	{"machine types", func(_ storeClient, t store.Txn) bool { return sets(t, "types") != nil }, true},
-	{"lines of accounts", func(_ storeClient, t store.Txn) bool { return sets(t, shares.Prefix) != nil }, false},
+	}, false, false},
+	{"charter of a rental", func(_ storeClient, t store.Txn) bool { return sets(t, fleet.CharterPrefix) != nil }, false, false},
+	{"end of a charter", func(_ storeClient, t store.Txn) bool { return deletes(t, fleet.CharterPrefix) }, false, false},
+	{"a drain", func(_ storeClient, t store.Txn) bool { return sets(t, placement.DrainPrefix) != nil }, false, false},
+	{"its end", func(_ storeClient, t store.Txn) bool { return deletes(t, placement.DrainPrefix) }, false, false},
+	{"machine types", func(_ storeClient, t store.Txn) bool { return sets(t, "types") != nil }, true, false},
+	{"lines of accounts", func(_ storeClient, t store.Txn) bool { return sets(t, shares.Prefix) != nil }, false, false},
 }
 
 // writesPlan has every kind of write: jobs of all shapes, some that wait, some cancelled; drains;
-// accounts; a worker that begins anew; leaders that end.
+// accounts; leaders that end.
 func writesPlan(d int, seed uint64) Plan {
 	x := deployments[d]
 	return Plan{Seed: seed, Machines: 2, Report: x.report, Lease: x.lease, Cancel: x.cancel, Accounts: true,
@@ -100,24 +101,34 @@
 			{At: 50 * sec, Shape: model.Array, Tasks: 2, Takes: 10 * sec},
 		},
 		Drains: []Draining{{At: 14 * sec, For: 6 * sec, Machine: 0, Deadline: 4 * sec, Force: true}, {At: 30 * sec, For: 7 * sec, Zone: "a", Force: true}},
-		Faults: []Fault{{Kind: "machine back", At: 17 * sec, For: 300 * time.Millisecond, A: 1}, {Kind: "machine back", At: 24 * sec, For: 300 * time.Millisecond, A: 2},
+		Faults: []Fault{
 			{Kind: "crash", At: 36 * sec, For: 30 * sec, A: 7}, {Kind: "stop machine", At: 41 * sec, For: sec, A: 1}, {Kind: "crash", At: 55 * sec, For: 8 * sec, A: 7}},
 	}
 }
 
+// anew are workers that begin anew: the leader takes fresh tokens.
+var anew = []Fault{{Kind: "machine back", At: 17 * sec, For: 300 * time.Millisecond, A: 1}, {Kind: "machine back", At: 24 * sec, For: 300 * time.Millisecond, A: 2}}
+
 // met counts what transactions of a kind met.
 type met struct {
 	lost    int      // carried out at once or never, without an answer
 	after   int      // of those that were answered after these, carried out
 	late    int      // carried out late
-	newer   int      // of these, after a newer one of the same controller that was carried out
+	newer   int      // of these, in the same leadership after a newer one that was carried out
 	twice   []string // jobs that had more than one record after that
 	unnamed []string // machines that had a task and no record when some transaction came
 }
 
 // deliver carries a transaction out late.
 func (m *met) deliver(c storeClient, t store.Txn, newer bool) {
-	if m.late++; newer {
+	m.late++
+	for _, g := range t.Guards { // else its fencing token alone makes it void
+		if g.Key == leadership.Key && t.Leader {
+			it, err := c.n.world.store.Get(g.Key)
+			newer = newer && err == nil && it.Stamp == g.Stamp
+		}
+	}
+	if newer {
 		m.newer++
 	}
 	c.late(t)
@@ -278,6 +289,9 @@
 						group.Go(func() {
 							var m met
 							p := writesPlan(d, seed+1)
+							if k.tokens {
+								p.Faults = append(p.Faults, anew...)
+							}
 							inner := way.fates(&m, k)
 							p.fates = func(c storeClient, t store.Txn) fate {
 								m.unnamed = append(m.unnamed, c.n.world.unnamed()...)
