submissions: field names compared exactly, odd values refused, the remedy told

The struct decoder takes "CPUs" for cpus, so a job that lacked a field was taken in and one with an unknown field of another case was refused. An empty zone counted as any, a null among the types as a type, "." and ".." as ids, and what is not UTF-8 as JSON. Each field is now decoded by its exact name and an error says what belongs there; the id of a repeat is read also if the rest of its body is not JSON. Kept records are read with the checks of before, so what was taken in stays readable.

--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -132,3 +132,39 @@
 		t.Errorf("share: %v", got)
 	}
 }
+
+// What an earlier version took in and kept stays readable, though a submission of it is refused now.
+func TestKeptFormStaysReadable(t *testing.T) {
+	for _, c := range []struct{ name, from, to string }{
+		{"no class", `"train"`, `""`},
+		{"no team", `"vision"`, `""`},
+		{"an empty zone", `"yard":null`, `"yard":""`},
+		{"a null among the types", `["g8"]`, `["g8",null]`},
+	} {
+		text := []byte(strings.Replace(goodJob, c.from, c.to, 1))
+		if _, err := ParseJob(text); err == nil {
+			t.Errorf("%s: submitted", c.name)
+		}
+		if err := json.Unmarshal(text, new(Job)); err != nil {
+			t.Errorf("%s: kept: %v", c.name, err)
+		}
+	}
+	// What nothing can be done with is told, kept or not.
+	for _, text := range []string{`{}`, strings.Replace(goodJob, `"pieces":16`, `"pieces":-1`, 1)} {
+		if err := json.Unmarshal([]byte(text), new(Job)); err == nil {
+			t.Errorf("kept: %s", text)
+		}
+	}
+}
+
+func TestJobID(t *testing.T) {
+	for body, want := range map[string]string{
+		goodJob: "req-000412", `{"nameId":"a","nameId":"b"}`: "b", `{"nameId":"a","nameId":null}`: "", `{"nameId":"a","cpus":NaN}`: "a",
+		`{"nameId":"a"`: "a", `{"nameId":"a`: "", `{"x":{"nameId":"a"}}`: "", `{"NAMEID":"a"}`: "", `{"nameId":".."}`: "", `["nameId","a"]`: "",
+		`"nameId"`: "", ``: "", `{"nameId":7}`: "", `{"nameId":"a"}{"nameId":"b"}`: "a",
+	} {
+		if got := JobID([]byte(body)); got != want {
+			t.Errorf("%s: %q", body, got)
+		}
+	}
+}
--- a/internal/model/wire.go
+++ b/internal/model/wire.go
@@ -1,12 +1,14 @@
 package model
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"math"
 	"slices"
 	"time"
+	"unicode/utf8"
 )
 
 // MaxTasks is the protocol's bound on a job's tasks.
@@ -41,9 +43,12 @@
 // Seconds turns an amount of seconds into a duration.
 func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// ValidID tells whether a job id can be used as part of a key.
+// ValidID tells whether a job id can be used as part of a key and of a path.
+//
+// Guard: "." and ".." are steps of a path, not names; a key that ends in one could be read and
+// written as another.
 func ValidID(id string) bool {
-	if id == "" || len(id) > 100 {
+	if id == "" || len(id) > 100 || id == "." || id == ".." {
 		return false
 	}
 	for _, c := range []byte(id) {
@@ -57,35 +62,143 @@
 }
 
 // JobID reads only the id of a submission, so that a repeat of a known job is
-// recognised whatever else its body holds. It returns "" without a usable one.
+// recognised whatever else its body holds, also if the rest is not JSON. It returns ""
+// without a usable one.
 func JobID(body []byte) string {
-	var w struct {
-		ID *string `json:"nameId"`
+	dec := json.NewDecoder(bytes.NewReader(body))
+	if t, err := dec.Token(); err != nil || t != json.Delim('{') {
+		return ""
 	}
-	var raw map[string]json.RawMessage
-	if json.Unmarshal(body, &raw) != nil || json.Unmarshal(raw["nameId"], &w.ID) != nil || w.ID == nil || !ValidID(*w.ID) {
+	id := ""
+	for {
+		key, err := dec.Token()
+		if err != nil || key == json.Delim('}') {
+			break
+		}
+		var value json.RawMessage
+		if dec.Decode(&value) != nil {
+			break
+		}
+		if key == "nameId" { // the last one counts, as in ParseJob
+			id = ""
+			_ = json.Unmarshal(value, &id) // what is no text leaves none
+		}
+	}
+	if !ValidID(id) {
 		return ""
 	}
-	return *w.ID
+	return id
 }
 
-// ParseJob reads and checks a submission.
+// MaxBody is the protocol's bound on a request's body, in bytes.
+const MaxBody = 64 << 10
+
+// amountRemedy says what an amount may be.
+const amountRemedy = "give a number from 0 to 1e9, such as 4.0"
+
+// remedies say what belongs into each field of a submission.
+var remedies = map[string]string{
+	"nameId":         "give a text of 1 to 100 letters, digits, -, _ and ., such as req-000412",
+	"docket":         "give the name of the job's class",
+	"crew":           "give the name of a team",
+	"shape":          "give batch, gang or standing",
+	"rank":           "give critical, high, normal or low",
+	"pieces":         "give a whole number from 1 to 100000",
+	"cpus":           amountRemedy,
+	"cards":          amountRemedy,
+	"memoryGb":       amountRemedy,
+	"kit":            "give the name of an image",
+	"sizeGb":         amountRemedy,
+	"hulls":          "give a list of names of machine types, or null for any",
+	"yard":           "give the name of a zone, or null for any",
+	"together":       "give true or false",
+	"apart":          "give true or false",
+	"loaners":        "give true or false",
+	"guessS":         amountRemedy,
+	"snapshotEveryS": amountRemedy,
+	"snapshotCostS":  amountRemedy,
+	"dueS":           "give a number from 0 to 1e9, or null for no deadline",
+	"awaits":         "give a list of job ids, or null for none",
+}
+
+// fieldError says what is wrong with a field, and what belongs there.
+func fieldError(name, wrong string) error {
+	return fmt.Errorf("field %s: %s; %s", name, wrong, remedies[name])
+}
+
+// ParseJob reads and checks a submission. An error names the field and the remedy.
+//
+// Guard: names of fields are compared exactly. The decoder of structs takes "CPUS" for cpus: a
+// submission that lacked a field was taken in, and one with a field unknown to us was refused.
 func ParseJob(body []byte) (*Job, error) {
-	trimmed := 0
-	for trimmed < len(body) && (body[trimmed] == ' ' || body[trimmed] == '\n' || body[trimmed] == '\t' || body[trimmed] == '\r') {
-		trimmed++
+	if len(body) > MaxBody {
+		return nil, fmt.Errorf("body: %d bytes; send at most %d", len(body), MaxBody)
+	}
+	if trimmed := bytes.TrimLeft(body, " \n\t\r"); len(trimmed) == 0 || trimmed[0] != '{' {
+		return nil, errors.New("body: not a JSON object; send one with the fields of a job")
 	}
-	if trimmed == len(body) || body[trimmed] != '{' {
-		return nil, errors.New("not a JSON object")
+	var raw map[string]json.RawMessage
+	if err := json.Unmarshal(body, &raw); err != nil {
+		return nil, fmt.Errorf("body: not JSON: %w; send an object with the fields of a job", err)
+	}
+	if !utf8.Valid(body) {
+		return nil, errors.New("body: not JSON: not UTF-8; send it in UTF-8")
 	}
 	var w wireJob
-	if err := json.Unmarshal(body, &w); err != nil {
-		var te *json.UnmarshalTypeError
-		if errors.As(err, &te) {
-			return nil, fmt.Errorf("field %s: cannot be a %s", te.Field, te.Value)
+	var types []*string
+	for _, f := range []struct {
+		name     string
+		into     any
+		nullable bool
+	}{
+		{"nameId", &w.ID, false}, {"docket", &w.Class, false}, {"crew", &w.Team, false}, {"shape", &w.Shape, false},
+		{"rank", &w.Priority, false}, {"pieces", &w.Tasks, false}, {"cpus", &w.CPUs, false}, {"cards", &w.GPUs, false},
+		{"memoryGb", &w.MemoryGB, false}, {"kit", &w.Image, false}, {"sizeGb", &w.ImageGB, false}, {"hulls", &types, true},
+		{"yard", &w.Zone, true}, {"together", &w.OneZone, false}, {"apart", &w.Spread, false}, {"loaners", &w.Spot, false},
+		{"guessS", &w.EstimateS, false}, {"snapshotEveryS", &w.CheckpointS, false}, {"snapshotCostS", &w.SaveS, false},
+		{"dueS", &w.DeadlineS, true}, {"awaits", &w.Needs, true},
+	} {
+		value, ok := raw[f.name]
+		switch {
+		case ok && string(value) != "null":
+			if err := json.Unmarshal(value, f.into); err != nil {
+				wrong := "not of the right type"
+				var te *json.UnmarshalTypeError
+				if errors.As(err, &te) {
+					wrong = fmt.Sprintf("cannot hold a %.40s", te.Value)
+				}
+				return nil, fieldError(f.name, wrong)
+			}
+		case !f.nullable:
+			return nil, fieldError(f.name, "missing")
+		}
+	}
+	// Guard: a null among the names became one that no type has, and an empty zone any zone.
+	if types != nil {
+		w.Types = &[]string{}
+	}
+	for _, name := range types {
+		if name == nil {
+			return nil, fieldError("hulls", "holds a null")
+		}
+		*w.Types = append(*w.Types, *name)
+	}
+	if slices.Contains(w.Needs, nil) {
+		return nil, fieldError("awaits", "holds a null")
+	}
+	for _, f := range []struct {
+		name string
+		text *string
+	}{{"docket", w.Class}, {"crew", w.Team}, {"kit", w.Image}, {"yard", w.Zone}} {
+		if f.text != nil && *f.text == "" {
+			return nil, fieldError(f.name, "empty")
 		}
-		return nil, errors.New("not JSON")
 	}
+	return w.job()
+}
+
+// job checks what both a submission and a kept job must hold, and makes the job.
+func (w *wireJob) job() (*Job, error) {
 	for _, f := range []struct {
 		name    string
 		missing bool
@@ -97,7 +210,7 @@
 		{"guessS", w.EstimateS == nil}, {"snapshotEveryS", w.CheckpointS == nil}, {"snapshotCostS", w.SaveS == nil},
 	} {
 		if f.missing {
-			return nil, fmt.Errorf("field %s: missing", f.name)
+			return nil, fieldError(f.name, "missing")
 		}
 	}
 	for _, f := range []struct {
@@ -108,22 +221,24 @@
 		{"guessS", *w.EstimateS}, {"snapshotEveryS", *w.CheckpointS}, {"snapshotCostS", *w.SaveS},
 	} {
 		if f.v < 0 || f.v > 1e9 || math.IsNaN(f.v) {
-			return nil, fmt.Errorf("field %s: out of range", f.name)
+			return nil, fieldError(f.name, "out of range")
 		}
 	}
 	switch {
 	case !ValidID(*w.ID):
-		return nil, errors.New("field nameId: not a job id")
+		return nil, fieldError("nameId", "not a job id")
 	case *w.Shape != Array && *w.Shape != Gang && *w.Shape != Service:
-		return nil, errors.New("field shape: unknown shape")
+		return nil, fieldError("shape", "unknown shape")
 	case w.Priority.Rank() < 0:
-		return nil, errors.New("field rank: unknown rank")
+		return nil, fieldError("rank", "unknown rank")
 	case *w.Tasks < 1 || *w.Tasks > MaxTasks:
-		return nil, errors.New("field pieces: out of range")
+		return nil, fieldError("pieces", "out of range")
 	case w.DeadlineS != nil && (*w.DeadlineS < 0 || *w.DeadlineS > 1e9):
-		return nil, errors.New("field dueS: out of range")
+		return nil, fieldError("dueS", "out of range")
 	case *w.Image == "":
-		return nil, errors.New("field kit: empty")
+		return nil, fieldError("kit", "empty")
+	case slices.Contains(w.Needs, nil):
+		return nil, fieldError("awaits", "holds a null")
 	}
 	j := &Job{
 		ID: *w.ID, Class: *w.Class, Team: *w.Team, Shape: *w.Shape, Priority: *w.Priority, Tasks: *w.Tasks,
@@ -141,9 +256,6 @@
 		j.Deadline = Seconds(*w.DeadlineS)
 	}
 	for _, need := range w.Needs {
-		if need == nil {
-			return nil, errors.New("field awaits: not a list of job ids")
-		}
 		if !slices.Contains(j.Needs, *need) {
 			j.Needs = append(j.Needs, *need)
 		}
@@ -175,9 +287,14 @@
 	return json.Marshal(w)
 }
 
-// UnmarshalJSON reads the kept form.
+// UnmarshalJSON reads the kept form. What an earlier version took in stays readable: users' mistakes
+// are looked for in submissions alone.
 func (j *Job) UnmarshalJSON(b []byte) error {
-	parsed, err := ParseJob(b)
+	var w wireJob
+	if err := json.Unmarshal(b, &w); err != nil {
+		return err
+	}
+	parsed, err := w.job()
 	if err != nil {
 		return err
 	}
