submissions: gangs that their zones can't hold are 422; a known job's repeat comes first

A gang of more than one task that sets together and apart, or apart with one allowed zone, was accepted and could never start. It is 422 now. An array takes turns there and a service runs with half of its replicas, as before: both are accepted. A known job's repeat was 503 while the machine types were unknown or a job that it awaits could not be read; it is looked up first. An empty list of types decides nothing: 503.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -206,40 +207,56 @@
 	return answer(status, stateAnswer{ID: id, Stage: l.stage, Done: &done, Running: &running})
 }
 
-// check decides whether a job can run at all.
+// check decides whether a job can run at all. An error names the fields and the remedy.
+//
+// Zones: a zone may hold half of the tasks of a job that sets apart, rounded up, at a time. The tasks of
+// an array take turns there and a service runs with half of its replicas; a gang of more never starts.
 func (in *Intake) check(j *model.Job, types map[string]model.MachineType) error {
 	team, ok := in.opt.Teams[j.Team]
 	if !ok {
-		return fmt.Errorf("unknown team %q", j.Team)
+		return fmt.Errorf("field crew: unknown team %.100q; name one of the settings' teams", j.Team)
 	}
-	fits := false
+	zones := map[string]bool{}
 	for _, t := range types {
 		for _, z := range t.Zones {
-			fits = fits || j.Allows(t, z)
+			if j.Allows(t, z) {
+				zones[z] = true
+			}
 		}
 	}
-	if !fits {
-		return errors.New("a task fits no allowed machine type")
-	}
 	n := 1
 	if j.Shape != model.Array {
 		n = j.Tasks
 	}
-	if !team.WithinLimit(j.Size.Times(n)) {
-		return fmt.Errorf("needs more than the limit of team %s", j.Team)
+	switch most, gang := j.ZoneCap(), j.Shape == model.Gang; {
+	case len(zones) == 0:
+		return errors.New("fields cpus, cards, memoryGb, hulls, yard: a task fits no allowed machine type; ask for less, or allow more types or zones")
+	case gang && j.OneZone && n > most:
+		return fmt.Errorf("fields together, apart: one zone may hold %d of the %d tasks and has to hold all; unset one of the two", most, n)
+	case gang && n > most*len(zones):
+		return fmt.Errorf("fields apart, hulls, yard: the one allowed zone may hold %d of the %d tasks; allow another zone, or unset apart", most, n)
+	case !team.WithinLimit(j.Size.Times(n)):
+		return fmt.Errorf("fields cpus, cards, pieces: needs more than the limit of team %s; ask for less", j.Team)
 	}
 	return nil
 }
 
+// errNoTypes is why nothing can be decided yet.
+var errNoTypes = errors.New("the machine types are not known yet")
+
 // Submit answers POST of a job.
+//
+// Guard: whatever keeps a submission from being decided or taken in, it may repeat a known job, whose
+// user is told its state: also while the machine types are not known, or a job that it awaits can't
+// be read.
 func (in *Intake) Submit(ctx context.Context, body []byte) httpwire.Answer {
 	job, err := model.ParseJob(body)
 	if err != nil {
 		return in.refuse(ctx, body, 400, err)
 	}
 	types := in.opt.Types()
-	if types == nil {
-		return Fail(503, "the machine types are not known yet")
+	if len(types) == 0 {
+		return in.refuse(ctx, body, 503, errNoTypes)
 	}
 	if err := in.check(job, types); err != nil {
 		return in.refuse(ctx, body, 422, err)
@@ -247,7 +264,7 @@
 	if job.Types != nil { // names of unknown types are of no use and cost space
 		kept := []string{}
 		for _, name := range job.Types {
-			if _, ok := types[name]; ok {
+			if _, ok := types[name]; ok && !slices.Contains(kept, name) {
 				kept = append(kept, name)
 			}
 		}
@@ -260,7 +277,7 @@
 	case errors.Is(err, errTooLong):
 		return in.refuse(ctx, body, 400, err)
 	case err != nil:
-		return Fail(503, errUnsure.Error())
+		return in.refuse(ctx, body, 503, errUnsure)
 	}
 	out, err := in.store.Do(ctx, store.Txn{
 		Guards: []store.Guard{{Key: placement.JobPrefix + job.ID}, {Key: placement.DonePrefix + job.ID},
@@ -299,7 +316,7 @@
 	return in.tell(200, id, l)
 }
 
-// refuse answers a bad submission, unless it repeats a known job.
+// refuse answers a submission that is not taken in, unless it repeats a known job.
 func (in *Intake) refuse(ctx context.Context, body []byte, status int, why error) httpwire.Answer {
 	if id := model.JobID(body); id != "" {
 		l, err := in.find(ctx, id)
--- a/internal/intake/needs.go
+++ b/internal/intake/needs.go
@@ -12,8 +12,8 @@
 
 // Why a job that needs others, or any other, cannot be taken in.
 var (
-	errNoSuchNeed = errors.New("a job that it awaits was never accepted")
-	errTooLong    = errors.New("description too long")
+	errNoSuchNeed = errors.New("field awaits: a job that it awaits was never accepted; submit that one first")
+	errTooLong    = errors.New("fields docket, kit, hulls, awaits: description too long; use shorter names or fewer of them")
 )
 
 // entry makes the write that takes a job in: an open record, or a waiting one if
