answers: nothing is told in doubt, counts are for display

A lost answer with the state service out of reach after it, and what a node remembers of tasks beside what is stored. Meetings run on the clock, so that a board that was long not asked lists anew.

--- a/internal/intake/answers_test.go
+++ b/internal/intake/answers_test.go
@@ -135,7 +135,7 @@
 	for i := range m.nodes {
 		m.ways[i] = &way{f: f, rng: rand.New(rand.NewPCG(seed, uint64(i)+1))}
 		opt := in.opt
-		opt.Glance = 5 * time.Millisecond
+		opt.Glance, opt.Now = 5*time.Millisecond, time.Now
 		var err error
 		if m.nodes[i], err = New(opt, m.ways[i]); err != nil {
 			t.Fatal(err)
@@ -334,8 +334,12 @@
 		}, []string{"running"}},
 		{"ended long ago", func(m *meeting) string {
 			m.say(0, "submit", id)
+			m.burst(id, "ask")
+			m.users.Wait()
 			m.complete(id)
-			time.Sleep(time.Hour)
+			time.Sleep(time.Hour) // what memory holds is listed anew
+			m.burst(id, "ask")
+			m.users.Wait()
 			m.burst(id, "ask", "submit", "cancel")
 			m.users.Wait()
 			return string(m.stored(id))
@@ -536,3 +540,99 @@
 		})
 	}
 }
+
+// refusesAfter carries transactions out, loses their answers, and refuses everything from then on.
+type refusesAfter struct{ *fakeStore }
+
+func (s refusesAfter) Do(ctx context.Context, t store.Txn) (store.Outcome, error) {
+	if _, err := s.fakeStore.Do(ctx, t); err != nil {
+		return store.Outcome{}, err
+	}
+	s.refuse = true
+	return store.Outcome{}, store.ErrUnknown
+}
+
+// An answer is lost and the state service can't be read after it: nobody is told anything before a
+// read has settled it, then everybody is told what was stored.
+func TestNothingIsToldInDoubt(t *testing.T) {
+	ctx := context.Background()
+	for _, c := range []struct {
+		name    string
+		prepare func(in *Intake)
+		do      func(in *Intake) httpwire.Answer
+		settled string
+	}{
+		{"submission", func(*Intake) {}, func(in *Intake) httpwire.Answer { return in.Submit(ctx, body()) }, "200 queued"},
+		{"cancellation", func(in *Intake) { in.Submit(ctx, body()) }, func(in *Intake) httpwire.Answer { return in.Cancel(ctx, "req-1") }, "200 aborted"},
+		{"submission of a job that awaits a cancelled one", func(in *Intake) {
+			in.Submit(ctx, body(`"req-1"`, `"req-0"`))
+			in.Cancel(ctx, "req-0")
+		}, func(in *Intake) httpwire.Answer { return in.Submit(ctx, needing("req-1", "req-0")) }, "200 aborted"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			in, s := setup(t)
+			c.prepare(in)
+			in.store = refusesAfter{s}
+			if got := stage(t, c.do(in)); got != "503 " || !s.refuse {
+				t.Errorf("in doubt: %s", got)
+			}
+			for _, a := range []httpwire.Answer{in.Ask(ctx, "req-1"), in.Submit(ctx, body()), in.Cancel(ctx, "req-1")} {
+				if got := stage(t, a); got != "503 " {
+					t.Errorf("in doubt, asked again: %s", got)
+				}
+			}
+			s.refuse, in.store = false, s
+			for _, a := range []httpwire.Answer{in.Ask(ctx, "req-1"), in.Submit(ctx, body())} {
+				if got := stage(t, a); got != c.settled {
+					t.Errorf("settled: %s", got)
+				}
+			}
+		})
+	}
+}
+
+// What this node remembers of a job's tasks is for display: the stage is what is stored, and the
+// counts of a job that is over are those that were stored with its end.
+func TestCountsAreForDisplay(t *testing.T) {
+	ctx := context.Background()
+	final := func(stage model.Stage, count int) func(s *fakeStore) {
+		return func(s *fakeStore) {
+			s.change(store.Del("job/req-1"))
+			s.change(store.Put("done/req-1", placement.Final{Stage: stage, Tasks: 3, Count: count}))
+		}
+	}
+	for _, c := range []struct {
+		name   string
+		change func(s *fakeStore)
+		view   *placement.View
+		want   string
+	}{
+		{"not known here", func(*fakeStore) {}, nil, `"queued","done":0,"running":0`},
+		{"running, not stored yet", func(*fakeStore) {}, &placement.View{Done: 1, Running: 2}, `"queued","done":1,"running":2`},
+		{"all done, not stored yet", func(*fakeStore) {}, &placement.View{Done: 3}, `"queued","done":3,"running":0`},
+		{"running elsewhere", func(s *fakeStore) {
+			s.change(store.Put("job/req-1", placement.Record{Job: &model.Job{ID: "req-1", Shape: model.Array, Priority: model.Low, Tasks: 3, Image: "i"},
+				Started: true, Count: 1, Running: 2}))
+		}, nil, `"running","done":1,"running":2`},
+		{"done, remembered as running", final(model.Done, 3), &placement.View{Done: 1, Running: 2}, `"done","done":3,"running":0`},
+		{"cancelled, remembered as done", final(model.Cancelled, 2), &placement.View{Done: 3}, `"aborted","done":2,"running":0`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			in, s := setup(t)
+			in.Submit(ctx, body())
+			in.opt.View = func(string) (placement.View, bool) {
+				if c.view == nil {
+					return placement.View{}, false
+				}
+				return *c.view, true
+			}
+			c.change(s)
+			want := `{"nameId":"req-1","stage":` + c.want + `}`
+			for _, a := range []httpwire.Answer{in.Ask(ctx, "req-1"), in.Submit(ctx, body())} {
+				if a.Status != 200 || string(a.Body) != want {
+					t.Errorf("got %s", a.Body)
+				}
+			}
+		})
+	}
+}
