small jobs: a repeated submission of a known job writes nothing; ten minutes of them played

Cause: the state service counts a write whose guards fail like any other. Each repeat of a known job cost one; with one-task jobs four a second that made 19.6 puts a second at a service that takes 18, and users waited for minutes. Change: memory of the job is a reason to read before writing, never an answer. The explorer's store can refuse what is above a rate of writes; TestSmallJobsFast, TestWritesOfASmallJob, TestSmallJobsLeaveNothing, TestRepeatsWriteNothing, BenchmarkSmallJobs.

--- /dev/null
+++ b/internal/explore/small_test.go
@@ -0,0 +1,214 @@
+package explore
+
+import (
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/core"
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/record/recordpb"
+	"github.com/marlwood/marlwood/internal/store"
+)
+
+// putsLeast is the smallest budget of puts and deletes a second that a deployment's state service
+// has come down to (donorline's, after its limits fell).
+const putsLeast = 18
+
+// small is a schedule of one-task jobs, four a second for a time, every fourth of which is
+// cancelled: in turn before a controller has placed it, and while it runs.
+func small(seed uint64, d int, length time.Duration) Plan {
+	x := deployments[d]
+	p := Plan{Seed: seed, Machines: 6, Report: x.report, Lease: x.lease, Cancel: x.cancel}
+	for i := range int(length / (250 * time.Millisecond)) {
+		s := Submission{At: 2*sec + time.Duration(i)*250*time.Millisecond, Shape: model.Array, Tasks: 1, Spot: i%2 == 0, Takes: time.Duration(2+i%4) * sec}
+		if i%4 == 3 {
+			s.Takes, s.Cancel = 20*sec, []time.Duration{20 * time.Millisecond, 6 * sec}[i/4%2]
+		}
+		p.Jobs = append(p.Jobs, s)
+	}
+	return p
+}
+
+// cost is what transactions take of the state service.
+type cost struct{ txns, writes int }
+
+func (c cost) plus(t store.Txn) cost { return cost{c.txns + 1, c.writes + len(t.Writes)} }
+
+// What one job of one task costs, from its submission until it is over: what follows from it
+// bounds how many such jobs a second a deployment takes (docs/scale.md).
+func TestWritesOfASmallJob(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		job           Submission
+		users, leader cost // through whichever controller users ask; by the leader
+	}{
+		{"done", Submission{Takes: 10 * sec}, cost{1, 1}, cost{2, 3}},
+		{"done within a second", Submission{Takes: 400 * time.Millisecond}, cost{1, 1}, cost{2, 3}},
+		{"done after a minute", Submission{Takes: 60 * sec}, cost{1, 1}, cost{2, 3}},
+		{"cancelled while it waits for its team's limit", Submission{Takes: 10 * sec, Team: 1, Cancel: 20 * sec}, cost{2, 3}, cost{}},
+		{"cancelled while it runs", Submission{Takes: 60 * sec, Cancel: 20 * sec}, cost{2, 3}, cost{1, 1}},
+	} {
+		c.job.At, c.job.Shape, c.job.Tasks = 15*sec, model.Array, 1
+		// A service uses its team's limit up and keeps machines in use.
+		p := Plan{Seed: 2, Machines: 2, Lease: 26 * sec, Cancel: 46 * sec, Jobs: []Submission{
+			{At: 2 * sec, Shape: model.Service, Tasks: 2, Team: 1, Cancel: 80 * sec}, c.job}}
+		var users, leader cost
+		out := played(t, p, 0, nil, func(w *world) {
+			w.store.Asked = func(txn store.Txn) {
+				switch {
+				case !slices.ContainsFunc(txn.Writes, func(x store.Write) bool { return strings.HasSuffix(x.Set+x.Delete, "/req-1") }):
+				case txn.Leader:
+					leader = leader.plus(txn)
+				default:
+					users = users.plus(txn)
+				}
+			}
+		})
+		t.Logf("%-25s users %d writes in %d transactions, leader %d in %d", c.name, users.writes, users.txns, leader.writes, leader.txns)
+		if out != "" || users != c.users || leader != c.leader {
+			t.Errorf("%s: %s; users %v, want %v; leader %v, want %v", c.name, out, users, c.users, leader, c.leader)
+		}
+	}
+}
+
+// played plays a schedule until every job is over and a time longer, and returns the rule that was
+// broken. each, if there is one, is told of every second.
+func played(t testing.TB, p Plan, longer time.Duration, tap func() core.Tap, change func(w *world), each ...func(w *world)) string {
+	w, err := newWorld(p, nil, 0, tap)
+	if err != nil {
+		t.Fatal(err)
+	}
+	change(w)
+	for i, s := range p.Jobs {
+		w.sim.At(s.At, func() { w.submit(i, s) })
+	}
+	defer w.end()
+	over := time.Duration(0)
+	for second := time.Duration(0); w.sim.Pending() > 0 && w.sim.broken == "" && w.sim.Now() <= p.bound()+longer; {
+		w.sim.Step()
+		if w.sim.Now()/sec == second {
+			continue
+		}
+		second = w.sim.Now() / sec
+		for _, f := range each {
+			f(w)
+		}
+		if over == 0 && w.served() {
+			over = w.sim.Now()
+		}
+		if over > 0 && w.sim.Now() > over+longer {
+			return w.sim.broken
+		}
+	}
+	if w.sim.broken == "" {
+		return "not all jobs are over"
+	}
+	return w.sim.broken
+}
+
+// sizes takes the size of the leader's whole state whenever it is asked for.
+type sizes struct {
+	ask   bool
+	bytes int
+}
+
+func (s *sizes) Begin(string)                { s.bytes = 0 }
+func (s *sizes) Wants() (frames, state bool) { return s.ask, s.ask }
+func (s *sizes) Take(f *recordpb.Frame) {
+	if st := f.GetState(); st != nil {
+		s.bytes, s.ask = len(st.Core), false
+	}
+}
+
+// Small jobs come fast, for ten minutes, at a state service that takes no more than the smallest
+// budget: no rule is broken, submissions and cancellations are answered in time, and every job is
+// over at the end and stays so at every controller.
+func TestSmallJobsFast(t *testing.T) {
+	const length, answered = 10 * time.Minute, 6 * sec // a user waits 5 s, and asks again a second later
+	p := small(1, 1, length)
+	wants := map[string]time.Duration{}
+	writes, slowest := 0, time.Duration(0)
+	var w *world
+	began := time.Now()
+	out := played(t, p, 0, nil, func(made *world) {
+		w = made
+		w.writeRPS, w.spare = putsLeast, putsLeast
+		w.store.Asked = func(txn store.Txn) { writes += len(txn.Writes) }
+	}, func(w *world) {
+		for i, j := range w.all {
+			if j.told.Final() {
+				continue
+			}
+			late := time.Duration(0)
+			if !j.accepted {
+				late = w.sim.Now() - p.Jobs[i].At
+			} else if j.wantCancel {
+				if wants[j.id] == 0 {
+					wants[j.id] = w.sim.Now()
+				}
+				late = w.sim.Now() - wants[j.id]
+			}
+			if slowest = max(slowest, late); late > answered {
+				w.sim.breaks("late_answer", "%s", j.id) // more of it shows nothing new
+			}
+		}
+	})
+	over := map[model.Stage]int{}
+	for _, j := range w.all {
+		over[j.told]++
+	}
+	t.Logf("%v; %d puts and deletes, %.1f a second, %d refused; slowest answer %v; %v of real time",
+		over, writes, float64(writes)/length.Seconds(), w.refused, slowest, time.Since(began))
+	if out != "" || over[model.Cancelled] < len(p.Jobs)/5 || over[model.Done] < len(p.Jobs)/2 || len(over) != 2 {
+		t.Errorf("%s; of %d jobs %v", out, len(p.Jobs), over)
+	}
+	if float64(writes) < 0.75*putsLeast*length.Seconds() {
+		t.Errorf("only %d puts and deletes: it shows nothing", writes)
+	}
+}
+
+// BenchmarkSmallJobs is a minute of small jobs at three controllers.
+func BenchmarkSmallJobs(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		if out := played(b, small(1, 1, time.Minute), 0, nil, func(*world) {}); out != "" {
+			b.Fatal(out)
+		}
+	}
+}
+
+// After so many small jobs the leader holds no more than after a few, and a quiet minute of all
+// three controllers allocates no more.
+func TestSmallJobsLeaveNothing(t *testing.T) {
+	left := func(length time.Duration) (jobs, bytes int, allocated float64) {
+		tap := &sizes{}
+		var from, to runtime.MemStats
+		quiet := 0
+		p := small(1, 1, length)
+		out := played(t, p, 80*sec, func() core.Tap { return tap }, func(*world) {}, func(w *world) {
+			if !w.served() {
+				return
+			}
+			switch quiet++; quiet {
+			case 15: // by then idle machines were returned
+				runtime.ReadMemStats(&from)
+			case 75:
+				runtime.ReadMemStats(&to)
+				tap.ask = true
+			}
+		})
+		if out != "" || tap.bytes == 0 {
+			t.Fatalf("%s, state of %d bytes", out, tap.bytes)
+		}
+		return len(p.Jobs), tap.bytes, float64(to.Mallocs - from.Mallocs)
+	}
+	few, fewBytes, fewAllocs := left(30 * sec)
+	many, manyBytes, manyAllocs := left(5 * time.Minute)
+	t.Logf("after %d and %d jobs: states of %d and %d bytes, %.0f and %.0f allocations in a quiet minute", few, many, fewBytes, manyBytes, fewAllocs, manyAllocs)
+	if manyBytes > fewBytes+2000 || manyAllocs > 1.2*fewAllocs {
+		t.Error("jobs that are over leave something behind")
+	}
+}
--- a/internal/explore/store.go
+++ b/internal/explore/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/marlwood/marlwood/internal/store"
@@ -66,7 +67,24 @@
 	return l.items, l.rev, err
 }
 
+// errTooMany is the service's 429.
+var errTooMany = errors.New("too many writes")
+
+// Do sends again what the service refuses as too much, like the live client.
 func (c storeClient) Do(_ context.Context, t store.Txn) (store.Outcome, error) {
+	w := c.n.world
+	for until := w.sim.Now() + storeTimeout; ; c.n.process.Sleep(w.sim.Between(100*time.Millisecond, 200*time.Millisecond)) {
+		out, err := c.transact(t)
+		if !errors.Is(err, errTooMany) {
+			return out, err
+		}
+		if w.sim.Now() > until {
+			return out, store.ErrRefused
+		}
+	}
+}
+
+func (c storeClient) transact(t store.Txn) (store.Outcome, error) {
 	return storeCall(c, storeTimeout, func(reply func(store.Outcome, error)) {
 		w := c.n.world
 		switch w.plan.fateOf(c, t) {
@@ -76,6 +94,10 @@
 		case held:
 			return
 		}
+		if !w.takes(len(t.Writes)) {
+			reply(store.Outcome{}, errTooMany)
+			return
+		}
 		if w.sim.Now() < w.lateWrites && w.sim.Rand.IntN(2) == 0 {
 			w.sim.After(w.sim.Between(2*time.Second, 12*time.Second), func() { c.late(t) })
 			return
@@ -110,6 +132,22 @@
 	return p.fates(c, t)
 }
 
+// takes tells whether the state service takes so many puts and deletes now: one second's worth may
+// come at once.
+func (w *world) takes(n int) bool {
+	if w.writeRPS == 0 {
+		return true
+	}
+	now := w.sim.Now()
+	w.spare, w.spareAt = min(w.writeRPS, w.spare+w.writeRPS*(now-w.spareAt).Seconds()), now
+	if float64(n) > w.spare {
+		w.refused++
+		return false
+	}
+	w.spare -= float64(n)
+	return true
+}
+
 // late carries out a transaction whose sender got no answer; in an outage, after it.
 func (c storeClient) late(t store.Txn) {
 	w := c.n.world
@@ -151,5 +189,5 @@
 	return err
 }
 
-// SetBudgets changes nothing: the model has no rates.
+// SetBudgets changes nothing: the model's rates are the service's own, see world.takes.
 func (c storeClient) SetBudgets(store.Budgets) {}
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -58,6 +58,9 @@
 	// Until then half of the transactions get no answer and are carried out 2 to 12 s later,
 	// and the state service answers up to 3 s late.
 	lateWrites, slowStore time.Duration
+	writeRPS, spare       float64       // puts and deletes a second that the state service takes, 0: any number; what is left of them
+	spareAt               time.Duration // when spare was counted
+	refused               int           // transactions above that
 	copies                time.Duration // until then reports are delivered once more, later
 	further               further
 	missed                int           // faults that hit nothing
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -254,6 +254,13 @@
 	if err != nil {
 		return in.refuse(ctx, body, 400, err)
 	}
+	// Guard: the state service counts a write whose guards fail like any other. Repeated submissions
+	// took a quarter of its budget when small jobs came four a second.
+	if in.heardOf(job.ID) {
+		if l, err := in.find(ctx, job.ID); err == nil && l.known {
+			return in.tellKnown(ctx, job.ID, l)
+		}
+	}
 	types := in.opt.Types()
 	if len(types) == 0 {
 		return in.refuse(ctx, body, 503, errNoTypes)
@@ -301,6 +308,13 @@
 	return in.tellKnown(ctx, job.ID, l)
 }
 
+// heardOf tells whether memory knows of a job, which may be old news: reason enough to read before
+// writing, and no answer.
+func (in *Intake) heardOf(id string) bool {
+	_, open := in.board.find(id)
+	return open || in.finals.Contains(id)
+}
+
 // tellKnown answers a repeated submission.
 func (in *Intake) tellKnown(ctx context.Context, id string, l look) httpwire.Answer {
 	err := error(nil)
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -31,6 +31,7 @@
 	mu        sync.Mutex
 	log       []store.Event
 	reads     int
+	writes    int // changes asked for, those whose guards fail included
 	looks     int
 	compacted bool          // the next look is told that its revision is too old
 	slow      time.Duration // how long a look at the changes takes
@@ -122,6 +123,7 @@
 		f.missed--
 		return store.Outcome{}, store.ErrUnknown
 	}
+	f.writes += len(t.Writes)
 	for _, g := range t.Guards {
 		if f.keys[g.Key].Stamp != g.Stamp {
 			return store.Outcome{Failed: []string{g.Key}}, nil
@@ -381,3 +383,32 @@
 		}
 	}
 }
+
+// A repeated submission of a job that this controller has heard of is answered without a write,
+// from what the store says now; one that it has not heard of by a write that fails.
+func TestRepeatsWriteNothing(t *testing.T) {
+	ctx := context.Background()
+	for _, c := range []struct {
+		name   string
+		before func(in *Intake, s *fakeStore)
+		want   string
+		writes int
+	}{
+		{"open, asked about", func(in *Intake, _ *fakeStore) { in.Ask(ctx, "req-1") }, "200 queued", 0},
+		{"cancelled here", func(in *Intake, _ *fakeStore) { in.Cancel(ctx, "req-1") }, "200 aborted", 0},
+		{"asked about, then cancelled elsewhere", func(in *Intake, s *fakeStore) {
+			in.Ask(ctx, "req-1")
+			s.change(store.Del(placement.JobPrefix + "req-1"))
+			s.change(store.Put(placement.DonePrefix+"req-1", placement.Final{Stage: model.Cancelled, Tasks: 3}))
+		}, "200 aborted", 0},
+		{"never heard of here", func(*Intake, *fakeStore) {}, "200 queued", 1},
+	} {
+		in, s := setup(t)
+		in.Submit(ctx, body())
+		c.before(in, s)
+		s.writes = 0
+		if got := stage(t, in.Submit(ctx, body())); got != c.want || s.writes != c.writes {
+			t.Errorf("%s: %s after %d writes, want %s after %d", c.name, got, s.writes, c.want, c.writes)
+		}
+	}
+}
--- a/internal/virtual/store.go
+++ b/internal/virtual/store.go
@@ -23,7 +23,8 @@
 	outage  time.Duration            // until then it refuses everybody
 	refuse  map[string]time.Duration // controllers that it refuses until then
 	TxnOps  int
-	Lost    func(key string) // told of keys that go with their hold; may be nil
+	Lost    func(key string)  // told of keys that go with their hold; may be nil
+	Asked   func(t store.Txn) // told of every transaction, also one whose guards fail; may be nil
 }
 
 type entry struct {
@@ -119,6 +120,9 @@
 
 // Txn carries a transaction out.
 func (v *Store) Txn(t store.Txn) (store.Outcome, error) {
+	if v.Asked != nil {
+		v.Asked(t)
+	}
 	if len(t.Writes) > v.TxnOps || len(t.Guards) > 4*v.TxnOps {
 		return store.Outcome{}, store.ErrTooLarge
 	}
