store: leadership waits for no budget; what is only for display and accounts go last

Cause: looks at the leader key and claims of it stood in line with users' requests: a flood of questions or writes at a node kept it from leading. That a small job begins was a third of what the leader may write, at the same rank as that it is done; accounts had the rank of marks. Change: store.Urgent (no budget, two connections of its own) for looks, holds and claims; store.Txn.Spare (only what is left of the budget) for begin marks of arrays and for accounts. Result: TestUrgentGoesFirst, TestSpareGoesLast.

--- a/internal/controller/accounts.go
+++ b/internal/controller/accounts.go
@@ -26,8 +26,8 @@
 	return it.Value
 }
 
-// keepAccounts writes what teams have used, one transaction at a time. Submissions and marks have
-// budgets of their own or go first: a flush that finds none waits, and the next one holds all of it.
+// keepAccounts writes what teams have used, one transaction at a time. Submissions have a budget of
+// their own, and marks go first (see store.Txn.Spare): a flush that finds none waits, and the next one holds all of it.
 func (t *term) keepAccounts(now time.Time) {
 	if t.n.now.Accounts.Keep != "yes" || !t.core.Complete() || now.Before(t.nextFlush) ||
 		t.accounts != nil && t.accounts.Phase() == shares.Writing {
@@ -122,6 +122,7 @@
 
 func (t *term) writeAccounts(changes []shares.Change, mark shares.Mark) {
 	txn := accountsTxn(t.txn(), changes, mark, t.markStamp)
+	txn.Spare = true
 	t.n.world.Go(func() {
 		out, err := t.do(txn)
 		t.n.post(func() {
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -610,10 +610,10 @@
 }
 
 func (n *Node) performOne(a leadership.Action) {
-	sent := n.world.Now()
+	sent, ctx := n.world.Now(), store.Urgent(n.ctx)
 	switch a.Op {
 	case leadership.ReadKey:
-		it, err := n.store.Get(n.ctx, leadership.Key)
+		it, err := n.store.Get(ctx, leadership.Key)
 		var v leadership.Value
 		if err == nil {
 			if jerr := json.Unmarshal(it.Value, &v); jerr != nil {
@@ -636,7 +636,7 @@
 			n.follow(now)
 		})
 	case leadership.GetHold:
-		hold, err := n.store.Hold(n.ctx, n.terms.Hold)
+		hold, err := n.store.Hold(ctx, n.terms.Hold)
 		n.post(func() {
 			if err != nil {
 				n.lead.HoldFailed(n.world.Now())
@@ -647,7 +647,7 @@
 	case leadership.Write:
 		w := store.Put(leadership.Key, a.Claim)
 		w.Hold = a.Hold
-		out, err := n.store.Do(n.ctx, store.Txn{Guards: []store.Guard{{Key: leadership.Key, Stamp: a.Guard}},
+		out, err := n.store.Do(ctx, store.Txn{Guards: []store.Guard{{Key: leadership.Key, Stamp: a.Guard}},
 			Writes: []store.Write{w}})
 		n.post(func() {
 			now := n.world.Now()
@@ -655,7 +655,7 @@
 			n.follow(now)
 		})
 	case leadership.Touch:
-		err := n.store.Touch(n.ctx, a.Hold)
+		err := n.store.Touch(ctx, a.Hold)
 		n.post(func() { n.lead.Touched(n.world.Now(), errors.Is(err, store.ErrNoHold)) })
 	}
 }
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -203,6 +203,9 @@
 	maxParts := min(t.n.cfg.TxnOps-1, 48<<10/t.n.cfg.WideValueBytes-1)
 	for _, s := range t.core.Saves(now, max(1, maxParts)) {
 		txn := saveTxn(t.txn(), s, t.parts)
+		// Guard: with small jobs coming fast, that each begins took a third of what the leader may
+		// write, and that it is done waited behind that.
+		txn.Spare = s.OnlyBegun()
 		if len(txn.Writes) == 0 { // all of it stands in parts already
 			t.core.SaveDone(now, s, recordpb.SaveDone_STORED, 0, nil)
 			continue
--- a/internal/placement/saves.go
+++ b/internal/placement/saves.go
@@ -21,6 +21,12 @@
 	snap   *model.TaskSet    // whose marks are stored by this
 }
 
+// OnlyBegun tells that all a save has to say is that an array's first tasks run, which is for display:
+// nothing is lost with it.
+func (s *Save) OnlyBegun() bool {
+	return s.Record != nil && s.Record.Count == 0 && s.Record.Claim == nil && len(s.Parts) == 0 && s.Record.Job.Shape == model.Array
+}
+
 // splitMark begins the name of a part of split marks; the first task follows.
 // Names of other parts are their numbers.
 const splitMark = "t"
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -33,7 +33,7 @@
 }
 
 // fixed is held back for everything else: siblings in both directions, the state service
-// (14), the cloud, listeners, operators, recorders, and connections that are being closed.
+// (16), the cloud, listeners, operators, recorders, and connections that are being closed.
 const fixed = 64
 
 // Divide makes limits of a quota, of which listener is the share that accepted connections
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -75,6 +75,7 @@
 	Guards []Guard `json:"guards"`
 	Writes []Write `json:"writes"`
 	Leader bool    `json:"-"` // on the leader's budget, not on the users'
+	Spare  bool    `json:"-"` // refused unless the budget has room for it at once: all else goes first
 }
 
 // Outcome is an executed transaction's result.
@@ -97,6 +98,7 @@
 // Client talks to the state service.
 type Client struct {
 	http    *httpwire.Client
+	urgent  *httpwire.Client // of what Urgent marks
 	watches *httpwire.Client
 	calls   *rate.Limiter
 	writes  *rate.Limiter // for users
@@ -109,8 +111,27 @@
 // call.
 func (c *Client) Observe(f func(budget string, d time.Duration)) { c.waited = f }
 
+// urgency is the key of a context's mark, see Urgent.
+type urgency struct{}
+
+// Urgent marks calls that wait for no budget and share no connection with others: those on which
+// leadership rests. Their own pace bounds them.
+//
+// Guard: looks at the leader key waited in line with users' questions, and claims of it with users'
+// writes. Users who asked a leader for jobs that nobody submitted deposed it; where the state
+// service was slow, its twelve connections were taken all the time.
+func Urgent(ctx context.Context) context.Context { return context.WithValue(ctx, urgency{}, true) }
+
+func isUrgent(ctx context.Context) bool { return ctx.Value(urgency{}) != nil }
+
+// errNoneToSpare is why a transaction that takes only what is left of its budget was not sent.
+var errNoneToSpare = errors.New("nothing left of the budget")
+
 // wait takes n from a budget.
 func (c *Client) wait(ctx context.Context, budget string, l *rate.Limiter, n int) error {
+	if isUrgent(ctx) {
+		return nil
+	}
 	if c.waited == nil {
 		return l.WaitN(ctx, n)
 	}
@@ -124,7 +145,7 @@
 func New(addr string, timeout time.Duration) *Client {
 	lim := httpwire.Limits{Head: 8 << 10, Body: 8 << 20}
 	return &Client{
-		http: httpwire.NewClient(addr, 12, lim), watches: httpwire.NewClient(addr, 2, lim),
+		http: httpwire.NewClient(addr, 12, lim), urgent: httpwire.NewClient(addr, 2, lim), watches: httpwire.NewClient(addr, 2, lim),
 		calls: rate.NewLimiter(10, 10), writes: rate.NewLimiter(5, 16), leads: rate.NewLimiter(5, 16), timeout: timeout,
 	}
 }
@@ -150,6 +171,9 @@
 func (c *Client) call(ctx context.Context, method, target string, body any) (*httpwire.Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
+	if isUrgent(ctx) {
+		return c.do(ctx, c.urgent, method, target, body)
+	}
 	return c.do(ctx, c.http, method, target, body)
 }
 
@@ -262,7 +286,11 @@
 	if t.Leader {
 		name, budget = "leader", c.leads
 	}
-	if n := len(t.Writes); n > 0 {
+	if n := len(t.Writes); n > 0 && t.Spare {
+		if !budget.AllowN(time.Now(), n) {
+			return Outcome{}, fmt.Errorf("%w: %w", ErrRefused, errNoneToSpare)
+		}
+	} else if n > 0 {
 		if err := c.wait(ctx, name, budget, n); err != nil {
 			return Outcome{}, fmt.Errorf("%w: %w", ErrRefused, err)
 		}
--- a/internal/store/client_test.go
+++ b/internal/store/client_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -131,3 +132,86 @@
 		t.Error("value is not JSON")
 	}
 }
+
+// What leadership rests on waits neither for users' requests nor for what the leader records, however
+// many there are and however slow the service is; without the mark it would.
+func TestUrgentGoesFirst(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		slow   time.Duration
+		budget Budgets
+		do     func(ctx context.Context, c *Client) error
+	}{
+		{"looks, budget of requests spent", 0, Budgets{Calls: 10, Writes: 1e6, Leads: 1e6, Burst: 16}, func(ctx context.Context, c *Client) error { _, err := c.Get(ctx, "a"); return err }},
+		{"claims, budget of writes spent", 0, Budgets{Calls: 1e6, Writes: 5, Leads: 5, Burst: 16}, func(ctx context.Context, c *Client) error {
+			_, err := c.Do(ctx, Txn{Writes: []Write{Put("a", 1)}})
+			return err
+		}},
+		{"all connections in use", 500 * time.Millisecond, Budgets{Calls: 1e6, Writes: 1e6, Leads: 1e6, Burst: 16}, func(ctx context.Context, c *Client) error { _, err := c.Get(ctx, "a"); return err }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				time.Sleep(c.slow)
+				_, _ = w.Write([]byte(`{"k":"a","value":1,"stamp":3,"ledgerRev":3}`))
+			}))
+			defer s.Close()
+			client := New(strings.TrimPrefix(s.URL, "http://"), 2*time.Second)
+			client.SetBudgets(c.budget)
+			ctx, stop := context.WithCancel(context.Background())
+			var group sync.WaitGroup
+			for range 200 {
+				group.Go(func() {
+					for ctx.Err() == nil {
+						if c.do(ctx, client) != nil {
+							time.Sleep(20 * time.Millisecond)
+						}
+					}
+				})
+			}
+			time.Sleep(300 * time.Millisecond)
+			sent := time.Now()
+			if err := c.do(Urgent(context.Background()), client); err != nil || time.Since(sent) > c.slow+500*time.Millisecond {
+				t.Errorf("urgent: %v after %v", err, time.Since(sent))
+			}
+			sent = time.Now()
+			if err := c.do(context.Background(), client); err == nil && time.Since(sent) < c.slow+500*time.Millisecond {
+				t.Errorf("others are answered after %v: it shows nothing", time.Since(sent))
+			}
+			stop()
+			group.Wait()
+		})
+	}
+}
+
+// What only takes what is left is refused at once while others wait for the budget, and takes nothing
+// from them; with room it goes.
+func TestSpareGoesLast(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"ledgerRev":2}`)) }))
+	defer s.Close()
+	ctx := context.Background()
+	c := New(strings.TrimPrefix(s.URL, "http://"), 2*time.Second)
+	c.SetBudgets(Budgets{Calls: 1000, Writes: 10, Leads: 10, Burst: 10})
+	one := Txn{Writes: []Write{Put("a", 1)}, Leader: true}
+	spare := one
+	spare.Spare = true
+	if _, err := c.Do(ctx, spare); err != nil {
+		t.Errorf("with room: %v", err)
+	}
+	var group sync.WaitGroup
+	for range 25 { // nine go at once, the others within 1.6 s
+		group.Go(func() {
+			if _, err := c.Do(ctx, one); err != nil {
+				t.Errorf("a mark: %v", err)
+			}
+		})
+	}
+	time.Sleep(50 * time.Millisecond)
+	for range 20 {
+		sent := time.Now()
+		if _, err := c.Do(ctx, spare); !errors.Is(err, ErrRefused) || time.Since(sent) > 100*time.Millisecond {
+			t.Errorf("while marks wait: %v after %v", err, time.Since(sent))
+		}
+	}
+	group.Wait()
+}
