explorer: idle_room, nobody waits for 90 s beside free room

Cause: no rule looked at what machines and teams really had free; not_served only sees that a job is over late. Change: room.go looks each second from the last trouble's end, by what is on the machines: zone, spot, together, apart, gangs as a whole, the team's limit, drains. A schedule is played until the rule can break (lasts); not_served fires when it did.

--- a/internal/explore/plan.go
+++ b/internal/explore/plan.go
@@ -308,9 +308,10 @@
 		}
 	})
 	w.sim.At(p.ended()+answerWithin, func() { w.known(p.ended()) })
+	w.watchRoom(p.ended())
 	defer w.end()
 	out := Outcome{Trace: 14695981039346656037}
-	for w.sim.Pending() > 0 && w.sim.broken == "" && w.sim.Now() <= p.bound() && !w.served() {
+	for w.sim.Pending() > 0 && w.sim.broken == "" && w.sim.Now() <= p.lasts() && !w.served() {
 		w.sim.Step()
 		out.Events++
 		out.Trace = (out.Trace ^ uint64(w.sim.Now())) * 1099511628211
