placement: a job without room is looked at again every 10 s, whatever is known to have happened

Cause: a job that a scan found no room for was tried again only when something was known to have made room. Standing room that is let go, a notice that is taken back and strays that are gone are no such events: in a quiet cluster the job waited for ever beside the machine. Change: one bound for all of them, lookAgain. Result: TestLookedAtAgain; without the bound each row waits until it is given up (84 s).

--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -64,6 +64,7 @@
 	failedOn  map[string]bool // machines on which they failed
 	empty     int             // rounds without room in a row
 	tried     uint64
+	looked    time.Time     // when it last found no room
 	turn      uint64        // the last round in which it had a turn, or was known to find no room
 	claim     *claims.Claim // of a gang's present attempt; nil: there is none
 	unclaimed bool          // its claim is too large to be stored
--- a/internal/placement/line.go
+++ b/internal/placement/line.go
@@ -91,10 +91,17 @@
 	return n
 }
 
+// lookAgain is how long a job that found no room in a scan is not tried again while nothing is
+// known to have made room.
+//
+// Guard: not all that makes room is an event: standing room that is let go, a notice that is taken
+// back, a machine whose strays are gone. In a quiet cluster a job waited for ever beside it.
+const lookAgain = 10 * time.Second
+
 // foundNone takes in that a job had a turn and found no room, or that it would have.
 func (b *Book) foundNone(j *Job, now time.Time) {
 	j.empty++
-	j.tried, j.turn = b.room, b.rounds
+	j.tried, j.turn, j.looked = b.room, b.rounds, now
 	if j.waiting.IsZero() {
 		j.waiting = now
 	}
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -224,8 +224,8 @@
 		switch {
 		case n == 0, j.Spec.Shape == model.Gang && n < j.Unplaced(): // a gang goes whole or not at all
 			continue
-		case j.empty > b.opt.ScanAfter && j.tried == b.room:
-			j.turn = b.rounds // nothing changed since: looking again would only cost time
+		case j.empty > b.opt.ScanAfter && j.tried == b.room && now.Sub(j.looked) < lookAgain:
+			j.turn = b.rounds // nothing is known to have changed since: looking again would only cost time
 			continue
 		case !b.mayFit(j, now):
 			b.foundNone(j, now)
