placement: room is made for a spread job only as far as a zone takes it

Cause: clearingIn did not count the tasks that it planned itself against what one zone may take. For a gang that must be spread, room was kept and tasks were stopped in one zone every 3 s for 15 s, which could never start it, and others waited beside it. Change: planned and bound tasks are counted by zone. Result: TestRoomMadeForSpread; before, 8 CPUs were kept where 0 and 4 can be used.

--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -318,11 +318,20 @@
 		all = append(all, c)
 	}
 	out := &clearing{}
+	in := map[string]int{} // tasks of the job by zone
+	for _, t := range j.bound.All() {
+		in[t.machine.Kind.Zone]++
+	}
 	for range n {
 		var best *candidate
 		var bestVictims int
 		var bestLoss time.Duration
 		for _, c := range all {
+			// Guard: a zone takes no more of a job that is spread than it may. Tasks were stopped and
+			// room was kept in one zone for a whole gang, again and again, that could never start there.
+			if in[c.machine.Kind.Zone] >= j.Spec.ZoneCap() {
+				continue
+			}
 			if victims, loss, ok := c.next(j.Spec.Size); ok && (best == nil || loss < bestLoss) {
 				best, bestVictims, bestLoss = c, victims, loss
 			}
@@ -340,6 +349,7 @@
 		best.victims = best.victims[bestVictims:]
 		best.room = best.room.Sub(j.Spec.Size)
 		best.tasks++
+		in[best.machine.Kind.Zone]++
 		out.loss += bestLoss
 	}
 	for _, c := range all {
--- a/internal/placement/withheld_test.go
+++ b/internal/placement/withheld_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/peers/peerspb"
 )
 
 // Room that comes back without an event, in a cluster in which nothing else happens, is found.
@@ -50,3 +51,43 @@
 		}
 	}
 }
+
+// Room that is made for a job which must be spread over zones is room that it may use: nothing is
+// stopped or kept in a zone that may take no more of it.
+func TestRoomMadeForSpread(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		shape model.Shape
+		bound []string // machines that tasks of it are on
+		kept  float64  // CPUs
+	}{
+		{"a gang that only one zone has room for", model.Gang, nil, 0},
+		{"a service, as far as the zone takes it", model.Service, nil, 4},
+		{"a service half of which is there", model.Service, []string{"a0", "a1"}, 0},
+	} {
+		b := newBench(t)
+		b.job("x", func(j *model.Job) {
+			j.Shape, j.Priority, j.Tasks, j.Spread, j.Size = c.shape, model.High, 4, true, model.Size{CPUs: 2, MemoryGB: 2}
+		})
+		b.job("low", func(j *model.Job) { j.Priority, j.Tasks, j.Size = model.Low, 2, model.Size{CPUs: 2, MemoryGB: 2} })
+		for i, name := range []string{"a0", "a1"} {
+			tasks := []*peerspb.Task{task("low", i, 1, model.TaskRunning, "")}
+			for _, on := range c.bound {
+				if on == name {
+					tasks = append(tasks, task("x", i, 1, model.TaskRunning, ""))
+				}
+			}
+			b.machine(name, "small", "a", tasks...)
+		}
+		b.Settle()
+		b.jobs.At("x").empty, b.jobs.At("x").waiting = 3, at(0)
+		b.Preempt(at(10))
+		kept := 0.0
+		for _, m := range b.machines.All() {
+			kept += m.reserved.At("x").size.CPUs
+		}
+		if kept != c.kept {
+			t.Errorf("%s: %v CPUs are kept, want %v", c.name, kept, c.kept)
+		}
+	}
+}
