placement: machines that are let go or blamed are taken back for whoever waits for 45 s

Cause: only work for which machines are rented had retiring machines taken back. A job for which only spot machines are rented waited for up to 15 minutes beside ordinary ones that ran, one that failed on two machines for ever; a blamed machine with a replica on it stayed closed for as long as that ran, also for jobs that fit nowhere else. Change: one rule for all three, takeBack, whatever the job is; what was taken back is not let go again for as long.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -512,7 +512,7 @@
 	c.book.Consolidate(now)
 	for _, m := range c.book.Suspects(c.cfg.Errors) {
 		c.log.Warn("machine fails its tasks", "machine", m.Name)
-		c.book.Cordon(m)
+		c.book.Blame(m)
 	}
 	c.book.Expect(c.graph.Next(), now)
 	actions := c.fleet.Tick(now, c.book.Needs(now), c.book.Machines(), c.types, c.book.Complete())
--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -38,6 +38,8 @@
 	dropping  bool          // the record with this stamp was tried to be removed
 	Cordoned  bool          // for good
 	Retiring  bool          // until its room is needed again
+	blamed    bool          // cordoned since tasks failed on it; see Blame
+	taken     time.Time     // when it was last taken back; see takeBack
 	Notice    time.Duration // -1: none
 	NoticeAt  time.Time
 	Seen      time.Time // first heard of by this leader
@@ -210,6 +212,13 @@
 	}
 }
 
+// Blame keeps new tasks off a machine that failed some: until it is returned, or nothing else has
+// room for a job.
+func (b *Book) Blame(m *Machine) {
+	m.blamed = true
+	b.Cordon(m)
+}
+
 // retire keeps new tasks off a machine until its room is needed again.
 func (b *Book) retire(m *Machine, on bool) {
 	if m.Retiring == on {
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -50,7 +50,7 @@
 			continue
 		}
 		capacity += size.CPUs
-		if !wanted[source{m.Kind, m.Spot}] && !m.KeepsRoom() {
+		if !wanted[source{m.Kind, m.Spot}] && !m.KeepsRoom() && now.Sub(m.taken) >= withheldFor {
 			candidates = append(candidates, m)
 		}
 	}
@@ -117,9 +117,108 @@
 			}
 		}
 	}
+	b.takeBack(now)
 	return wanted, cpus
 }
 
+// withheldFor is how long a job finds no room until machines that are let go, or blamed, are taken
+// back for it, and how long they are then kept from being let go again.
+const withheldFor = 45 * time.Second
+
+// takeBack has machines that get no tasks used again for jobs that have found no room for too long,
+// the cheapest first: for a gang all that it takes, in one zone if it must stay in one.
+//
+// Guard: what asks for no machines had none taken back either, however long it waited beside them: a
+// job for which only spot machines are rented beside ordinary ones, and a job that failed on two
+// machines. A blamed machine on which a replica stood stayed closed for as long as that ran.
+//
+// Guard: thousands of jobs may wait beside thousands of machines. Each looks at the closed ones only;
+// gangs, which need to know what is open besides, are few in a round, each in turn.
+func (b *Book) takeBack(now time.Time) {
+	var closed []*Machine
+	for _, m := range b.machines.All() {
+		if m.mayReopen() {
+			closed = append(closed, m)
+		}
+	}
+	if len(closed) == 0 {
+		return
+	}
+	slices.SortStableFunc(closed, func(x, y *Machine) int {
+		return cmp.Or(cmp.Compare(rank(!x.blamed), rank(!y.blamed)), cmp.Compare(b.price(x), b.price(y)))
+	})
+	queue := b.queue(now)
+	from, gangs := int(b.rounds), 0
+	for i := range queue {
+		j := queue[(from+i)%len(queue)]
+		n, gang := b.headroom(j), j.Spec.Shape == model.Gang
+		if j.Suspect() {
+			n = min(n, 1)
+		}
+		if n == 0 || j.waiting.IsZero() || now.Sub(j.waiting) < withheldFor || gang && (n < j.Unplaced() || gangs == walks) {
+			continue
+		}
+		if gang {
+			gangs++
+		}
+		for _, zone := range b.zonesFor(j) {
+			if out := b.toReopen(j, n, zone, closed, now); len(out) > 0 {
+				for _, m := range out {
+					b.reopen(m, now)
+				}
+				break
+			}
+		}
+	}
+}
+
+// toReopen lists those of the closed machines that n tasks of a job need, besides what is open: none
+// for a gang that there is too little room for.
+func (b *Book) toReopen(j *Job, n int, zone string, closed []*Machine, now time.Time) (out []*Machine) {
+	kinds := b.kindsFor(j)
+	slots := func(m *Machine) int {
+		if !j.takes(m.Spot) || zone != "" && m.Kind.Zone != zone || !slices.Contains(kinds, m.Kind) || !j.zoneAllows(m.Kind.Zone) {
+			return 0
+		}
+		return j.Spec.Size.Slots(b.free(m, j, now))
+	}
+	for _, m := range closed {
+		if k := slots(m); n > 0 && k > 0 && m.mayReopen() && !(m.blamed && j.failedOn[m.Name]) {
+			out = append(out, m)
+			n -= k
+		}
+	}
+	if len(out) == 0 || j.Spec.Shape != model.Gang || n <= 0 {
+		return out
+	}
+	for _, m := range b.machines.All() {
+		if m.usable() {
+			n -= slots(m)
+		}
+	}
+	if n > 0 {
+		return nil
+	}
+	return out
+}
+
+// mayReopen tells whether nothing but our own choice keeps tasks off a machine. A blamed one without
+// tasks is returned.
+func (m *Machine) mayReopen() bool {
+	open := *m
+	open.Retiring, open.Cordoned = false, m.Cordoned && !(m.blamed && m.Busy())
+	return open.usable() && !m.usable()
+}
+
+// reopen has tasks started on a machine again.
+func (b *Book) reopen(m *Machine, now time.Time) {
+	m.Retiring, m.taken = false, now
+	if m.blamed {
+		m.Cordoned, m.blamed, m.blame = false, false, nil
+	}
+	b.cordonAgain(m)
+}
+
 // price is what a machine costs an hour per CPU.
 func (b *Book) price(m *Machine) float64 { return b.priceOf(m.Kind, m.Spot) }
 
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -89,7 +89,8 @@
 	Hosted                            bool
 	Stamp                             uint64
 	Dropping                          bool
-	Cordoned, Retiring                bool
+	Cordoned, Retiring, Blamed        bool
+	Taken                             time.Time
 	Notice                            time.Duration
 	NoticeAt, Seen, Idle              time.Time
 	Silent, Knocked                   time.Time
@@ -247,7 +248,7 @@
 
 func (m *Machine) export() (MachineState, error) {
 	s := MachineState{Name: m.Name, Addr: m.Addr, Kind: m.Kind, Spot: m.Spot, Phase: m.Phase, Since: m.Since, Hosted: m.Hosted,
-		Stamp: m.Stamp, Dropping: m.dropping, Cordoned: m.Cordoned, Retiring: m.Retiring, Notice: m.Notice, NoticeAt: m.NoticeAt,
+		Stamp: m.Stamp, Dropping: m.dropping, Cordoned: m.Cordoned, Retiring: m.Retiring, Blamed: m.blamed, Taken: m.taken, Notice: m.Notice, NoticeAt: m.NoticeAt,
 		Seen: m.Seen, Idle: m.Idle, Silent: m.Silent, Knocked: m.knocked, Quiet: m.Quiet, Listed: m.Listed, Unsure: m.Unsure, Used: m.Used, Unreached: m.Unreached, Wanders: m.wanders, Follows: m.follows, KnockedAt: m.knockedAt,
 		Session: m.session, Seq: m.seq, Current: m.current, Load: m.load, Strays: m.strays, Blame: map[string]BlameState{}}
 	for _, h := range m.images {
@@ -373,7 +374,7 @@
 
 func (b *Book) importMachine(s MachineState) (*Machine, error) {
 	m := &Machine{Name: s.Name, Addr: s.Addr, Kind: s.Kind, Spot: s.Spot, Phase: s.Phase, Since: s.Since, Hosted: s.Hosted,
-		Stamp: s.Stamp, dropping: s.Dropping, Cordoned: s.Cordoned, Retiring: s.Retiring, Notice: s.Notice, NoticeAt: s.NoticeAt,
+		Stamp: s.Stamp, dropping: s.Dropping, Cordoned: s.Cordoned, Retiring: s.Retiring, blamed: s.Blamed, taken: s.Taken, Notice: s.Notice, NoticeAt: s.NoticeAt,
 		Seen: s.Seen, Idle: s.Idle, Silent: s.Silent, knocked: s.Knocked, Quiet: s.Quiet, Listed: s.Listed, Unsure: s.Unsure, Used: s.Used, Unreached: s.Unreached, wanders: s.Wanders, follows: s.Follows, knockedAt: s.KnockedAt,
 		session: s.Session, seq: s.Seq, current: s.Current, load: s.Load, strays: s.Strays, tasks: newTasks(), log: b.opt.Log}
 	for _, h := range s.Images {
