--- a/internal/placement/faults.go
+++ b/internal/placement/faults.go
@@ -30,6 +30,24 @@
 // tasks failed as a whole each time.
 func (j *Job) Suspect() bool { return !j.proven() && len(j.failedOn) >= faultyMachines }
 
+// ranWell clears a job of what its failures say against it once one of its tasks has run for as long
+// as room may be withheld. Whether it can succeed shows only when a task is done.
+//
+// Guard: no task of a service is ever done. One whose replicas had met two sick machines counted as
+// submitted with a mistake for good: while any replica ran none was started beside it. An array of
+// long tasks was held back until its first one was done.
+func (j *Job) ranWell(now time.Time) {
+	if len(j.failedOn) == 0 {
+		return
+	}
+	for _, t := range j.bound.All() {
+		if t.state == model.TaskRunning && !t.stopping && now.Sub(t.since) >= withheldFor {
+			j.fails, j.failedOn = 0, nil
+			return
+		}
+	}
+}
+
 // failed takes in that a task failed on its machine.
 func (b *Book) failed(now time.Time, t *Task) {
 	j, m := t.job, t.machine
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -378,10 +378,11 @@
 	b.drain(now)
 }
 
-// Mend looks after gangs' claims, and stops what is left of a gang that lost tasks while
+// Mend clears jobs that run well of blame, looks after gangs' claims, and stops what is left of a gang that lost tasks while
 // waiting and can't be completed, so that it can start anew as a whole.
 func (b *Book) Mend(now time.Time) {
 	for _, j := range b.jobs.All() {
+		j.ranWell(now)
 		if j.Spec.Shape != model.Gang || j.Cancelled || j.bound.Len() == 0 {
 			continue
 		}
