explorer: idle_room is seen to break among whole controllers; two seeded mistakes more

Cause: a run ended 2 s after the rule could break first, and no run had shown that it can. Change: a schedule is played for 30 s longer if something is left; TestIdleRoomIsSeen tells controllers of another zone than is true. Two mistakes for the explorer.

--- a/internal/explore/cmd/mutants.go
+++ b/internal/explore/cmd/mutants.go
@@ -100,6 +100,8 @@
 	{"a cancelled task's place is free at once", []edit{{"placement/jobs.go", "\t\tb.stopOne(t, 0)\n\t}\n\tfor i := range j.Spec.Tasks", "\t\tb.stopOne(t, 0)\n\t\tt.unbind()\n\t}\n\tfor i := range j.Spec.Tasks"}}},
 	{"a machine's record without an answer counts as stored", []edit{{"controller/records.go", "case err == nil && out.OK():\n\t\t\t\tt.hostsSettled", "case err == nil && out.OK() || errors.Is(err, store.ErrUnknown):\n\t\t\t\tt.hostsSettled"}}},
 	{"the zone of what is out of reach does not count", []edit{{"placement/round.go", "\tfor _, t := range j.bound.All() {\n\t\tif t.machine.Kind.Zone == zone {", "\tfor _, t := range j.bound.All() {\n\t\tif t.machine.Quiet {\n\t\t\tcontinue\n\t\t}\n\t\tif t.machine.Kind.Zone == zone {"}}},
+	{"after a start that found no room a job waits for an hour", []edit{{"placement/tasks.go", "j.retryAt = now.Add(time.Second)", "j.retryAt = now.Add(time.Hour)"}}},
+	{"more changes than are taken are sent again", []edit{{"hosts/hosts.go", "case n > 1 && !apart:", "case false:"}}},
 	{"a machine that expired while its record was written is used", []edit{{"placement/machines.go", "m.Phase != Expired, stamp, false", "true, stamp, false"}}},
 }
 
--- a/internal/explore/room.go
+++ b/internal/explore/room.go
@@ -14,9 +14,10 @@
 	lookEvery = time.Second
 )
 
-// lasts is until when a schedule is played: until all must be over, and for as long as the rule
-// idle_room takes to break. Services, which need not be over, are looked at that long.
-func (p Plan) lasts() time.Duration { return max(p.bound(), p.ended()+idleFor+2*lookEvery) }
+// lasts is until when a schedule is played: until all must be over, and for as long as idle_room takes
+// to break for what begins to wait up to 30 s after the last trouble. Services, which need not be
+// over, are looked at that long.
+func (p Plan) lasts() time.Duration { return max(p.bound(), p.calmFrom()+idleFor+30*time.Second) }
 
 // beside is since when tasks have waited while there was room for them all the time, by what is
 // really on the machines.
--- a/internal/explore/room_test.go
+++ b/internal/explore/room_test.go
@@ -108,8 +108,35 @@
 // A schedule is played for long enough that idle_room can break, however short its jobs are.
 func TestLasts(t *testing.T) {
 	for seed := 1; seed <= 200; seed++ {
-		if p := Meetings.Example(seed); p.lasts() < p.ended()+idleFor+lookEvery || p.lasts() < p.bound() {
+		if p := Meetings.Example(seed); p.lasts() < p.calmFrom()+idleFor+20*sec || p.lasts() < p.bound() {
 			t.Errorf("seed %d: played for %v, troubles end after %v", seed, p.lasts(), p.ended())
 		}
 	}
 }
+
+// Among whole controllers the rule breaks for a task that may run in any zone, by what is true, and
+// of which they were told that it may run only where nothing is free; not for one that it is true of.
+func TestIdleRoomIsSeen(t *testing.T) {
+	for _, c := range []struct{ truth, want string }{{"a", ""}, {"", "idle_room"}} {
+		p := Plan{Seed: 3, Machines: 1, Lease: 10 * sec, Cancel: 24 * sec}
+		for i, zone := range []string{"a", "b", "a"} { // the machine in a is full, that in b half
+			p.Jobs = append(p.Jobs, Submission{At: time.Duration(i) * 5 * sec, Shape: model.Service, Tasks: []int{2, 1, 1}[i], Zone: zone, Takes: sec})
+		}
+		w, err := newWorld(p, nil, 0, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i, s := range p.Jobs {
+			w.sim.At(s.At, func() { w.submit(i, s) })
+		}
+		w.sim.At(12*sec, func() { w.all[2].spec.Zone = c.truth })
+		w.watchRoom(p.ended())
+		for w.sim.Now() <= p.lasts() && w.sim.broken == "" {
+			w.sim.Step()
+		}
+		if w.sim.broken != c.want || w.starts != 3 {
+			t.Errorf("truth %q: %q after %v with %d starts, want %q", c.truth, w.sim.broken, w.sim.Now(), w.starts, c.want)
+		}
+		w.end()
+	}
+}
