explorer: idle_room knows limits of all teams and mute machines

Cause: the rule and these troubles were written apart. Change: the schedule's own teams; a machine that reaches no controller is no room.

--- a/internal/explore/room.go
+++ b/internal/explore/room.go
@@ -95,7 +95,7 @@
 	if gang { // what is left of an attempt goes before the next one, and its room counts as free
 		wanted, zones, used = j.spec.Tasks, map[string]int{}, used.Sub(j.spec.Size.Times(on))
 	}
-	if left == 0 || !teams[j.spec.Team].WithinLimit(used.Add(j.spec.Size.Times(wanted))) {
+	if left == 0 || !w.plan.teams()[j.spec.Team].WithinLimit(used.Add(j.spec.Size.Times(wanted))) {
 		return false
 	}
 	found := map[string]int{} // tasks that there is room for, by zone
@@ -141,9 +141,9 @@
 }
 
 // mayTake tells whether tasks could be started on a machine: it is up, every controller and it can
-// talk, and no operator drains it. Whatever the leader thinks of it does not matter.
+// talk (see mute), and no operator drains it. Whatever the leader thinks of it does not matter.
 func (w *world) mayTake(m *worker) bool {
-	if !m.up || m.gone || m.down || m.hung || w.drained[m.name] || w.drained["zone "+m.kind.Zone] ||
+	if !m.up || m.gone || m.down || m.hung || w.sim.Now() < m.mute || w.drained[m.name] || w.drained["zone "+m.kind.Zone] ||
 		w.recorded(placement.NodeScope, m.name) || w.recorded(placement.ZoneScope, m.kind.Zone) {
 		return false
 	}
