explorer: a gang's orderly stop ends with the last of its tasks

Cause: the model kept an attempt's orderly stop for good. Change: the stop is over when no task of the attempt is on a machine.

--- a/internal/explore/saving.go
+++ b/internal/explore/saving.go
@@ -141,6 +141,9 @@
 	h := &halt{at: w.sim.Now(), reached: t.reached, failed: len(w.gang(t)) < j.spec.Tasks}
 	j.halts[t.attempt] = h
 	w.sim.After(gangPeer, func() {
+		if j.halts[t.attempt] != h {
+			return // all have exited
+		}
 		for _, x := range w.gang(t) {
 			if x.t.state != model.TaskRunning {
 				continue
@@ -160,6 +163,9 @@
 // the others.
 func (w *world) gather(t *copyOf) {
 	h, g := t.job.halts[t.attempt], w.gang(t)
+	if h == nil {
+		return
+	}
 	all := true
 	for _, x := range g {
 		all = all && x.t.stored
@@ -214,8 +220,13 @@
 	if every := t.job.spec.CheckpointEvery; every > 0 {
 		t.job.keep(t.part(), t.progress(w.sim.Now())/every*every)
 	}
-	if h := t.job.halts[t.attempt]; h != nil && !t.saved && !h.safe {
-		h.failed = true
+	if h := t.job.halts[t.attempt]; h != nil {
+		h.failed = h.failed || !t.saved && !h.safe
+		// Guard: the next leader may resume a stored claim under the same attempt, once all of it
+		// are gone. Taken for still stopping, the gang never ended (explorer, 1700007894).
+		if len(w.gang(t)) == 0 {
+			delete(t.job.halts, t.attempt)
+		}
 	}
 	if t.caught {
 		w.caughtGone = max(w.caughtGone, w.sim.Now()-t.job.cancelled)
--- a/internal/explore/saving_test.go
+++ b/internal/explore/saving_test.go
@@ -28,6 +28,12 @@
 			c.m[i].obey([]model.Command{{Op: "stop", Task: model.TaskName(x.job.id, x.index), Attempt: x.attempt, GraceS: &windDown}})
 		})
 	}
+	again := func(c at, i int) { // under the same attempt
+		c.t[i] = &copyOf{job: c.t[i].job, index: i, attempt: 1, state: model.TaskWaiting, on: true}
+		c.m[i].tasks = []*copyOf{c.t[i]}
+		c.w.began(c.m[i], c.t[i])
+		c.m[i].run(c.t[i])
+	}
 	saving, running := model.TaskSaving, model.TaskRunning
 	type end struct {
 		state model.TaskState
@@ -59,6 +65,14 @@
 			stop(c, 1, 5)
 			pass(c, 4100*time.Millisecond)
 		}, [2]end{stored, stored}, 15 * sec},
+		{"a gang that begins again", model.Gang, 10 * sec, func(c at) {
+			stop(c, 0, 5)
+			stop(c, 1, 5)
+			pass(c, 4100*time.Millisecond)
+			again(c, 0)
+			again(c, 1)
+			pass(c, 45100*time.Millisecond)
+		}, [2]end{{model.TaskExited, model.CauseDone, false}, {model.TaskExited, model.CauseDone, false}}, 60 * sec},
 		{"a gang, one not told in time", model.Gang, 10 * sec, func(c at) { stop(c, 0, 5); pass(c, 4100*time.Millisecond) }, [2]end{stopped, peers}, 10 * sec},
 		{"a gang, one with too little time", model.Gang, 10 * sec, func(c at) { stop(c, 0, 5); pass(c, sec); stop(c, 1, 1); pass(c, 4*sec) }, [2]end{stopped, stopped}, 10 * sec},
 		{"a gang, one machine ends", model.Gang, 10 * sec, func(c at) { stop(c, 0, 5); stop(c, 1, 5); pass(c, sec); c.m[1].end("stopped"); pass(c, 4*sec) },
