--- a/internal/explore/cmd/mutants.go
+++ b/internal/explore/cmd/mutants.go
@@ -83,6 +83,7 @@
 	{"a cancellation does not guard the record", []edit{{"intake/intake.go", "Guards: []store.Guard{{Key: key, Stamp: l.stamp}, {Key: placement.DonePrefix + id}},", ""}}},
 	{"a save does not guard the record", []edit{{"controller/parts.go", "txn.Guards = append(txn.Guards, store.Guard{Key: record, Stamp: s.Stamp})\n", ""}}},
 	{"a save does not guard its parts", []edit{{"controller/parts.go", "txn.Guards = append(txn.Guards, store.Guard{Key: key, Stamp: parts[s.ID][part]})\n", ""}}},
+	{"a release does not guard its record", []edit{{"controller/waiting.go", "\ttxn.Guards = append(txn.Guards, store.Guard{Key: placement.WaitPrefix + a.ID, Stamp: a.Stamp})\n", ""}}},
 	{"a save without an answer counts as stored", []edit{{"controller/records.go", "ok := err == nil && out.OK()", "ok := out.OK() && (err == nil || errors.Is(err, store.ErrUnknown))"}}},
 	{"a question is answered from memory without a look", []edit{{"intake/board.go", "if g.done.Wait(ctx, wait) {\n\t\treturn g.err", "if g.done.Wait(ctx, 0) || b.rev > 0 {\n\t\treturn nil"}}},
 	{"changes of drains do not guard their fence", []edit{{"controller/fence.go", "txn.Guards = append(txn.Guards, store.Guard{Key: f.key, Stamp: f.stamp})\n", ""}}},
