placement: priority stops no work that a guarantee would take back at once

Cause: a job of higher priority beyond its team's guarantee stopped tasks within another team's; that team took the room back by its guarantee, and so on. Change: such a task is not stopped by priority, if the job's own tasks could be taken back from. Result: TestGuaranteeAgainstPriority breaks not_served without it.

--- a/internal/explore/saving_test.go
+++ b/internal/explore/saving_test.go
@@ -221,3 +221,13 @@
 		t.Logf("%-50s %2d saved as they were cancelled, gone after %6.2f s", c.name, caught, gone.Seconds())
 	}
 }
+
+// A job of higher priority and one within its team's guarantee don't stop each other in turn for ever.
+func TestGuaranteeAgainstPriority(t *testing.T) {
+	out := Run(Plan{Seed: 1, Machines: 1, Lease: 10 * sec, Cancel: 24 * sec, Guarantee: true, Jobs: []Submission{
+		{At: 2 * sec, Shape: model.Array, Tasks: 2, Zone: "a", Takes: 40 * sec, Priority: model.High, Every: 10 * sec, Cost: 25 * sec},
+		{At: 24 * sec, Shape: model.Array, Tasks: 2, Zone: "a", Team: 2, Takes: 4 * sec, Priority: model.Normal}}}, nil, 0)
+	if out.Broken != "" || out.Saves == 0 || out.Saves > 4 {
+		t.Errorf("%d saves, %q", out.Saves, out.Broken)
+	}
+}
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -248,7 +248,18 @@
 // mayStop tells whether the rules allow stopping a task to make room for a job with a
 // power. A job that had to be hurried to begin in time is not stopped for one that need not.
 func (b *Book) mayStop(j *Job, t *Task, power int, now time.Time) bool {
-	return t.state != model.TaskOrdered && (t.job.rank < power || b.borrowed(j, t, now)) && (!t.job.hurried || !j.order.near.IsZero())
+	return t.state != model.TaskOrdered && (t.job.rank < power && !b.takenBack(j, t) || b.borrowed(j, t, now)) && (!t.job.hurried || !j.order.near.IsZero())
+}
+
+// takenBack tells that room made by stopping a task would go back to its team, which runs it within its
+// guarantee, for a job that runs beyond its own.
+//
+// Guard: a job of higher priority and a team's guarantee stopped each other's tasks in turn, for ever
+// (explorer, 1800003201).
+func (b *Book) takenBack(j *Job, t *Task) bool {
+	s := j.Spec
+	ends := s.Shape == model.Gang || s.Shape == model.Array && s.CheckpointEvery == 0
+	return j.order.guaranteed != 0 && s.Team != t.job.Spec.Team && !ends && b.teams[t.job.Spec.Team].WithinGuarantee(t.job.use.size)
 }
 
 // candidate is a machine on which room could be made.
