placement: closed machines are looked through for some of the waiting jobs at a time

Cause: each second the queue was sorted once more and every waiting job looked at every closed machine.

--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -132,8 +132,8 @@
 // job for which only spot machines are rented beside ordinary ones, and a job that failed on two
 // machines. A blamed machine on which a replica stood stayed closed for as long as that ran.
 //
-// Guard: thousands of jobs may wait beside thousands of machines. Each looks at the closed ones only;
-// gangs, which need to know what is open besides, are few in a round, each in turn.
+// Guard: thousands of jobs may wait beside thousands of machines. Some of them, in turn, look at the
+// closed ones only; gangs, which need to know what is open besides, are fewer still.
 func (b *Book) takeBack(now time.Time) {
 	var closed []*Machine
 	for _, m := range b.machines.All() {
@@ -141,15 +141,15 @@
 			closed = append(closed, m)
 		}
 	}
-	if len(closed) == 0 {
+	if len(closed) == 0 || !b.anyWaits(now) {
 		return
 	}
 	slices.SortStableFunc(closed, func(x, y *Machine) int {
 		return cmp.Or(cmp.Compare(rank(!x.blamed), rank(!y.blamed)), cmp.Compare(b.price(x), b.price(y)))
 	})
 	queue := b.queue(now)
-	from, gangs := int(b.rounds), 0
-	for i := range queue {
+	from, gangs := int(b.rounds)*mostTakers, 0
+	for i := range min(len(queue), mostTakers) {
 		j := queue[(from+i)%len(queue)]
 		n, gang := b.headroom(j), j.Spec.Shape == model.Gang
 		if j.Suspect() {
@@ -172,6 +172,20 @@
 	}
 }
 
+// mostTakers is for how many jobs at once closed machines are looked through: ten thousand jobs have
+// their turn within forty seconds.
+const mostTakers = 256
+
+// anyWaits tells whether a job has found no room for too long.
+func (b *Book) anyWaits(now time.Time) bool {
+	for _, j := range b.jobs.All() {
+		if !j.waiting.IsZero() && now.Sub(j.waiting) >= withheldFor && j.waits(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // toReopen lists those of the closed machines that n tasks of a job need, besides what is open: none
 // for a gang that there is too little room for.
 func (b *Book) toReopen(j *Job, n int, zone string, closed []*Machine, now time.Time) (out []*Machine) {
