requests: a body that is too large gets 400, which users do not try again

Cause: 413 is no answer of the protocol; users tried such a submission again for a minute. Change: 400 that names the bound.

--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -206,7 +206,8 @@
 	case err != nil:
 		a := Answer{Status: 400, Close: true, Body: []byte(`{"error":"malformed request"}`)}
 		if errors.Is(err, ErrBodySize) {
-			a.Status, a.Body = 413, []byte(`{"error":"request body too large"}`)
+			// Guard: users try again for a minute what gets another status than 400 (protocol, POST /api/jobs).
+			a.Body = fmt.Appendf(nil, `{"error":"body: too large; send at most %d bytes"}`, s.opt.Limits.Body)
 		} else if errors.Is(err, ErrHeadSize) {
 			a.Status, a.Body = 431, []byte(`{"error":"request head too large"}`)
 		}
