slow state service: a listing goes on page by page, beyond the question that began it

Cause: a page that came too late had a whole listing given up, and the board gave one up with the question that began it. Change: pages of 1000; a page without an answer is asked for again, six times at most; a listing of the board has 30 s, and questions meanwhile are unsure at once. The stand-in state service can answer late and bounds its pages. TestListOfASlowService, TestLongListing, TestEveryJobIsKnownOfASlowService.

--- a/internal/controller/known_test.go
+++ b/internal/controller/known_test.go
@@ -18,12 +18,40 @@
 // answeredWithin is how long after the last trouble each job must be known again.
 const answeredWithin = 75 * time.Second
 
+// Thousands of jobs, and how many users ask about them at once.
+const jobs, askers = 5000, 96
+
+// eachJob does something for every job, for many at once.
+func eachJob(do func(n int)) {
+	var group sync.WaitGroup
+	var next atomic.Int64
+	for range askers {
+		group.Go(func() {
+			for n := next.Add(1); n <= jobs; n = next.Add(1) {
+				do(int(n))
+			}
+		})
+	}
+	group.Wait()
+}
+
+// openMany submits the jobs; all but one wait for the limit.
+func openMany(s *site) {
+	s.ask("POST", "/api/jobs", job("first", "batch", 1))
+	eachJob(func(n int) {
+		body := strings.Replace(job(fmt.Sprintf("req-%d", n), "standing", 1), `"t"`, `"small"`, 1)
+		if status, v := s.ask("POST", "/api/jobs", body); status != 201 && status != 200 {
+			s.Errorf("req-%d: %d %v", n, status, v)
+		}
+	})
+	s.until("first", done)
+}
+
 // Thousands of jobs are open when the leader ends and another controller loses the state
 // service for good. That one answers at once and says that it is not well; users whom the
 // balancer sends by that have an answer about every single job in time, beside ten times the
 // usual questions.
 func TestEveryJobIsKnown(t *testing.T) {
-	const jobs, askers = 5000, 96
 	var link *standin.Link
 	s := newSite(t, func(i int, cfg *settings.Platform, _ *settings.Operator) {
 		cfg.Teams["small"] = model.Team{Name: "small", Limit: model.Size{CPUs: 2}}
@@ -36,26 +64,7 @@
 			t.Cleanup(func() { _ = l.Close() })
 		}
 	})
-	each := func(do func(n int)) {
-		var group sync.WaitGroup
-		var next atomic.Int64
-		for range askers {
-			group.Go(func() {
-				for n := next.Add(1); n <= jobs; n = next.Add(1) {
-					do(int(n))
-				}
-			})
-		}
-		group.Wait()
-	}
-	s.ask("POST", "/api/jobs", job("first", "batch", 1))
-	each(func(n int) {
-		body := strings.Replace(job(fmt.Sprintf("req-%d", n), "standing", 1), `"t"`, `"small"`, 1) // all but one wait for the limit
-		if status, v := s.ask("POST", "/api/jobs", body); status != 201 && status != 200 {
-			t.Errorf("req-%d: %d %v", n, status, v)
-		}
-	})
-	s.until("first", done)
+	openMany(s)
 
 	link.Cut(true)
 	leader, _ := s.nodes[0].leader()
@@ -112,7 +121,7 @@
 		return resp.StatusCode == 200
 	}
 	var asked atomic.Int64
-	each(func(n int) {
+	eachJob(func(n int) {
 		for !balanced(n) {
 			asked.Add(1)
 			if time.Since(over) > answeredWithin {
@@ -124,3 +133,76 @@
 	})
 	t.Logf("%d jobs known %v after the trouble, %d questions", jobs, time.Since(over), asked.Load())
 }
+
+// The state service answers up to three seconds late, pages of a listing too, while thousands of jobs
+// are open, and the leader ends meanwhile; so does one of the others, which begins anew and knows
+// nothing. Every question is answered within two seconds, if only by 503, none by 404, and every job
+// is known in time after it. How soon a leader begins is told, not bounded: that is chance.
+func TestEveryJobIsKnownOfASlowService(t *testing.T) {
+	const slow, length, wait = 3 * time.Second, 30 * time.Second, 2 * time.Second
+	s := newSite(t, func(_ int, cfg *settings.Platform, op *settings.Operator) {
+		cfg.Teams["small"] = model.Team{Name: "small", Limit: model.Size{CPUs: 2}}
+		op.Leadership.Hold, op.Leadership.Poll, op.Leadership.Grant = 5*time.Second, time.Second, time.Second
+		cfg.CancelWait = cfg.Lease + 20*time.Second // as much as the deployments leave
+	})
+	openMany(s)
+	leader, _ := s.nodes[0].leader()
+	lead := int(leader[1] - '0')
+	anew := (lead + 1) % 3 // the other is (lead+2) % 3
+	s.state.Slow(slow)
+	began := time.Now()
+	s.stops[lead]()
+	s.restart(anew)
+
+	var known, unsure, anewKnown atomic.Int64
+	ask := func(n int) (status int) {
+		i := (lead + 1 + n%2) % 3
+		sent := time.Now()
+		resp, err := client.Get(fmt.Sprintf("http://%s/api/jobs/req-%d", s.addrs[i], n))
+		if err != nil {
+			time.Sleep(50 * time.Millisecond) // it is not up again yet
+			return 0
+		}
+		_ = resp.Body.Close()
+		switch took := time.Since(sent); {
+		case resp.StatusCode == 404:
+			t.Errorf("req-%d is unknown", n)
+		case took > wait:
+			t.Errorf("a question is answered %d after %v", resp.StatusCode, took)
+		case resp.StatusCode == 200:
+			known.Add(1)
+			if i == anew {
+				anewKnown.Add(1)
+			}
+		default:
+			unsure.Add(1)
+			time.Sleep(100 * time.Millisecond)
+		}
+		return resp.StatusCode
+	}
+	led := time.Duration(0) // when a new leader had read the records
+	for time.Since(began) < length {
+		for _, n := range []*Node{s.nodes[anew], s.nodes[(lead+2)%3]} {
+			if led == 0 && n.views.Load() != nil {
+				led = time.Since(began)
+			}
+		}
+		var group sync.WaitGroup
+		for range 32 {
+			group.Go(func() { ask(1 + rand.IntN(jobs)) })
+		}
+		group.Wait()
+	}
+	t.Logf("while slow: %d known, %d of them by the one that began anew, %d unsure; a leader after %v", known.Load(), anewKnown.Load(), unsure.Load(), led)
+	s.state.Slow(0)
+	over := time.Now()
+	eachJob(func(n int) {
+		for ask(n) != 200 {
+			if time.Since(over) > answeredWithin {
+				t.Errorf("no question about req-%d is answered", n)
+				return
+			}
+		}
+	})
+	t.Logf("all known %v after it", time.Since(over))
+}
--- a/internal/controller/node_test.go
+++ b/internal/controller/node_test.go
@@ -43,6 +43,8 @@
 	addrs []string
 	stops []context.CancelFunc
 	nodes []*Node
+	cfgs  []*settings.Platform
+	op    *settings.Operator
 	down  map[int]bool // that were stopped
 }
 
@@ -93,20 +95,45 @@
 		for _, f := range change {
 			f(i, cfg, op)
 		}
-		ctx, stop := context.WithCancel(context.Background())
-		s.stops = append(s.stops, stop)
-		pprof.Do(ctx, pprof.Labels("controller", cfg.Member), func(ctx context.Context) {
-			n, err := New(cfg, op, slog.New(slog.NewTextHandler(io.Discard, nil)))
-			if err != nil {
-				t.Fatal(err)
-			}
-			s.nodes = append(s.nodes, n)
-			go func() { _ = n.Run(ctx) }()
-		})
+		s.cfgs, s.op = append(s.cfgs, cfg), op
+		s.stops, s.nodes = append(s.stops, nil), append(s.nodes, nil)
+		s.start(i)
 	}
 	return s
 }
 
+// start begins a process of a controller.
+func (s *site) start(i int) {
+	ctx, stop := context.WithCancel(context.Background())
+	s.stops[i] = stop
+	pprof.Do(ctx, pprof.Labels("controller", s.cfgs[i].Member), func(ctx context.Context) {
+		n, err := New(s.cfgs[i], s.op, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		if err != nil {
+			s.Fatal(err)
+		}
+		s.nodes[i] = n
+		go func() { _ = n.Run(ctx) }()
+	})
+}
+
+// restart ends a controller's process and begins another once its ports are free.
+func (s *site) restart(i int) {
+	s.stops[i]()
+	for _, addr := range []string{s.cfgs[i].Listen, s.cfgs[i].PeerListen} {
+		for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+			l, err := net.Listen("tcp4", addr)
+			if err == nil {
+				_ = l.Close()
+				break
+			}
+			if time.Now().After(deadline) {
+				s.Fatal(err)
+			}
+		}
+	}
+	s.start(i)
+}
+
 var client = &http.Client{Timeout: 3 * time.Second}
 
 // ask sends a request to the nodes in turn until one gives a final answer.
--- a/internal/intake/board.go
+++ b/internal/intake/board.go
@@ -34,8 +34,9 @@
 
 	mu      sync.Mutex
 	state   boardState
-	next    *glance // will be sent next; questions may still join it
-	failing bool    // the last look brought nothing
+	next    *glance   // will be sent next; questions may still join it
+	failing bool      // the last look brought nothing
+	sent    time.Time // when the look under way was sent; zero: none is
 	jobs    map[string]posted
 	rev     uint64 // up to which changes were taken in; 0: nothing is known
 	looked  time.Time
@@ -73,15 +74,15 @@
 	return &board{store: s, opt: opt, jobs: map[string]posted{}}
 }
 
-// refresh returns after a look that was sent after the call. While looks fail,
-// nobody waits for long: unsure is answered at once.
+// refresh returns after a look that was sent after the call. While looks fail or take
+// long, nobody waits for long: unsure is answered at once.
 func (b *board) refresh(ctx context.Context) error {
 	b.mu.Lock()
 	if b.next == nil {
 		b.next = &glance{done: b.opt.NewGate()}
 	}
 	g, wait := b.next, b.opt.AskWait
-	if b.failing {
+	if b.failing || !b.sent.IsZero() && b.opt.Now().Sub(b.sent) > wait {
 		wait /= 10
 	}
 	if b.state == boardResting {
@@ -101,11 +102,13 @@
 		b.mu.Lock()
 		g, rev := b.next, b.rev
 		b.next = nil // later questions need a later look
+		b.sent = time.Time{}
 		if g == nil {
 			b.to(boardResting)
 			b.mu.Unlock()
 			return
 		}
+		b.sent = b.opt.Now()
 		b.mu.Unlock()
 		g.err = b.take(rev)
 		b.mu.Lock()
@@ -118,16 +121,22 @@
 
 // take takes the changes since a revision in. If they cannot be had any more,
 // memory starts anew.
+//
+// Guard: a listing may take longer than any question waits: it is gone on with, for
+// whoever asks later. Given up with the question, it was begun anew for each, and where
+// the state service is slow none was ever whole.
 func (b *board) take(rev uint64) error {
-	ctx, cancel := context.WithTimeout(context.Background(), b.opt.AskWait)
-	defer cancel()
 	var events []store.Event
 	err := store.ErrCompacted
 	if rev > 0 && b.opt.Now().Sub(b.looked) < longUnasked {
+		ctx, cancel := context.WithTimeout(context.Background(), b.opt.AskWait)
 		events, rev, err = b.store.Watch(ctx, placement.OpenPrefix, rev, 0)
+		cancel()
 	}
 	fresh := errors.Is(err, store.ErrCompacted)
 	if fresh {
+		ctx, cancel := context.WithTimeout(context.Background(), longListing)
+		defer cancel()
 		var items []store.Item
 		items, rev, err = b.store.List(ctx, placement.OpenPrefix)
 		for _, it := range items {
@@ -149,6 +158,10 @@
 	return nil
 }
 
+// longListing is how long a listing may take: six pages of a state service that answers
+// each up to three seconds late, most of them asked for twice.
+const longListing = 30 * time.Second
+
 // longUnasked is after how long without questions a listing costs less than the
 // changes since.
 const longUnasked = time.Minute
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -33,8 +33,9 @@
 	reads     int
 	writes    int // changes asked for, those whose guards fail included
 	looks     int
-	compacted bool          // the next look is told that its revision is too old
 	slow      time.Duration // how long a look at the changes takes
+	listing   time.Duration // how long a listing takes
+	compacted bool          // the next look is told that its revision is too old
 }
 
 // change sets or deletes a key, as everybody sees it.
@@ -54,7 +55,12 @@
 	}
 }
 
-func (f *fakeStore) List(_ context.Context, prefix string) ([]store.Item, uint64, error) {
+func (f *fakeStore) List(ctx context.Context, prefix string) ([]store.Item, uint64, error) {
+	select {
+	case <-time.After(f.listing):
+	case <-ctx.Done():
+		return nil, 0, store.ErrUnknown
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.looks++
@@ -412,3 +418,32 @@
 		}
 	}
 }
+
+// A listing that takes longer than a question waits is gone on with: questions meanwhile are unsure,
+// at first after the whole wait and then at once, and those after it are answered.
+func TestLongListing(t *testing.T) {
+	ctx := context.Background()
+	in, s := setup(t)
+	in.board.opt.AskWait, in.board.opt.Now = 100*time.Millisecond, time.Now
+	in.Submit(ctx, body())
+	s.listing = 500 * time.Millisecond
+	ask := func() (status int, took time.Duration) {
+		sent := time.Now()
+		return in.Ask(ctx, "req-1").Status, time.Since(sent)
+	}
+	if status, took := ask(); status != 503 || took > 400*time.Millisecond {
+		t.Errorf("the first question is answered %d after %v", status, took)
+	}
+	if status, took := ask(); status != 503 || took > 60*time.Millisecond {
+		t.Errorf("while the listing takes long a question is answered %d after %v", status, took)
+	}
+	deadline := time.Now().Add(5 * time.Second)
+	for status := 0; status != 200; status, _ = ask() {
+		if time.Now().After(deadline) {
+			t.Fatal("the listing is never whole")
+		}
+	}
+	if s.looks < 2 || s.looks > 4 { // the listing, and looks at the changes since
+		t.Errorf("%d looks", s.looks)
+	}
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"sort"
@@ -47,8 +48,9 @@
 	holds   map[uint64]*hold
 	lastID  uint64
 	refuse  bool
-	value   int // most bytes of a value; 0: any
-	ops     int // most changes of a transaction; 0: any
+	slow    time.Duration // answers come up to this much late
+	value   int           // most bytes of a value; 0: any
+	ops     int           // most changes of a transaction; 0: any
 	changed chan struct{}
 	fates   func(keys []string) Fate // of transactions, by the keys that they change; nil: all are answered
 	late    [][]byte                 // transactions that are to be carried out late
@@ -69,7 +71,7 @@
 	s.mux = mux
 	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
-		refuse := s.refuse
+		refuse, slow := s.refuse, s.slow
 		s.expire()
 		s.mu.Unlock()
 		if refuse {
@@ -79,7 +81,15 @@
 		if r.Method == "POST" && r.URL.Path == "/txn" {
 			r = s.meet(r)
 		}
-		mux.ServeHTTP(w, r)
+		if slow == 0 {
+			mux.ServeHTTP(w, r)
+			return
+		}
+		answer := httptest.NewRecorder()
+		mux.ServeHTTP(answer, r)
+		time.Sleep(rand.N(slow))
+		w.WriteHeader(answer.Code)
+		_, _ = w.Write(answer.Body.Bytes())
 	}))
 	return s
 }
@@ -163,6 +173,13 @@
 	}
 }
 
+// Slow has answers come up to so much late from now on; 0: at once. Requests are carried out at once.
+func (s *State) Slow(by time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = by
+}
+
 // Limit bounds values and transactions from now on.
 func (s *State) Limit(value, ops int) {
 	s.mu.Lock()
@@ -239,6 +256,12 @@
 	reply(w, 200, map[string]any{"k": key, "value": e.value, "stamp": e.stamp})
 }
 
+// What a page of a listing holds at most.
+const (
+	pageItems = 1000
+	pageBytes = 512 << 10
+)
+
 func (s *State) list(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -251,12 +274,14 @@
 		}
 	}
 	sort.Strings(names)
-	more := len(names) > most
-	pairs := []map[string]any{}
-	for _, k := range names[:min(most, len(names))] {
+	pairs, bytes := []map[string]any{}, 0
+	for _, k := range names[:min(most, len(names), pageItems)] {
+		if bytes += len(k) + len(s.keys[k].value) + 40; bytes > pageBytes {
+			break
+		}
 		pairs = append(pairs, map[string]any{"k": k, "value": s.keys[k].value, "stamp": s.keys[k].stamp})
 	}
-	reply(w, 200, map[string]any{"pairs": pairs, "more": more, "ledgerRev": s.rev})
+	reply(w, 200, map[string]any{"pairs": pairs, "more": len(names) > len(pairs), "ledgerRev": s.rev})
 }
 
 func (s *State) txn(w http.ResponseWriter, r *http.Request) {
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -240,18 +240,33 @@
 	return it, nil
 }
 
+// pageItems is the most that a page of a listing may hold, and pageTries how often a page is asked for
+// that gets no answer in time.
+const (
+	pageItems = 1000
+	pageTries = 6
+)
+
 // List reads every key with a prefix. The revision is that of the first page:
 // a watch from it misses nothing.
+//
+// Guard: a page that came too late had the whole listing given up. Where answers take up to three
+// seconds no listing of thousands of jobs was ever whole: who began anew knew none of them, and no
+// new leader could begin, for as long as that lasted.
 func (c *Client) List(ctx context.Context, prefix string) ([]Item, uint64, error) {
 	var items []Item
 	var first uint64
 	after := ""
 	for {
-		target := "/kv?starts=" + url.QueryEscape(prefix) + "&most=500"
+		target := fmt.Sprintf("/kv?starts=%s&most=%d", url.QueryEscape(prefix), pageItems)
 		if after != "" {
 			target += "&after=" + url.QueryEscape(after)
 		}
-		resp, err := c.call(ctx, "GET", target, nil)
+		var resp *httpwire.Response
+		err := ErrUnknown
+		for try := 0; try < pageTries && errors.Is(err, ErrUnknown) && ctx.Err() == nil; try++ {
+			resp, err = c.call(ctx, "GET", target, nil)
+		}
 		if err != nil {
 			return nil, 0, err
 		}
--- a/internal/store/client_test.go
+++ b/internal/store/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -215,3 +216,48 @@
 	}
 	group.Wait()
 }
+
+// A page of a listing that gets no answer in time is asked for again, not the whole listing; one that
+// is refused, or never comes, ends it.
+func TestListOfASlowService(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		late  int // the first answers to each page come too late
+		code  int
+		want  error
+		asked int
+	}{
+		{"two of three answers too late", 2, 200, nil, 9},
+		{"no answer in time", 99, 200, ErrUnknown, pageTries},
+		{"an outage", 0, 503, ErrRefused, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var lock sync.Mutex
+			asked, all := map[string]int{}, 0
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				after := r.URL.Query().Get("after")
+				lock.Lock()
+				asked[after]++
+				all++
+				late := asked[after] <= c.late
+				lock.Unlock()
+				if late {
+					time.Sleep(200 * time.Millisecond)
+				}
+				w.WriteHeader(c.code)
+				_, _ = fmt.Fprintf(w, `{"pairs":[{"k":"%s","value":1,"stamp":3}],"more":%v,"ledgerRev":%d}`, after+"p", len(after) < 2, 7+len(after))
+			}))
+			defer s.Close()
+			client := New(strings.TrimPrefix(s.URL, "http://"), 100*time.Millisecond)
+			client.SetBudgets(Budgets{Calls: 1e6, Writes: 1, Leads: 1, Burst: 1})
+			items, rev, err := client.List(context.Background(), "p")
+			if !errors.Is(err, c.want) || (err == nil) != (c.want == nil) || all != c.asked {
+				t.Errorf("%v after %d requests, want %v after %d", err, all, c.want, c.asked)
+			}
+			if err == nil && (len(items) != 3 || rev != 7) {
+				t.Errorf("%d items as of %d", len(items), rev)
+			}
+		})
+	}
+}
