explorer: a seeded mistake follows its guard

Cause: the board notes when a look was sent, between the lines that the mistake replaced. Change: it replaces the first of them alone. Result: TestMutantsApply passes.

--- a/internal/explore/cmd/mutants.go
+++ b/internal/explore/cmd/mutants.go
@@ -88,7 +88,7 @@
 	{"a question is answered from memory without a look", []edit{{"intake/board.go", "if g.done.Wait(ctx, wait) {\n\t\treturn g.err", "if g.done.Wait(ctx, 0) || b.rev > 0 {\n\t\treturn nil"}}},
 	{"changes of drains do not guard their fence", []edit{{"controller/fence.go", "txn.Guards = append(txn.Guards, store.Guard{Key: f.key, Stamp: f.stamp})\n", ""}}},
 	{"a known job's repeat is judged by its body", []edit{{"intake/intake.go", "if id := model.JobID(body); id != \"\" {", "if id := model.JobID(body); id == \"\" {"}}},
-	{"a question joins a look that was sent before it", []edit{{"intake/board.go", "b.next = nil // later questions need a later look\n\t\tif g == nil {", "if g == nil {"},
+	{"a question joins a look that was sent before it", []edit{{"intake/board.go", "b.next = nil // later questions need a later look\n", ""},
 		{"intake/board.go", "b.failing = g.err != nil\n", "b.failing = g.err != nil\n\t\tb.next = nil\n"}}},
 	{"a job that is not found is unknown after a lost answer", []edit{{"intake/intake.go", "if err != nil || !l.known {\n\t\treturn Fail(503, errUnsure.Error())\n\t}\n\treturn in.tellKnown", "if err != nil {\n\t\treturn Fail(503, errUnsure.Error())\n\t}\n\tif !l.known {\n\t\treturn Fail(422, \"\")\n\t}\n\treturn in.tellKnown"}}},
 	{"a cancellation of a done job is confirmed", []edit{{"intake/intake.go", "return answer(200, stateAnswer{ID: id, Stage: l.stage})", "return answer(200, stateAnswer{ID: id, Stage: model.Cancelled})"}}},
