saves: what is due first goes first, and a beginning is told of last

Change: twelve saves at once, in the order in which they became due; ends of jobs and claims of gangs have five seconds' start; that an array has begun goes after all of them. What fails keeps its place. Result: TestSavesGoInTurn fails without the order.

--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -65,6 +65,8 @@
 	empty     int             // rounds without room in a row
 	tried     uint64
 	looked    time.Time     // when it last found no room
+	saveDue   time.Time     // since when a save is due, its head start included; zero: none is
+	saveFirst bool          // it had its head start
 	turn      uint64        // the last round in which it had a turn, or was known to find no room
 	claim     *claims.Claim // of a gang's present attempt; nil: there is none
 	unclaimed bool          // its claim is too large to be stored
@@ -118,6 +120,7 @@
 	orderID   uint64
 	attempts  uint64
 	saves     uint64
+	dueSaves  []*Job // scratch of Saves
 	room      uint64 // counts events that may have made room
 	gone      map[string]time.Time
 	plan      []*planned
--- a/internal/placement/saves.go
+++ b/internal/placement/saves.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"cmp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -69,26 +71,54 @@
 	j.dirty = j.dirty || j.finished.Len() > 0
 }
 
+// savesAtOnce is how many saves are under way at a time: as many as a client of the state service has
+// connections. headStart is how much earlier what users or a gang wait for counts as due.
+const (
+	savesAtOnce = 12
+	headStart   = 5 * time.Second
+)
+
 // Saves returns the records that are due, at most one at a time for each job
 // and not more often than every pause unless the job is done. A transaction has
 // room for maxParts parts beside a record.
+//
+// Guard: where more is due than the state service takes, what was due first goes first, and what
+// failed keeps its place. Sent all at once, saves were let through as luck would have it: with small
+// jobs coming four a second some were called done four minutes after others that had ended later.
 func (b *Book) Saves(now time.Time, pause time.Duration, maxParts int) []*Save {
-	var out []*Save
 	if b.fewParts > 0 {
 		maxParts = min(maxParts, b.fewParts)
 	}
-	for id, j := range b.jobs.All() {
+	due, room := b.dueSaves[:0], savesAtOnce
+	for _, j := range b.jobs.All() {
+		if j.writing {
+			room--
+		}
 		if !j.dirty || j.writing || j.Cancelled {
 			continue
 		}
-		over := j.finished.Len() == j.Spec.Tasks
-		if !over && now.Sub(j.wroteAt) < pause && !(j.claim.Active() && j.claim.State == claims.Asked) {
-			continue // a gang waits for its claim
+		first := j.over() || j.claim.Active() && j.claim.State == claims.Asked
+		if !first && now.Sub(j.wroteAt) < pause {
+			continue
+		}
+		if j.saveDue.IsZero() {
+			j.saveDue = now
+		}
+		if first && !j.saveFirst {
+			j.saveDue, j.saveFirst = j.saveDue.Add(-headStart), true
 		}
+		due = append(due, j)
+	}
+	b.dueSaves = due // its space is used again
+	slices.SortStableFunc(due, func(x, y *Job) int {
+		return cmp.Or(cmp.Compare(rank(!x.onlyBegun()), rank(!y.onlyBegun())), x.saveDue.Compare(y.saveDue))
+	})
+	var out []*Save
+	for _, j := range due[:min(len(due), max(room, 0))] {
 		j.writing, j.wroteAt, j.dirty = true, now, false
 		b.saves++
-		s := &Save{Number: b.saves, ID: id, Stamp: j.Stamp}
-		if over {
+		s := &Save{Number: b.saves, ID: j.Spec.ID, Stamp: j.Stamp}
+		if j.over() {
 			s.Over = &Final{Stage: model.Done, Tasks: j.Spec.Tasks, Count: j.Spec.Tasks}
 		} else {
 			b.fill(s, j, maxParts)
@@ -98,6 +128,15 @@
 	return out
 }
 
+// onlyBegun tells that all there is to say of a job is that an array's first tasks run: it goes after
+// everything else.
+func (j *Job) onlyBegun() bool {
+	return j.Spec.Shape == model.Array && j.finished.Len() == 0 && !j.claim.Active()
+}
+
+// over tells that all tasks of a job are done.
+func (j *Job) over() bool { return j.finished.Len() == j.Spec.Tasks }
+
 // fill puts into a save what is due of a job: parts of its marks, then its record
 // with those of the first part.
 //
@@ -152,6 +191,7 @@
 		j.dirty = true
 		return
 	}
+	j.saveDue, j.saveFirst = time.Time{}, false
 	if s.Over != nil {
 		b.close(j)
 		return
--- a/internal/placement/saves_test.go
+++ b/internal/placement/saves_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"os"
 	"slices"
 	"strings"
@@ -213,3 +214,49 @@
 		t.Errorf("a final record of %v", keys(final))
 	}
 }
+
+// Where more is due than is let through, jobs are told to be done in the order of their ends: none
+// is overtaken, whatever fails, and what waits longest goes before it, however much is news to nobody.
+func TestSavesGoInTurn(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fails int // every so-maniest save fails; 0: none
+		begun int // arrays that begin in each second, besides
+	}{{"all are taken", 0, 0}, {"every third fails", 3, 0}, {"many begin", 0, 30}, {"many begin, every second fails", 2, 30}} {
+		b := newBench(t)
+		ended := map[string]int{}
+		slowest, told, tries := 0, 0, 0
+		var under []*Save
+		for s := range 60 {
+			for i := range 8 { // more end than two thirds of the saves can tell of
+				id := fmt.Sprintf("req-%d-%d", (s*8+i)*7919%1000, s)
+				b.job(id, nil)
+				b.jobs.At(id).Accepted, ended[id] = at(float64(s)), s
+				b.finish(b.jobs.At(id), 0)
+			}
+			for i := range c.begun {
+				id := fmt.Sprintf("begun-%d-%d", s, i)
+				b.job(id, func(j *model.Job) { j.Tasks = 2 })
+				b.jobs.At(id).dirty = true
+			}
+			under = b.Saves(at(float64(s)), time.Second, 8)
+			if len(under) > savesAtOnce {
+				t.Fatalf("%s: %d saves at once", c.name, len(under))
+			}
+			for _, v := range under {
+				tries++
+				ok := c.fails == 0 || tries%c.fails != 0
+				b.Saved(v, ok, 5)
+				if ok && v.Over != nil {
+					slowest, told = max(slowest, s-ended[v.ID]), told+1
+				}
+			}
+		}
+		if told < 250 {
+			t.Errorf("%s: %d told", c.name, told)
+		}
+		if most := map[int]int{0: 1, 3: 3, 2: 31}[c.fails]; slowest > most {
+			t.Errorf("%s: one was told of %d s after its end", c.name, slowest)
+		}
+	}
+}
