--- a/internal/placement/saves.go
+++ b/internal/placement/saves.go
@@ -72,7 +72,7 @@
 }
 
 // savesAtOnce is how many saves are under way at a time: as many as a client of the state service has
-// connections. headStart is how much earlier what users or a gang wait for counts as due.
+// connections. headStart is how much earlier a job's end counts as due.
 const (
 	savesAtOnce = 12
 	headStart   = 5 * time.Second
@@ -97,8 +97,8 @@
 		if !j.dirty || j.writing || j.Cancelled {
 			continue
 		}
-		first := j.over() || j.claim.Active() && j.claim.State == claims.Asked
-		if !first && now.Sub(j.wroteAt) < pause {
+		first := j.over()
+		if !first && !j.claims() && now.Sub(j.wroteAt) < pause {
 			continue
 		}
 		if j.saveDue.IsZero() {
@@ -111,7 +111,8 @@
 	}
 	b.dueSaves = due // its space is used again
 	slices.SortStableFunc(due, func(x, y *Job) int {
-		return cmp.Or(cmp.Compare(rank(!x.onlyBegun()), rank(!y.onlyBegun())), x.saveDue.Compare(y.saveDue))
+		return cmp.Or(cmp.Compare(rank(x.claims()), rank(y.claims())), cmp.Compare(rank(!x.onlyBegun()), rank(!y.onlyBegun())),
+			x.saveDue.Compare(y.saveDue))
 	})
 	var out []*Save
 	for _, j := range due[:min(len(due), max(room, 0))] {
@@ -128,6 +129,9 @@
 	return out
 }
 
+// claims tells that a gang's pieces wait for its claim to be stored: it goes before everything else.
+func (j *Job) claims() bool { return j.claim.Active() && j.claim.State == claims.Asked }
+
 // onlyBegun tells that all there is to say of a job is that an array's first tasks run: it goes after
 // everything else.
 func (j *Job) onlyBegun() bool {
