controller, workers: sizes of jobs that are over are forgotten

Cause: a leader kept the id of every job whose size it had told an owner, and the owner the size, until a fresh token: with one-task jobs four a second, 14,400 more an hour on both sides. And a size that was told in a message that went unanswered was never told again, so machines that ran tasks of its job were not drawn.

Change: once a link holds more sizes than there are jobs, those of jobs that are over leave it, and the owner is told of them by a size message without a size. What a lost message said is unsure: told again if the job is open, to be forgotten if it is over. An owner of an earlier version keeps such a job with no size, where it kept one with a size before; no task of it is bound. No field was added.

--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -30,12 +30,12 @@
 	okAt     time.Time // last answer
 	okSince  time.Time // answers without a gap since
 	busy     bool
-	failures int  // messages in a row that brought no answer
-	lost     bool // restarted under the present token: its orders are lost, and a fresh token is wanted
-	sizes    map[string]bool
-	sized    uint64 // tasks that had been bound when sizes was made complete
-	settings uint64 // number of the settings that it has adopted
-	records  uint32 // highest form of stored records that it reads
+	failures int             // messages in a row that brought no answer
+	lost     bool            // restarted under the present token: its orders are lost, and a fresh token is wanted
+	sizes    map[string]bool // jobs whose sizes it may hold; true: it surely does
+	sized    uint64          // tasks that had been bound when sizes was made complete
+	settings uint64          // number of the settings that it has adopted
+	records  uint32          // highest form of stored records that it reads
 }
 
 func (l *link) live(now time.Time) bool { return l.local || now.Sub(l.okAt) < 2*time.Second }
@@ -177,6 +177,9 @@
 			// messages under way at once could be answered in the wrong order.
 			if t.ctx.Err() == nil {
 				l.busy = false
+				if err != nil {
+					l.unsure(r.Sizes)
+				}
 				t.receive(l, token, now, resp, err)
 			}
 		})
@@ -193,7 +196,9 @@
 	return out
 }
 
-// sizesFor names the sizes of jobs that an owner has not been told yet.
+// sizesFor names the sizes of jobs that an owner has not been told yet, and, without a size,
+// jobs that are over: the owner forgets those. An owner of an earlier version keeps them, with
+// no size, which nothing rests on: no task of them is bound.
 func (t *term) sizesFor(l *link, orders []*peerspb.Order) []*peerspb.JobSize {
 	var out []*peerspb.JobSize
 	add := func(id string) {
@@ -215,9 +220,35 @@
 		}
 		l.sized = binds
 	}
+	if len(l.sizes) <= t.core.Jobs().Len() {
+		return out
+	}
+	// Guard: sizes of jobs that were over stayed here and at the owner until a fresh token:
+	// with four small jobs a second, 14,400 more every hour.
+	var over []string
+	for id := range l.sizes {
+		if t.core.Jobs().At(id) == nil {
+			over = append(over, id)
+		}
+	}
+	slices.Sort(over)
+	for _, id := range over {
+		delete(l.sizes, id)
+		out = append(out, &peerspb.JobSize{Job: id})
+	}
 	return out
 }
 
+// unsure takes in that a message went unanswered: its sizes are told again.
+//
+// Guard: told once, in a message that was lost, a size stayed unknown to the owner until a
+// fresh token, and machines that ran tasks of its job were not drawn.
+func (l *link) unsure(sizes []*peerspb.JobSize) {
+	for _, s := range sizes {
+		l.sizes[s.Job], l.sized = false, 0
+	}
+}
+
 // errNoRight tells that the right to act ended before a message went out.
 var errNoRight = errors.New("controller: no right to act any more")
 
--- /dev/null
+++ b/internal/controller/sizes_test.go
@@ -0,0 +1,103 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/leadership"
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/peers/peerspb"
+	"github.com/marlwood/marlwood/internal/placement"
+	"github.com/marlwood/marlwood/internal/store"
+)
+
+// Jobs come and go, and every third message is lost, with or before its effect. An owner knows the
+// size of a job that runs, and neither it nor the leader keeps those of jobs that are over.
+func TestSizesOfJobsThatAreOver(t *testing.T) {
+	tm, l, _ := leading(t)
+	now := time.Now()
+	owner, most := map[string]bool{}, 0 // an owner's sizes, as workers.Desk keeps them
+	tell := func(lost bool, orders ...*peerspb.Order) {
+		sizes := tm.sizesFor(l, orders)
+		for _, s := range sizes {
+			if s.Size != nil {
+				owner[s.Job] = true
+			} else {
+				delete(owner, s.Job)
+			}
+		}
+		if lost {
+			l.unsure(sizes)
+		}
+		most = max(most, len(owner), len(l.sizes))
+	}
+	const jobs = 3000
+	for i := range jobs {
+		id := fmt.Sprintf("req-%06d", i)
+		v, err := json.Marshal(placement.Record{Job: &model.Job{ID: id, Team: "t", Shape: model.Array, Priority: model.Normal, Tasks: 1,
+			Size: model.Size{CPUs: 2, MemoryGB: 2}, Image: "i"}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		tm.core.Change(now, []store.Event{{Set: placement.JobPrefix + id, Value: v, Stamp: uint64(20 + 2*i)}})
+		tell(i%3 == 0, &peerspb.Order{Job: id})
+		if !owner[id] || !owner["j"] {
+			t.Fatalf("after %d jobs the owner knows %v", i, owner)
+		}
+		tm.core.Change(now, []store.Event{{Delete: placement.JobPrefix + id, Stamp: uint64(21 + 2*i)}})
+		tell(i%3 == 1)
+	}
+	tell(false)
+	if most > 3 || len(owner) != 1 || len(l.sizes) != 1 || !owner["j"] {
+		t.Errorf("after %d jobs the owner holds %d sizes, the leader %d, at most %d", jobs, len(owner), len(l.sizes), most)
+	}
+}
+
+// lostPeer shows what it was asked and brings no answer, or says that the message was taken in.
+type lostPeer struct {
+	lost bool
+	got  chan *peerspb.RoundRequest
+}
+
+func (p lostPeer) Round(_ context.Context, r *peerspb.RoundRequest) (*peerspb.RoundResponse, error) {
+	p.got <- r
+	if p.lost {
+		return nil, errors.New("lost")
+	}
+	return says("first", r.Token, 1000), nil
+}
+func (lostPeer) Close() error { return nil }
+
+// What was told in a message that went unanswered is told again until one is answered, and then no more.
+func TestSizesAreToldAgain(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		lost []bool // of each message
+		want []int  // sizes in each
+	}{
+		{"answered", []bool{false, false}, []int{1, 0}},
+		{"unanswered", []bool{true, false, false}, []int{1, 1, 0}},
+		{"unanswered twice", []bool{true, true, false, false}, []int{1, 1, 1, 0}},
+	} {
+		tm, l, _ := leading(t)
+		now := time.Now()
+		tm.n.lead.KeyRead(now, now, true, leadership.Value{Member: "n0", Boot: tm.n.boot, Claim: 1}, 7)
+		tm.n.noteRight()
+		var got []int
+		for _, lost := range c.lost {
+			p := lostPeer{lost, make(chan *peerspb.RoundRequest, 1)}
+			l.peer = p
+			tm.send(l, time.Now(), nil)
+			(<-tm.n.world.(*live).events)()
+			got = append(got, len((<-p.got).Sizes))
+		}
+		if !slices.Equal(got, c.want) {
+			t.Errorf("%s: told %v sizes, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/explore/small_test.go
+++ b/internal/explore/small_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/marlwood/marlwood/internal/core"
 	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/peers/peerspb"
 	"github.com/marlwood/marlwood/internal/record/recordpb"
 	"github.com/marlwood/marlwood/internal/store"
 )
@@ -180,15 +181,29 @@
 	}
 }
 
-// After so many small jobs the leader holds no more than after a few, and a quiet minute of all
-// three controllers allocates no more.
+// After so many small jobs the leader holds no more than after a few, a quiet minute of all
+// three controllers allocates no more, and owners have been told to forget every job's size.
 func TestSmallJobsLeaveNothing(t *testing.T) {
-	left := func(length time.Duration) (jobs, bytes int, allocated float64) {
+	left := func(length time.Duration) (jobs, bytes int, allocated float64, known int) {
 		tap := &sizes{}
 		var from, to runtime.MemStats
 		quiet := 0
 		p := small(1, 1, length)
-		out := played(t, p, 80*sec, func() core.Tap { return tap }, func(*world) {}, func(w *world) {
+		knows, told := map[int]map[string]bool{}, 0 // sizes by owner
+		out := played(t, p, 80*sec, func() core.Tap { return tap }, func(w *world) {
+			w.rounds = func(to int, r *peerspb.RoundRequest) {
+				for _, s := range r.Sizes {
+					if knows[to] == nil {
+						knows[to] = map[string]bool{}
+					}
+					if s.Size != nil {
+						knows[to][s.Job], told = true, told+1
+					} else {
+						delete(knows[to], s.Job)
+					}
+				}
+			}
+		}, func(w *world) {
 			if !w.served() {
 				return
 			}
@@ -200,15 +215,19 @@
 				tap.ask = true
 			}
 		})
-		if out != "" || tap.bytes == 0 {
-			t.Fatalf("%s, state of %d bytes", out, tap.bytes)
+		if out != "" || tap.bytes == 0 || told < len(p.Jobs)/4 {
+			t.Fatalf("%s, state of %d bytes, %d sizes told", out, tap.bytes, told)
+		}
+		for _, jobs := range knows {
+			known += len(jobs)
 		}
-		return len(p.Jobs), tap.bytes, float64(to.Mallocs - from.Mallocs)
+		return len(p.Jobs), tap.bytes, float64(to.Mallocs - from.Mallocs), known
 	}
-	few, fewBytes, fewAllocs := left(30 * sec)
-	many, manyBytes, manyAllocs := left(5 * time.Minute)
-	t.Logf("after %d and %d jobs: states of %d and %d bytes, %.0f and %.0f allocations in a quiet minute", few, many, fewBytes, manyBytes, fewAllocs, manyAllocs)
-	if manyBytes > fewBytes+2000 || manyAllocs > 1.2*fewAllocs {
+	few, fewBytes, fewAllocs, fewKnown := left(30 * sec)
+	many, manyBytes, manyAllocs, manyKnown := left(5 * time.Minute)
+	t.Logf("after %d and %d jobs: states of %d and %d bytes, %.0f and %.0f allocations in a quiet minute, %d and %d sizes known",
+		few, many, fewBytes, manyBytes, fewAllocs, manyAllocs, fewKnown, manyKnown)
+	if manyBytes > fewBytes+2000 || manyAllocs > 1.2*fewAllocs || fewKnown > 0 || manyKnown > 0 {
 		t.Error("jobs that are over leave something behind")
 	}
 }
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -63,9 +63,10 @@
 	refused               int           // transactions above that
 	copies                time.Duration // until then reports are delivered once more, later
 	further               further
-	missed                int           // faults that hit nothing
-	met                   [MetKinds]int // what came about, of each kind
-	old                   time.Duration // until then the first controller reads an earlier form of records
+	missed                int                                   // faults that hit nothing
+	met                   [MetKinds]int                         // what came about, of each kind
+	old                   time.Duration                         // until then the first controller reads an earlier form of records
+	rounds                func(to int, r *peerspb.RoundRequest) // if not nil, is told of messages that leaders send to siblings
 }
 
 // node is a member, through all its processes.
@@ -216,6 +217,9 @@
 	if w.net.refused(l.from.place, l.to.place) || l.to.process.Dead() {
 		return nil, errNoAnswer
 	}
+	if w.rounds != nil {
+		w.rounds(l.to.member, r)
+	}
 	p := l.to.process // the connection is to this process
 	out, ok := ask(l.from.process, w.net, l.from.place, l.to.place, time.Second, func(reply func(*peerspb.RoundResponse)) {
 		p.Enter(func() {
--- a/internal/workers/rounds.go
+++ b/internal/workers/rounds.go
@@ -112,6 +112,10 @@
 		}
 	}
 	for _, s := range r.Sizes {
+		if s.Size == nil { // the job is over
+			delete(d.sizes, s.Job)
+			continue
+		}
 		d.sizes[s.Job] = sizeOf(s.Size)
 	}
 	if len(r.Sizes) > 0 {
