explorer: old reports come again while a new leader and its owners begin

Cause: kept reports came at the moment of the key and of the first start only, before owners could take them in. Change: they come up to two seconds after each; three rows more with reports that lack what began since.

--- a/internal/explore/further.go
+++ b/internal/explore/further.go
@@ -369,11 +369,15 @@
 	}
 }
 
+// soonAfter is when kept reports come after a leader has its key, and after it has acted: before
+// controllers have heard of it, and before and while machines report to their owners under its token.
+var soonAfter = []time.Duration{0, 100 * time.Millisecond, 300 * time.Millisecond, 700 * time.Millisecond, 1200 * time.Millisecond, 2 * time.Second}
+
 // deliverKept has every controller get each report that was kept; their answers reach nobody.
 func (w *world) deliverKept() {
-	for _, r := range w.further.kept {
+	for i, r := range w.further.kept {
 		for _, n := range w.nodes {
-			w.sim.After(w.sim.Between(0, 5*time.Millisecond), func() {
+			w.sim.After(soonAfter[i%len(soonAfter)]+w.sim.Between(0, 5*time.Millisecond), func() {
 				n.process.Enter(func() {
 					w.met[MetOldReport]++
 					n.node.Report(n.Now(), r, func(workers.Verdict) {})
--- a/internal/explore/further_test.go
+++ b/internal/explore/further_test.go
@@ -50,6 +50,13 @@
 		p.Jobs = append(p.Jobs, Submission{At: 7 * sec, Shape: model.Array, Tasks: 2, Takes: 400 * sec, Cancel: 90 * sec, Beside: true},
 			Submission{At: 7 * sec, Shape: model.Service, Tasks: 1, Team: 1, Takes: 400 * sec, Cancel: 91 * sec, Beside: true})
 	}
+	// later has jobs that begin on machines which have reported without them.
+	later := func(p *Plan) {
+		p.Jobs = []Submission{
+			{At: 2 * sec, Shape: model.Array, Tasks: 3, Takes: 300 * sec, Cancel: 110 * sec}, {At: 2 * sec, Shape: model.Array, Tasks: 3, Spot: true, Takes: 300 * sec, Cancel: 111 * sec},
+			{At: 28 * sec, Shape: model.Array, Tasks: 3, Takes: 50 * sec}, {At: 28500 * time.Millisecond, Shape: model.Array, Tasks: 3, Spot: true, Takes: 50 * sec},
+			{At: 29 * sec, Shape: model.Gang, Tasks: 2, Takes: 40 * sec}}
+	}
 	// bound has jobs that may be in one zone only.
 	bound := func(p *Plan) {
 		for i, shape := range []model.Shape{model.Array, model.Gang, model.Array, model.Service} {
@@ -83,6 +90,9 @@
 		{"machines at once, answers lost, the leader ends twice", []Fault{f("lost answers", 38, 40, 0), f("crash", 41.5, 4, 7), f("crash back", 47, 1, 7)}, short(40 * sec), []Met{MetLeader, MetLostAnswer}, []Met{MetNewMachine}},
 		{"old reports at every controller as a leader begins", []Fault{f("copies for the next", 20, 20, 0), f("crash", 41, 4, 7), f("copies for the next", 48, 20, 0), f("crash back", 58, 1, 7)}, nil, []Met{MetOldReport, MetLeader}, nil},
 		{"old reports of an earlier life, session and leader", []Fault{f("copies for the next", 10, 60, 0), f("machine back", 38, 0.5, 0), f("cut machine", 38, 30, 1), f("machine back", 39, 0.2, 2), f("store refuses node", 40, 14, 7), f("machine back", 55, 0.2, 0), f("crash", 66, 4, 7)}, nil, []Met{MetOldReport, MetLeader}, nil},
+		{"old reports that lack what began since, as a leader begins", []Fault{f("copies for the next", 6, 21, 0), f("crash", 41, 4, 7)}, later, []Met{MetOldReport, MetLeader}, nil},
+		{"old reports that lack what began since, the leader is refused", []Fault{f("copies for the next", 6, 21, 0), f("store refuses node", 41, 14, 7)}, later, []Met{MetOldReport, MetLeader}, nil},
+		{"old reports of machines that are cut off come to their next owner first", []Fault{f("copies for the next", 6, 21, 0), f("cut machine", 40, 14, 0), f("cut machine", 40, 14, 1), f("cut machine", 40, 14, 2), f("cut machine", 40, 14, 3), f("crash", 40.5, 40, 0), f("crash", 40.8, 4, 1), f("crash back", 41.5, 1, 2)}, later, []Met{MetOldReport, MetLeader}, nil},
 		{"machines reach no controller, and are called", []Fault{f("mute machine", 38, 70, 0), f("mute machine", 38, 16, 1), f("mute machine", 39, 40, 2)}, nil, []Met{MetMuteTask, MetCallToMute}, nil},
 		{"a zone reaches no controller, the leader ends", []Fault{f("mute zone", 38, 60, 0), f("mute zone", 39, 14, 1), f("crash", 41, 4, 7)}, nil, []Met{MetMuteTask, MetLeader}, nil},
 		{"all machines reach no controller for a while", []Fault{f("mute zone", 39, 40, 0), f("mute zone", 39, 40, 1), f("mute zone", 39, 40, 2), f("store refuses node", 44, 14, 7)}, nil, []Met{MetMuteTask, MetOutOfReach}, nil},
