placement: a record under way when marks begin to be split counts for its first part only

Cause: splitting counts nothing as stored, but a save of the earlier form that was under way then counted whole when it was answered. The next record holds the first split part alone: what it lost of the one before stood nowhere, and a leader lost then ran these tasks once more.

Change: of a save without split parts no more than the first part counts once marks are split.

--- a/internal/placement/saves.go
+++ b/internal/placement/saves.go
@@ -23,6 +23,14 @@
 	snap   *model.TaskSet    // whose marks are stored by this
 }
 
+// split tells that a save has split parts.
+func (s *Save) split() bool {
+	for name := range s.Parts {
+		return strings.HasPrefix(name, splitMark)
+	}
+	return false
+}
+
 // OnlyBegun tells that all a save has to say is that an array's first tasks run, which is for display:
 // nothing is lost with it.
 func (s *Save) OnlyBegun() bool {
@@ -203,7 +211,13 @@
 	if s.Record != nil {
 		j.Stamp = max(j.Stamp, stamp)
 	}
-	j.stored.Union(s.snap, 0, j.Spec.Tasks)
+	to := j.Spec.Tasks
+	if b.split && !s.split() {
+		// Guard: a record of the earlier form, under way when marks began to be split, holds
+		// more than the next one will. Counted as stored, what that one loses stood nowhere.
+		to = min(j.per, to)
+	}
+	j.stored.Union(s.snap, 0, to)
 	b.settleJob(s.ID)
 	b.claimStored(j, s.Claim)
 }
--- a/internal/placement/saves_test.go
+++ b/internal/placement/saves_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"slices"
 	"strings"
@@ -260,3 +261,62 @@
 		}
 	}
 }
+
+// What the state service takes falls below what is stored: parts shrink, and at no moment is a
+// mark that was stored in neither the old nor the new ones, whichever tasks end next, and however
+// few parts a transaction takes.
+func TestPartsShrink(t *testing.T) {
+	for _, parts := range []int{1, 2, 4} {
+		for _, value := range []int{60, 90, 400} { // from 64 and 320 tasks a part to the record's own shrinking
+			for _, next := range []int{0, 600, 1100, 1999} {
+				t.Run(fmt.Sprintf("%d parts of %d bytes, task %d", parts, value, next), func(t *testing.T) {
+					b := newBench(t)
+					b.opt.PartTasks, b.opt.SplitTasks = 40000, 1024
+					b.job("req-000412", func(j *model.Job) { j.Tasks = 2000 })
+					b.Split()
+					j := b.jobs.At("req-000412")
+					l := &limited{value: 1000, ops: 5, parts: map[string]string{}}
+					l.record, _ = json.Marshal(Record{Job: j.Spec})
+					draw := rand.New(rand.NewPCG(1, uint64(next)))
+					for j.Finished() < 500 {
+						if i := draw.IntN(2000); i != next {
+							b.finish(j, i)
+						}
+					}
+					if refused := l.save(t, b, 4, 0); refused > 0 || l.load(t, b.opt).Finished() != 500 {
+						t.Fatalf("%d saves refused, %d marks", refused, l.load(t, b.opt).Finished())
+					}
+					l.value, l.ops = value, parts
+					b.finish(j, next)
+					refused := l.save(t, b, 4, 500)
+					if got := l.load(t, b.opt).Finished(); refused == 0 || got != 501 {
+						t.Errorf("%d saves refused, %d marks at the end", refused, got)
+					}
+				})
+			}
+		}
+	}
+}
+
+// Marks begin to be split while a job's record is being written in the earlier form. What that
+// record holds beyond the first split part is stored again before the record shrinks.
+func TestSplitDuringASave(t *testing.T) {
+	b := newBench(t)
+	b.opt.PartTasks, b.opt.SplitTasks = 40000, 512
+	b.job("req-000412", func(j *model.Job) { j.Tasks = 5000 })
+	l := &limited{value: 4000, ops: 5, parts: map[string]string{}}
+	j := b.jobs.At("req-000412")
+	for i := 0; i < 5000; i += 3 {
+		b.finish(j, i)
+	}
+	s := b.Saves(at(0), time.Second, 4)[0]
+	b.Split()
+	if !l.take(t, s) || l.load(t, b.opt).Finished() != 1667 {
+		t.Fatal("the record isn't stored")
+	}
+	b.Saved(s, true, l.stamp)
+	b.finish(j, 1)
+	if refused := l.save(t, b, 4, 1667); refused > 0 || l.load(t, b.opt).Finished() != 1668 || len(l.parts) < 9 {
+		t.Errorf("%d saves refused, %d marks, %d parts", refused, l.load(t, b.opt).Finished(), len(l.parts))
+	}
+}
