placement: parts of marks that shrink drop none before it stands elsewhere

Cause: after a save was refused as too large, parts were halved and one was written again under the name of a larger one. Marks at that one's end counted as stored and stood nowhere; a leader lost then ran their tasks once more. A part that is refused in its smallest form was sent again for ever while others were due. Change: once parts are halved nothing counts as stored, and parts are written from the last to the first, the record after them. A refusal of the smallest form ends the saves until more tasks end; a job whose last task ended meanwhile is done. Parts that were not halved go from the first on, as before.

--- a/internal/placement/saves.go
+++ b/internal/placement/saves.go
@@ -149,11 +149,11 @@
 // over tells that all tasks of a job are done.
 func (j *Job) over() bool { return j.finished.Len() == j.Spec.Tasks }
 
-// fill puts into a save what is due of a job: parts of its marks, then its record
-// with those of the first part.
+// fill puts into a save what is due of a job: parts of its marks, once they were halved the last one
+// first, then its record with those of the first part.
 //
-// Guard: a record that was written larger shrinks here. It is written only after
-// all that it loses stands in parts; a leader lost in between left marks behind
+// Guard: a record or a part that was written larger shrinks here. It is written only after
+// all that it loses stands in the parts behind it; a leader lost in between left marks behind
 // in neither.
 func (b *Book) fill(s *Save, j *Job, maxParts int) {
 	per := b.opt.PartTasks
@@ -167,7 +167,12 @@
 	if j.bulky {
 		first = 0
 	}
-	for part := first; part*per < j.Spec.Tasks; part++ {
+	last, halved := (j.Spec.Tasks-1)/per, b.split && j.per < b.opt.SplitTasks
+	for i := first; i <= last; i++ {
+		part := i
+		if halved {
+			part = last - (i - first)
+		}
 		from, to := part*per, min((part+1)*per, j.Spec.Tasks)
 		if !j.finished.Differs(j.stored, from, to) {
 			continue
@@ -245,9 +250,18 @@
 		return
 	}
 	smaller := max(64, j.per/2/64*64)
-	if smaller == j.per && j.bulky {
+	if smaller == j.per && (j.bulky || s.Record == nil) {
+		// Guard: with several such parts due, one was sent again for ever. A job whose last
+		// task ended meanwhile is done without them.
+		j.dirty = s.Over == nil && j.finished.Len() == j.Spec.Tasks
 		b.opt.Log.Error("marks cannot be stored", "job", s.ID, "parts", len(s.Parts))
 		return
 	}
+	halved := smaller < j.per
 	j.per, j.bulky, j.dirty = smaller, j.bulky || s.Record != nil, true
+	if halved {
+		// Guard: a part is written again under the name of a larger one. What that one held
+		// at its end counted as stored, and stood nowhere.
+		b.splitMarks(j)
+	}
 }
--- a/internal/placement/saves_test.go
+++ b/internal/placement/saves_test.go
@@ -320,3 +320,98 @@
 		t.Errorf("%d saves refused, %d marks, %d parts", refused, l.load(t, b.opt).Finished(), len(l.parts))
 	}
 }
+
+// A leader that is lost while parts shrink is followed by one that begins with large ones again.
+func TestPartsShrinkUnderTwoLeaders(t *testing.T) {
+	halfway := 0
+	for n := range 24 { // saves of the first one
+		b := newBench(t)
+		b.opt.PartTasks, b.opt.SplitTasks = 40000, 1024
+		b.job("req-000412", func(j *model.Job) { j.Tasks = 2000 })
+		b.Split()
+		l := &limited{value: 1000, ops: 5, parts: map[string]string{}}
+		l.record, _ = json.Marshal(Record{Job: b.jobs.At("req-000412").Spec})
+		for draw := rand.New(rand.NewPCG(1, 2)); b.jobs.At("req-000412").Finished() < 500; {
+			b.finish(b.jobs.At("req-000412"), 1+draw.IntN(1999))
+		}
+		l.save(t, b, 4, 0)
+		l.value, l.ops = 30, 1
+		b.finish(b.jobs.At("req-000412"), 0)
+		for range n {
+			l.now += 2
+			for _, s := range b.Saves(at(l.now), time.Second, 4) {
+				if l.take(t, s) {
+					b.Saved(s, true, l.stamp)
+				} else {
+					b.TooLarge(s)
+				}
+			}
+		}
+		if len(l.parts) > 2 && b.jobs.At("req-000412").dirty {
+			halfway++
+		}
+		next := newBench(t)
+		next.opt.PartTasks, next.opt.SplitTasks = 40000, 1024
+		next.Split()
+		if err := next.PutJob(at(l.now), "req-000412", l.record, 30, l.parts); err != nil {
+			t.Fatal(err)
+		}
+		next.finish(next.jobs.At("req-000412"), 0)
+		refused := l.save(t, next, 4, 500)
+		if got := l.load(t, b.opt).Finished(); refused == 0 || got != 501 {
+			t.Errorf("after %d saves: %d refused, %d marks at the end", n, refused, got)
+		}
+	}
+	if halfway < 3 {
+		t.Errorf("%d leaders were lost halfway: it shows nothing", halfway)
+	}
+}
+
+// Marks that the state service takes in no form are not sent again before more tasks end, and the
+// job is done all the same, also if its last task ends while such a save is under way. A final
+// record that is refused is not sent again.
+func TestDoneWithoutMarks(t *testing.T) {
+	for _, tasks := range []int{60, 200, 1000} {
+		for _, maxParts := range []int{1, 4} {
+			b := newBench(t)
+			b.opt.PartTasks, b.opt.SplitTasks = 40000, 256
+			b.job("req-000412", func(j *model.Job) { j.Tasks = tasks })
+			b.Split()
+			j := b.jobs.At("req-000412")
+			for i := range tasks - 2 {
+				b.finish(j, i)
+			}
+			now := 0.0
+			next := func() []*Save {
+				now += 2
+				return b.Saves(at(now), time.Second, maxParts)
+			}
+			refuse := func(least int) {
+				t.Helper()
+				refused := 0
+				for saves := next(); len(saves) > 0; saves = next() {
+					if refused++; refused > 10 {
+						t.Fatalf("%d tasks, %d parts: saves never end", tasks, maxParts)
+					}
+					b.TooLarge(saves[0])
+				}
+				if refused < least {
+					t.Fatalf("%d tasks, %d parts: %d saves refused", tasks, maxParts, refused)
+				}
+			}
+			refuse(1)
+			b.finish(j, tasks-2)
+			saves := next()
+			if len(saves) != 1 || saves[0].Over != nil {
+				t.Fatalf("%d tasks, %d parts: due is %v", tasks, maxParts, saves)
+			}
+			b.finish(j, tasks-1)
+			b.TooLarge(saves[0])
+			if saves = next(); len(saves) != 1 || saves[0].Over == nil {
+				t.Fatalf("%d tasks, %d parts: due at the end is %v", tasks, maxParts, saves)
+			}
+			b.TooLarge(saves[0])
+			refuse(0)
+		}
+	}
+}
