explorer: hooks for scripted schedules, and the rule on spread jobs

Cause: guards that no row needed take a direct call that is held beside all other connections, or a moment that the play itself shows; that a spread job keeps half of its tasks out of one zone was not checked at all. Change: Plan.calls, Plan.script and Plan.idle beside Plan.fates, drawn by no generator; Submission.Spread, and wrong_place when a zone has more than the job's half, with two rows of TestRules. Result: drawn schedules are as they were.

--- a/internal/explore/explore_test.go
+++ b/internal/explore/explore_test.go
@@ -158,6 +158,8 @@
 		{"on two machines", "ran_twice", func(c at) { on(c, 0, c.x, 0); on(c, 1, c.x, 0) }},
 		{"above the limit", "quota", func(c at) { on(c, 0, c.x, 0); on(c, 1, c.x, 1); on(c, 1, c.x, 2) }},
 		{"in two zones", "wrong_place", func(c at) { on(c, 0, c.x, 0); on(c, 2, c.x, 1) }},
+		{"a spread job in one zone", "wrong_place", func(c at) { c.x.spec.Spread = true; on(c, 0, c.x, 0); on(c, 1, c.x, 1); on(c, 0, c.x, 2) }},
+		{"half of it", "", func(c at) { c.x.spec.Spread = true; on(c, 0, c.x, 0); on(c, 1, c.x, 1) }},
 		{"on a spot machine", "wrong_place", func(c at) { c.m[0].spot = true; on(c, 0, c.x, 0) }},
 		{"before what it needs", "too_early", func(c at) { on(c, 0, c.y, 0) }},
 		{"long after it was cancelled", "ran_cancelled", func(c at) {
--- a/internal/explore/plan.go
+++ b/internal/explore/plan.go
@@ -32,7 +32,12 @@
 	Values    int  // bytes that the state service takes as a value; 0: 8192
 	Ops       int  // changes that it takes in a transaction; 0: 16
 
-	fates func(c storeClient, t store.Txn) fate // of transactions in scripted schedules; nil: all are answered
+	// Of scripted schedules: what becomes of transactions, how long a direct call is held beside all other
+	// connections, and what is brought about at moments that the play itself shows; nil: nothing is.
+	fates  func(c storeClient, t store.Txn) fate
+	calls  func(w *world, o model.DirectOrders) time.Duration
+	script func(w *world)
+	idle   time.Duration // after which a machine is returned; 0: 4 s
 }
 
 // Submission is a user's job.
@@ -43,6 +48,7 @@
 	Team     int
 	OneZone  bool
 	Zone     string // the only one allowed, or ""
+	Spread   bool   // at most half of the tasks, rounded up, may be in one zone
 	Spot     bool
 	Takes    time.Duration
 	Cancel   time.Duration  // after its submission; 0: never
@@ -307,6 +313,9 @@
 			}
 		}
 	})
+	if p.script != nil {
+		p.script(w)
+	}
 	w.sim.At(p.ended()+answerWithin, func() { w.known(p.ended()) })
 	w.watchRoom(p.ended())
 	defer w.end()
--- a/internal/explore/users.go
+++ b/internal/explore/users.go
@@ -55,7 +55,7 @@
 func (w *world) submit(i int, s Submission) {
 	id := fmt.Sprintf("req-%d", i)
 	spec := &model.Job{ID: id, Class: "class", Team: teamNames[s.Team], Shape: s.Shape, Priority: cmp.Or(s.Priority, model.Normal), Tasks: s.Tasks,
-		Size: model.Size{CPUs: 2, MemoryGB: 4}, Image: "img", ImageGB: 1, OneZone: s.OneZone, Zone: s.Zone, Spot: s.Spot, Estimate: s.Takes,
+		Size: model.Size{CPUs: 2, MemoryGB: 4}, Image: "img", ImageGB: 1, OneZone: s.OneZone, Zone: s.Zone, Spread: s.Spread, Spot: s.Spot, Estimate: s.Takes,
 		CheckpointEvery: s.Every, SaveTime: s.Cost}
 	j := &job{id: id, spec: spec, takes: s.Takes, finished: make([]bool, s.Tasks), on: map[int]*worker{}, cancelled: -1}
 	for _, n := range s.Needs {
@@ -265,11 +265,18 @@
 	if j.spec.Zone != "" && j.spec.Zone != m.kind.Zone {
 		s.breaks("wrong_place", "%s starts in zone %s", name, m.kind.Zone)
 	}
-	for _, o := range j.on {
+	inZone := 1
+	for i, o := range j.on {
+		if i != t.index && o.kind.Zone == m.kind.Zone {
+			inZone++
+		}
 		if j.spec.OneZone && o.kind.Zone != m.kind.Zone {
 			s.breaks("wrong_place", "%s starts in zone %s, another task of its job is in %s", name, m.kind.Zone, o.kind.Zone)
 		}
 	}
+	if inZone > j.spec.ZoneCap() {
+		s.breaks("wrong_place", "%s starts in zone %s, where %d tasks of its job are", name, m.kind.Zone, inZone-1)
+	}
 	j.on[t.index] = m
 	var used model.Size
 	for _, o := range w.all {
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -105,6 +105,11 @@
 		kept.Accounts.Keep, kept.Accounts.Flush = "yes", 2*time.Second
 		w.op = &kept
 	}
+	if p.idle > 0 {
+		kept := *w.op
+		kept.Fleet.Idle = p.idle
+		w.op = &kept
+	}
 	w.store.Lost = func(key string) { s.tell("the key %s goes with its hold", key) }
 	w.cloud = &cloud{world: w, place: &place{name: "cloud", role: cloudRole}, charters: map[string][]string{}}
 	w.users = s.NewProcess("users")
@@ -239,6 +244,17 @@
 
 func (l link) Close() error { return nil }
 
+// held carries out what a direct call brings, later if the schedule holds it.
+func (w *world) held(o model.DirectOrders, do func()) {
+	if w.plan.calls != nil {
+		if d := w.plan.calls(w, o); d > 0 {
+			w.sim.After(d, do)
+			return
+		}
+	}
+	do()
+}
+
 // directCall is how long a controller waits for a worker's answer.
 const directCall = 1500 * time.Millisecond
 
@@ -257,12 +273,14 @@
 			r      *model.Report
 		}
 		a, ok := ask(n.process, w.net, n.place, m.place, directCall, func(reply func(answer)) {
-			m.enter(func() {
-				if m.life != life {
-					return
-				}
-				status, r := m.orders(o)
-				reply(answer{status, r})
+			w.held(o, func() {
+				m.enter(func() {
+					if m.life != life {
+						return
+					}
+					status, r := m.orders(o)
+					reply(answer{status, r})
+				})
 			})
 		})
 		if !ok {
