explorer: rows for guards that neither drawn schedules nor rows needed

Change: TestGuards, ten rows of whole controllers, both deployments, four seeds each; cmd mutants plays it.

--- a/internal/explore/cmd/mutants.go
+++ b/internal/explore/cmd/mutants.go
@@ -162,7 +162,7 @@
 // scripted plays the scripted meetings with the mistake that was built last, and tells how many of
 // their rows find it, and the first that does.
 func scripted(dir string) (string, error) {
-	out, err := exec.Command("go", "test", "-overlay", filepath.Join(dir, "overlay.json"), "-count=1", "-run", "^(TestGap|TestMeetings|TestFurtherMeetings|TestSaving|TestWrites|TestShrunk)$", "./internal/explore").CombinedOutput()
+	out, err := exec.Command("go", "test", "-overlay", filepath.Join(dir, "overlay.json"), "-count=1", "-run", "^(TestGap|TestMeetings|TestFurtherMeetings|TestSaving|TestWrites|TestShrunk|TestGuards)$", "./internal/explore").CombinedOutput()
 	var failed *exec.ExitError
 	if err != nil && !errors.As(err, &failed) {
 		return "", err
--- /dev/null
+++ b/internal/explore/guards_test.go
@@ -0,0 +1,356 @@
+package explore
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/hosts"
+	"github.com/marlwood/marlwood/internal/leadership"
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/store"
+	"github.com/marlwood/marlwood/internal/workers"
+)
+
+// came counts what a script brought about, by name.
+type came map[string]int
+
+// whenever looks every ten milliseconds, and does something at the first look that shows it.
+func (w *world) whenever(shows func() bool, do func()) {
+	w.sim.After(10*time.Millisecond, func() {
+		if shows() {
+			do()
+			return
+		}
+		w.whenever(shows, do)
+	})
+}
+
+// cutOff loses all packets between a place and others until the time given.
+func (w *world) cutOff(x *place, with func(*place) bool, until time.Duration) *cut {
+	c := &cut{until: until, blocks: func(from, to *place) bool { return from == x && with(to) || to == x && with(from) }}
+	w.net.cut(c)
+	return c
+}
+
+func anywhere(*place) bool { return true }
+
+// on is where a task of the i-th job is; nil: it is on no machine.
+func (w *world) on(i, task int) *worker {
+	if i >= len(w.all) {
+		return nil
+	}
+	return w.all[i].on[task]
+}
+
+// here counts the tasks that are on a machine.
+func (m *worker) here() (n int) {
+	for _, t := range m.tasks {
+		if t.on {
+			n++
+		}
+	}
+	return n
+}
+
+// everywhere has every controller get a report that was held; its answers reach nobody.
+func (w *world) everywhere(r *model.Report) {
+	for _, n := range w.nodes {
+		n.process.Enter(func() { n.node.Report(n.Now(), r, func(workers.Verdict) {}) })
+	}
+}
+
+// bereave ends the leader and, for less than a lease, cuts a machine off that has tasks: a next
+// leader that has no record of it places them anew. There is room for that.
+func (w *world) bereave(x *worker) {
+	w.plan.Machines += 2
+	w.controller(len(w.nodes)).crash(time.Second)
+	w.cutOff(x.place, anywhere, w.sim.Now()+w.plan.Lease-3*sec)
+}
+
+// names tells whether a transaction writes a record that names a machine.
+func names(t store.Txn, x *worker) bool {
+	return slices.ContainsFunc(t.Writes, func(c store.Write) bool {
+		return c.Set == hosts.SinglePrefix+x.name || strings.HasPrefix(c.Set, hosts.GroupPrefix) && strings.Contains(string(c.Value), `"`+x.name+`"`)
+	})
+}
+
+// ofHosts tells whether a transaction changes records of machines.
+func ofHosts(t store.Txn) bool {
+	return slices.ContainsFunc(t.Writes, func(c store.Write) bool {
+		return strings.HasPrefix(c.Set+c.Delete, hosts.SinglePrefix) || strings.HasPrefix(c.Set+c.Delete, hosts.GroupPrefix)
+	})
+}
+
+// array is a job of one zone.
+func array(at time.Duration, tasks int, zone string, takes time.Duration) Submission {
+	return Submission{At: at, Shape: model.Array, Tasks: tasks, Zone: zone, Takes: takes}
+}
+
+// Guards that neither drawn schedules nor other rows showed to be needed: each row is the schedule
+// that needs one. Without it a rule breaks.
+func TestGuards(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		lease time.Duration // 0: both deployments'
+		want  []string      // what must have come about in each play
+		plan  func(p *Plan, met came)
+	}{
+		{"a late report of a worker's earlier life, which had the higher session", 0, []string{"back with tasks", "delivered"}, func(p *Plan, met came) {
+			p.Jobs = []Submission{array(2*sec, 3, "a", 150*sec)}
+			p.script = func(w *world) {
+				var x *worker
+				w.sim.At(20*sec, func() {
+					for i := range 3 {
+						if m := w.on(0, i); m != nil && m.here() == 2 {
+							x = m
+						}
+					}
+					away := w.cutOff(x.place, anywhere, time.Hour)
+					w.whenever(func() bool { return x.session == 2 }, func() {
+						r := x.message() // on its way when the worker ends
+						x.back(100 * time.Millisecond)
+						away.until = w.sim.Now()
+						w.whenever(func() bool { return x.life == 1 && x.here() > 0 }, func() {
+							met["back with tasks"]++
+							w.sim.After(300*time.Millisecond, func() { met["delivered"]++; w.everywhere(r) })
+						})
+					})
+				})
+			}
+		}},
+		{"a deposed leader that knows nothing of it owns one of two machines", 6 * sec, []string{"won over", "still its own"}, func(p *Plan, met came) {
+			for _, z := range zones {
+				p.Jobs = append(p.Jobs, array(2*sec, 3, z, 90*sec))
+			}
+			p.script = func(w *world) {
+				w.sim.At(20*sec, func() {
+					l := w.controller(len(w.nodes))
+					var x, y *worker
+					for i := range 3 {
+						if m := w.on(l.member, i); m.here() == 2 {
+							x = m
+						} else {
+							y = m
+						}
+					}
+					until := w.sim.Now() + 26*sec
+					old := y.token
+					w.cutOff(l.place, func(p *place) bool { return p.role == controllerRole || p.role == storeRole }, until)
+					w.cutOff(y.place, func(p *place) bool { return p.role == controllerRole && p != l.place }, until)
+					w.whenever(func() bool { return x.token > old }, func() {
+						met["won over"]++
+						w.sim.After(w.plan.Lease+2500*time.Millisecond, func() {
+							if y.token == old && x.here() == 2 && w.sim.Now() < y.leaseEnds() {
+								met["still its own"]++
+							}
+						})
+					})
+				})
+			}
+		}},
+		{"a call that carries a start is held until long after its job was cancelled", 0, []string{"ran", "held", "late"}, func(p *Plan, met came) {
+			p.Jobs = []Submission{array(2*sec, 1, "a", 150*sec), array(15*sec, 1, "a", 200*sec)}
+			p.Jobs[1].Cancel = 14 * sec
+			p.calls = func(w *world, o model.DirectOrders) time.Duration {
+				for _, c := range o.Commands {
+					if c.Op == "start" && c.Task == "req-1/0" && met["held"] == 0 {
+						met["held"]++
+						w.sim.After(p.Cancel+25*sec, func() {
+							if x := w.on(0, 0); x != nil && x.session == o.Session && x.token == o.Token {
+								met["late"]++
+							}
+						})
+						return p.Cancel + 25*sec
+					}
+				}
+				return 0
+			}
+			p.script = func(w *world) {
+				w.whenever(func() bool { return w.on(1, 0) != nil }, func() { met["ran"]++ })
+			}
+		}},
+		{"a change of a record of two machines is carried out late, after a third is named; then the leader ends", 0, []string{"late"}, func(p *Plan, met came) {
+			p.Machines = 3
+			p.Jobs = []Submission{array(2*sec, 2, "a", 100*sec), array(14*sec, 2, "a", 100*sec), array(24*sec, 2, "a", 100*sec)}
+			var late func()
+			p.fates = func(c storeClient, t store.Txn) fate {
+				w := c.n.world
+				if late != nil || w.sim.Now() < 14*sec || !ofHosts(t) {
+					return answered
+				}
+				late = func() { c.late(t) }
+				return held
+			}
+			p.script = func(w *world) {
+				w.whenever(func() bool { return w.on(2, 0) != nil && w.on(2, 1) != nil }, func() {
+					met["late"]++
+					late()
+					w.bereave(w.on(2, 0))
+				})
+			}
+		}},
+		{"the removal of a machine's record is carried out late, once it is back and used; then the leader ends", 0, []string{"held", "late"}, func(p *Plan, met came) {
+			p.Machines, p.idle = 4, time.Minute
+			p.Jobs = []Submission{array(2*sec, 10, "a", 60*sec)}
+			var x *worker
+			var away *cut
+			var late func()
+			p.fates = func(c storeClient, t store.Txn) fate {
+				w := c.n.world
+				if x == nil || met["late"] > 0 || !ofHosts(t) || names(t, x) {
+					return answered
+				}
+				late = func() { c.late(t) }
+				if met["held"]++; met["held"] == 1 {
+					away.until = w.sim.Now() // it is back meanwhile
+					w.whenever(func() bool { return x.here() > 0 }, func() {
+						met["late"]++
+						late()
+						w.bereave(x)
+					})
+				}
+				return held
+			}
+			p.script = func(w *world) {
+				w.sim.At(20*sec, func() {
+					x = w.on(0, 0)
+					away = w.cutOff(x.place, anywhere, time.Hour)
+				})
+			}
+		}},
+		{"a machine's record is written once it has expired, and removed once it is back; then the leader ends", 0, []string{"written", "held", "late"}, func(p *Plan, met came) {
+			p.Machines, p.idle = 4, time.Minute
+			p.Jobs = []Submission{array(2*sec, 10, "a", 60*sec)}
+			var x *worker
+			var late func()
+			since := time.Duration(0)
+			p.fates = func(c storeClient, t store.Txn) fate {
+				w := c.n.world
+				switch {
+				case !ofHosts(t) || met["late"] > 0:
+				case x == nil: // as soon as it is current
+					for _, m := range w.cloud.machines {
+						if names(t, m) {
+							x, since = m, w.sim.Now()
+						}
+					}
+					x.mute = time.Hour
+					return held
+				case names(t, x) && w.sim.Now() < since+w.plan.Lease+4*sec:
+					return held
+				case names(t, x): // it has expired
+					met["written"]++
+				case met["written"] > 0: // its removal
+					late = func() { c.late(t) }
+					if met["held"]++; met["held"] == 1 {
+						x.mute = 0 // it is back meanwhile
+						w.whenever(func() bool { return x.here() > 0 }, func() {
+							met["late"]++
+							late()
+							w.bereave(x)
+						})
+					}
+					return held
+				}
+				return answered
+			}
+		}},
+		{"a machine hears nothing any more, the leader ends", 0, []string{"deaf with tasks"}, func(p *Plan, met came) {
+			p.Jobs = []Submission{array(2*sec, 3, "a", 30*sec), array(25*sec, 1, "b", 5*sec)}
+			p.Faults = []Fault{{Kind: "deaf for good", At: 20 * sec}, {Kind: "crash", At: 20100 * time.Millisecond, For: 4 * sec, A: 7}}
+			p.script = func(w *world) {
+				w.sim.At(20*sec, func() { met["deaf with tasks"] += w.machine(0).here() })
+			}
+		}},
+		{"the only machine with room hears nothing any more", 0, []string{"deaf with tasks"}, func(p *Plan, met came) {
+			p.Machines = 4
+			p.Jobs = []Submission{{At: 2 * sec, Shape: model.Service, Tasks: 6, Zone: "b"}, array(12*sec, 2, "b", 30*sec)}
+			p.script = func(w *world) {
+				w.sim.At(20*sec, func() {
+					x := w.on(1, 0)
+					met["deaf with tasks"] += x.here()
+					w.net.cut(&cut{until: time.Hour, blocks: func(from, to *place) bool { return from.role == controllerRole && to == x.place }})
+				})
+			}
+		}},
+		{"a claim is carried out late, after its sender has begun another one", 0, []string{"late"}, func(p *Plan, met came) {
+			p.Jobs = []Submission{array(2*sec, 3, "a", 60*sec)}
+			p.Faults = []Fault{{Kind: "crash", At: 20 * sec, For: 60 * sec, A: 7}}
+			var first storeClient
+			var late func()
+			p.fates = func(c storeClient, t store.Txn) fate {
+				w := c.n.world
+				if w.sim.Now() < 20*sec || met["late"] > 0 || sets(t, leadership.Key) == nil || ours(c) {
+					return answered
+				}
+				switch {
+				case late == nil:
+					first, late = c, func() { c.late(t) }
+				case c.n == first.n:
+					w.sim.After(0, func() {
+						met["late"]++
+						late()
+						w.store.Lost = func(string) {
+							if !first.n.process.Dead() {
+								w.sim.breaks("key_lost", "the leader key goes, though %s is well", first.n.place.name)
+							}
+						}
+					})
+				}
+				return held
+			}
+		}},
+		{"half of a spread job's tasks are out of reach when others of it must move", 0, []string{"room beside it"}, func(p *Plan, met came) {
+			p.Jobs = []Submission{{At: 2 * sec, Shape: model.Array, Tasks: 2, Takes: 100 * sec, Spread: true}}
+			p.script = func(w *world) {
+				var x, y *worker
+				w.sim.At(10*sec, func() {
+					x, y = w.on(0, 0), w.on(0, 1)
+					more := array(10*sec, 2, x.kind.Zone, 100*sec)
+					w.plan.Jobs = append(w.plan.Jobs, more)
+					w.submit(1, more)
+				})
+				w.sim.At(25*sec, func() {
+					w.plan.Machines = 0 // no more are rented
+					y.end("stopped")
+				})
+				w.sim.At(34500*time.Millisecond, func() { w.cutOff(x.place, anywhere, w.sim.Now()+w.plan.Lease-5*sec) })
+				w.sim.At(25*sec+w.plan.Lease+4*sec, func() {
+					for _, m := range w.cloud.machines {
+						if m != x && !m.gone && m.kind == x.kind && m.here() == 1 && w.on(0, 0) == x && w.outOfReach(x) {
+							met["room beside it"]++
+						}
+					}
+					w.plan.Machines = 2
+				})
+			}
+		}},
+	} {
+		var group sync.WaitGroup
+		for _, x := range deployments {
+			for seed := range uint64(4) {
+				group.Go(func() {
+					met := came{}
+					p := Plan{Seed: seed + 1, Machines: 2, Report: x.report, Lease: x.lease, Cancel: x.cancel}
+					if c.lease > 0 {
+						p.Report, p.Lease, p.Cancel = sec, c.lease, 30*sec
+					}
+					c.plan(&p, met)
+					out := Run(p, nil, 0)
+					if out.Broken != "" {
+						t.Errorf("%s, %s, seed %d: %s", c.name, x.name, seed+1, out.Broken)
+					}
+					for _, what := range c.want {
+						if met[what] == 0 {
+							t.Errorf("%s, %s, seed %d: %q did not come about: it shows nothing", c.name, x.name, seed+1, what)
+						}
+					}
+				})
+			}
+		}
+		group.Wait()
+	}
+}
