explorer: a row for an owner that ends with a call under way

Cause: that a restarted owner's word counts for nothing needs a call under way when it ends, another order before the fresh token, and no fresh token meanwhile. Change: such a row; the hook for calls is told of the machine; each deployment has seeds of its own.

--- a/internal/explore/guards_test.go
+++ b/internal/explore/guards_test.go
@@ -84,6 +84,25 @@
 	})
 }
 
+// starts tells whether a direct call starts a task.
+func starts(o model.DirectOrders, task string) bool {
+	return slices.ContainsFunc(o.Commands, func(c model.Command) bool { return c.Op == "start" && c.Task == task })
+}
+
+// takes is 1 if a machine would carry out now what a direct call brings.
+func (m *worker) takes(o model.DirectOrders) int {
+	if m.session == o.Session && m.token == o.Token {
+		return 1
+	}
+	return 0
+}
+
+// more has a user submit another job now.
+func (w *world) more(s Submission) {
+	w.plan.Jobs = append(w.plan.Jobs, s)
+	w.submit(len(w.plan.Jobs)-1, s)
+}
+
 // array is a job of one zone.
 func array(at time.Duration, tasks int, zone string, takes time.Duration) Submission {
 	return Submission{At: at, Shape: model.Array, Tasks: tasks, Zone: zone, Takes: takes}
@@ -154,24 +173,63 @@
 		{"a call that carries a start is held until long after its job was cancelled", 0, []string{"ran", "held", "late"}, func(p *Plan, met came) {
 			p.Jobs = []Submission{array(2*sec, 1, "a", 150*sec), array(15*sec, 1, "a", 200*sec)}
 			p.Jobs[1].Cancel = 14 * sec
-			p.calls = func(w *world, o model.DirectOrders) time.Duration {
-				for _, c := range o.Commands {
-					if c.Op == "start" && c.Task == "req-1/0" && met["held"] == 0 {
-						met["held"]++
-						w.sim.After(p.Cancel+25*sec, func() {
-							if x := w.on(0, 0); x != nil && x.session == o.Session && x.token == o.Token {
-								met["late"]++
-							}
-						})
-						return p.Cancel + 25*sec
-					}
+			p.calls = func(m *worker, o model.DirectOrders) time.Duration {
+				if met["held"] > 0 || !starts(o, "req-1/0") {
+					return 0
 				}
-				return 0
+				met["held"]++
+				m.world.sim.After(p.Cancel+25*sec, func() { met["late"] += m.takes(o) })
+				return p.Cancel + 25*sec
 			}
 			p.script = func(w *world) {
 				w.whenever(func() bool { return w.on(1, 0) != nil }, func() { met["ran"]++ })
 			}
 		}},
+		{"an owner ends with a call under way and is back at once, the leader gets no fresh token", 6 * sec, []string{"held", "stop", "no token", "late"}, func(p *Plan, met came) {
+			p.idle = time.Minute
+			p.fates = func(_ storeClient, t store.Txn) fate {
+				if met["held"] == 0 || met["late"] > 0 || sets(t, leadership.Key) == nil {
+					return answered
+				}
+				met["no token"]++
+				return held
+			}
+			p.script = func(w *world) {
+				var l, owner *node
+				tight := func(tasks int, zone string, takes time.Duration) {
+					w.more(Submission{Shape: model.Array, Tasks: tasks, Team: 1, Zone: zone, Takes: takes})
+				}
+				w.sim.At(3*sec, func() {
+					l = w.controller(len(w.nodes))
+					owner = w.nodes[(l.member+1)%3]
+					w.more(array(0, 2, owner.place.zone, 50*sec))
+				})
+				w.whenever(func() bool { return w.on(0, 0) != nil && w.on(0, 1) != nil }, func() {
+					w.more(array(0, 1, owner.place.zone, 50*sec))
+					tight(1, l.place.zone, 9*sec)
+					w.whenever(func() bool { return w.on(1, 0) != nil && w.on(2, 0) != nil }, func() {
+						tight(1, owner.place.zone, sec)
+						tight(2, l.place.zone, 20*sec)
+					})
+				})
+				w.plan.calls = func(m *worker, o model.DirectOrders) time.Duration {
+					if met["held"] > 0 || !starts(o, "req-3/0") {
+						return 0
+					}
+					met["held"]++
+					const late = 12 * sec
+					w.sim.After(700*time.Millisecond, func() { owner.crash(100 * time.Millisecond) })
+					w.sim.After(1100*time.Millisecond, func() {
+						if w.on(1, 0) != nil {
+							met["stop"]++ // an order to the owner that is back
+						}
+						w.users.Spawn(func() { w.callOff(w.all[1], false) })
+					})
+					w.sim.After(late, func() { met["late"] += m.takes(o) })
+					return late
+				}
+			}
+		}},
 		{"a change of a record of two machines is carried out late, after a third is named; then the leader ends", 0, []string{"late"}, func(p *Plan, met came) {
 			p.Machines = 3
 			p.Jobs = []Submission{array(2*sec, 2, "a", 100*sec), array(14*sec, 2, "a", 100*sec), array(24*sec, 2, "a", 100*sec)}
@@ -309,9 +367,7 @@
 				var x, y *worker
 				w.sim.At(10*sec, func() {
 					x, y = w.on(0, 0), w.on(0, 1)
-					more := array(10*sec, 2, x.kind.Zone, 100*sec)
-					w.plan.Jobs = append(w.plan.Jobs, more)
-					w.submit(1, more)
+					w.more(array(0, 2, x.kind.Zone, 100*sec))
 				})
 				w.sim.At(25*sec, func() {
 					w.plan.Machines = 0 // no more are rented
@@ -330,8 +386,8 @@
 		}},
 	} {
 		var group sync.WaitGroup
-		for _, x := range deployments {
-			for seed := range uint64(4) {
+		for d, x := range deployments {
+			for seed := uint64(d) * 4; seed < uint64(d)*4+4; seed++ {
 				group.Go(func() {
 					met := came{}
 					p := Plan{Seed: seed + 1, Machines: 2, Report: x.report, Lease: x.lease, Cancel: x.cancel}
--- a/internal/explore/plan.go
+++ b/internal/explore/plan.go
@@ -35,7 +35,7 @@
 	// Of scripted schedules: what becomes of transactions, how long a direct call is held beside all other
 	// connections, and what is brought about at moments that the play itself shows; nil: nothing is.
 	fates  func(c storeClient, t store.Txn) fate
-	calls  func(w *world, o model.DirectOrders) time.Duration
+	calls  func(m *worker, o model.DirectOrders) time.Duration
 	script func(w *world)
 	idle   time.Duration // after which a machine is returned; 0: 4 s
 }
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -244,11 +244,11 @@
 
 func (l link) Close() error { return nil }
 
-// held carries out what a direct call brings, later if the schedule holds it.
-func (w *world) held(o model.DirectOrders, do func()) {
-	if w.plan.calls != nil {
-		if d := w.plan.calls(w, o); d > 0 {
-			w.sim.After(d, do)
+// held carries out what a direct call to a machine brings, later if the schedule holds it.
+func (m *worker) held(o model.DirectOrders, do func()) {
+	if m.world.plan.calls != nil {
+		if d := m.world.plan.calls(m, o); d > 0 {
+			m.world.sim.After(d, do)
 			return
 		}
 	}
@@ -273,7 +273,7 @@
 			r      *model.Report
 		}
 		a, ok := ask(n.process, w.net, n.place, m.place, directCall, func(reply func(answer)) {
-			w.held(o, func() {
+			m.held(o, func() {
 				m.enter(func() {
 					if m.life != life {
 						return
