placement: a start uses up the room that was kept for its job

Cause: room stayed kept for the rest of an array besides what its started task took. Change: what starts is taken off what is kept for its job on that machine.

--- a/internal/placement/machines.go
+++ b/internal/placement/machines.go
@@ -83,6 +83,22 @@
 	m.reserved.Put(name, r)
 }
 
+// useReserved takes what a task of a job that starts uses from what was kept for the job.
+//
+// Guard: kept on for the rest of an array beside its task that had started, room was kept twice. Two jobs
+// kept the last of a machine from each other, and it stood empty (explorer, 2300004744: idle_room).
+func (m *Machine) useReserved(j *Job) {
+	r := m.reserved.At(j.Spec.ID)
+	if r.until.IsZero() || r.class != "" {
+		return
+	}
+	if r.size = r.size.Sub(j.Spec.Size); j.Spec.Size.Fits(r.size) {
+		m.reserve(j.Spec.ID, r)
+	} else {
+		m.reserved.Drop(j.Spec.ID)
+	}
+}
+
 // recordon tells an owner anew which machines are to get no tasks: a fresh
 // token voided what it was told before.
 func (b *Book) recordon(m *Machine) {
--- a/internal/placement/patient_test.go
+++ b/internal/placement/patient_test.go
@@ -192,3 +192,28 @@
 		}
 	}
 }
+
+// Room that is kept for a job is used up by its tasks that start there, and kept for what is left of them.
+func TestReservedRoomIsUsed(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		kept  int // tasks that room is kept for
+		start int
+		left  int
+	}{{"one of two", 2, 1, 1}, {"both", 2, 2, 0}, {"none", 2, 0, 2}, {"more than it was kept for", 1, 2, 0}} {
+		b := newBench(t)
+		b.machine("m", "big", "a")
+		b.Settle()
+		b.job("x", func(j *model.Job) { j.Tasks = 4 })
+		b.job("other", nil)
+		x, m := b.jobs.At("x"), b.machines.At("m")
+		m.reserve("x", reservation{size: x.Spec.Size.Times(c.kept), rank: 3, until: at(100)})
+		for i := range c.start {
+			b.start(at(1), x, i, m, b.nextAttempt())
+		}
+		taken := c.start + c.left
+		if got, want := b.free(m, b.jobs.At("other"), at(2)), b.types["big"].Size.Sub(x.Spec.Size.Times(taken)); got != want {
+			t.Errorf("%s: %v free for another job, want %v", c.name, got, want)
+		}
+	}
+}
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -536,6 +536,7 @@
 func (b *Book) order(t *Task) {
 	b.opt.Log.Debug("start", "task", model.TaskName(t.job.Spec.ID, t.index), "class", t.job.Spec.Class, "machine", t.machine.Name,
 		"type", t.machine.Kind.Type, "spot", t.machine.Spot, "image", t.job.Spec.Image, "queued", t.since.Sub(t.job.seen))
+	t.machine.useReserved(t.job)
 	t.order = b.give(t.machine, &peerspb.Order{Op: peerspb.Op_OP_START, Job: t.job.Spec.ID,
 		Index: uint32(t.index), Attempt: t.attempt})
 }
