placement: the test of room that is used up has classes of its own

Cause: jobs of one class keep no room from each other, so TestReservedRoomIsUsed failed as it landed. Result: it passes, and fails without the mend.

--- a/internal/placement/patient_test.go
+++ b/internal/placement/patient_test.go
@@ -205,7 +205,7 @@
 		b.machine("m", "big", "a")
 		b.Settle()
 		b.job("x", func(j *model.Job) { j.Tasks = 4 })
-		b.job("other", nil)
+		b.job("other", func(j *model.Job) { j.Class = "other" })
 		x, m := b.jobs.At("x"), b.machines.At("m")
 		m.reserve("x", reservation{size: x.Spec.Size.Times(c.kept), rank: 3, until: at(100)})
 		for i := range c.start {
