--- a/internal/explore/further_test.go
+++ b/internal/explore/further_test.go
@@ -12,14 +12,7 @@
 // The meetings of the users' second page, brought about: see docs/meetings.md. Each row names what
 // must have come about in each play; where it hangs on luck, over its seeds.
 func TestFurtherMeetings(t *testing.T) {
-	f := func(kind string, at, length float64, a int) Fault {
-		return Fault{Kind: kind, At: time.Duration(at * float64(sec)), For: time.Duration(length * float64(sec)), A: a}
-	}
-	held := func(kind string, at, length float64, a int) Fault {
-		x := f(kind, at, length, a)
-		x.Hold = true
-		return x
-	}
+	f, held := wrong, wrongHeld
 	near := [4]time.Duration{40 * sec, 42 * sec, 45 * sec, 52 * sec}
 	type row struct {
 		name   string
--- a/internal/explore/meetings_test.go
+++ b/internal/explore/meetings_test.go
@@ -11,6 +11,18 @@
 
 const sec = time.Second
 
+// wrong is a fault at a moment and for a time in seconds, of a controller or a machine.
+func wrong(kind string, at, length float64, a int) Fault {
+	return Fault{Kind: kind, At: time.Duration(at * float64(sec)), For: time.Duration(length * float64(sec)), A: a}
+}
+
+// wrongHeld is one that holds packets, or has machines hang.
+func wrongHeld(kind string, at, length float64, a int) Fault {
+	f := wrong(kind, at, length, a)
+	f.Hold = true
+	return f
+}
+
 // deployments are the protocol's times at both deployments.
 var deployments = []struct {
 	name                  string
@@ -105,14 +117,7 @@
 // Each meeting that users have named, brought about: see docs/meetings.md.
 func TestMeetings(t *testing.T) {
 	near := [4]time.Duration{40 * sec, 42 * sec, 45 * sec, 52 * sec}
-	f := func(kind string, at, length float64, a int) Fault {
-		return Fault{Kind: kind, At: time.Duration(at * float64(sec)), For: time.Duration(length * float64(sec)), A: a}
-	}
-	held := func(kind string, at, length float64, a int) Fault {
-		x := f(kind, at, length, a)
-		x.Hold = true
-		return x
-	}
+	f, held := wrong, wrongHeld
 	for _, c := range []struct {
 		name   string
 		faults []Fault
--- a/internal/explore/saving_test.go
+++ b/internal/explore/saving_test.go
@@ -157,14 +157,7 @@
 // whatever goes wrong then: the second stop belongs to the job's state, not to a message.
 func TestSaving(t *testing.T) {
 	const saves = 6 // tasks of the three jobs
-	f := func(kind string, at, length float64, a int) Fault {
-		return Fault{Kind: kind, At: time.Duration(at * float64(sec)), For: time.Duration(length * float64(sec)), A: a}
-	}
-	held := func(kind string, at, length float64, a int) Fault {
-		x := f(kind, at, length, a)
-		x.Hold = true
-		return x
-	}
+	f, held := wrong, wrongHeld
 	for _, c := range []struct {
 		name   string
 		within time.Duration // the tasks that saved are gone within; 0: what the budget allows
