explorer: schedules name no sizes of the state service that none of them uses

Cause: two fields of Plan were read and never set. Change: they are gone. Result: TestRepeats, TestWrites, TestGuards, TestRules and TestShrunk pass; nothing else was run again.

--- a/internal/explore/plan.go
+++ b/internal/explore/plan.go
@@ -29,8 +29,6 @@
 	Accounts  bool // what teams use is kept
 	Guarantee bool // there is a team with one
 	Limits    bool // every team has a limit, of two tasks at once
-	Values    int  // bytes that the state service takes as a value; 0: 8192
-	Ops       int  // changes that it takes in a transaction; 0: 16
 
 	// Of scripted schedules: what becomes of transactions, how long a direct call is held beside all other
 	// connections, and what is brought about at moments that the play itself shows; nil: nothing is.
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -1,7 +1,6 @@
 package explore
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -97,7 +96,7 @@
 		return nil, err
 	}
 	s := &sim{Sim: virtual.New(p.Seed), story: story}
-	w := &world{sim: s, plan: p, net: &network{sim: s}, store: virtual.NewStore(s.Sim, cmp.Or(p.Ops, 16)), storeAt: &place{name: "store", role: storeRole}, jobs: map[string]*job{}, drained: map[string]bool{}, operated: map[string]bool{}, op: op, level: level, tap: tap,
+	w := &world{sim: s, plan: p, net: &network{sim: s}, store: virtual.NewStore(s.Sim, 16), storeAt: &place{name: "store", role: storeRole}, jobs: map[string]*job{}, drained: map[string]bool{}, operated: map[string]bool{}, op: op, level: level, tap: tap,
 		place: &place{name: "users", role: userRole}}
 	w.used, w.attempts = map[string]time.Duration{}, map[string]int{}
 	if p.Accounts {
@@ -129,10 +128,9 @@
 func (n *node) boot() {
 	w := n.world
 	n.process = w.sim.NewProcess(n.place.name)
-	values, ops := cmp.Or(w.plan.Values, 8192), cmp.Or(w.plan.Ops, 16)
 	cfg := &settings.Platform{Member: n.place.name, Zone: n.place.zone, Listen: "127.0.0.1:1", PeerListen: "127.0.0.1:1",
 		Teams: w.plan.teams(), ReportEvery: w.plan.report(), Lease: w.plan.Lease, CancelWait: w.plan.Cancel, GangWait: gangWait, StateRPS: 1000, StateWriteRPS: 1000,
-		ValueBytes: values, WideValueBytes: values, TxnOps: ops, CloudRPS: 100, MemoryMB: 100, MaxConns: 1000}
+		ValueBytes: 8192, WideValueBytes: 8192, TxnOps: 16, CloudRPS: 100, MemoryMB: 100, MaxConns: 1000}
 	for _, o := range w.nodes {
 		if o != n {
 			cfg.Siblings = append(cfg.Siblings, settings.Sibling{Member: o.place.name, Zone: o.place.zone, Addr: o.place.name})
