placement: two jobs with room on a machine do not keep the free part from each other

Change: a job that has room kept on a machine is not held back there by what is kept for another no more strictly. Standing room stays kept.

--- a/internal/explore/explore_test.go
+++ b/internal/explore/explore_test.go
@@ -56,8 +56,9 @@
 
 // foundPreempting are seeds that did so with priorities and saves: room that a guarantee had made and
 // priority took back, before what was stopped had saved; room that two jobs kept from each other; a
-// task that a leader kept alive whose cancellation it knew.
-var foundPreempting = []int{1800003201, 2200008432, 2300004744, 7100019330}
+// task that a leader kept alive whose cancellation it knew; free room that two jobs kept from each other
+// while a task saved.
+var foundPreempting = []int{1800003201, 2200008432, 2300004744, 7100019330, 7200007027}
 
 // The same schedule leads to the same events.
 func TestRepeats(t *testing.T) {
--- a/internal/placement/patient_test.go
+++ b/internal/placement/patient_test.go
@@ -217,3 +217,45 @@
 		}
 	}
 }
+
+// Of two jobs that have room on a machine, part of which saves still, the one whose room is kept at least
+// as strictly uses what is free. Guard: explorer, 7200007027.
+func TestFreeRoomOfTwoReservations(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		own, other reservation // until: seconds
+		free       bool
+	}{
+		{"the same rank", reservation{rank: 2, until: at(100)}, reservation{rank: 2, until: at(100)}, true},
+		{"its own is stricter", reservation{rank: 2, until: at(100)}, reservation{rank: 1, until: at(100)}, true},
+		{"the other is stricter", reservation{rank: 1, until: at(100)}, reservation{rank: 2, until: at(100)}, false},
+		{"its own is over", reservation{rank: 2, until: at(1)}, reservation{rank: 2, until: at(100)}, false},
+		{"it has none", reservation{}, reservation{rank: 2, until: at(100)}, false},
+		{"standing room stays kept", reservation{rank: 2, until: at(100)}, reservation{rank: 2, until: at(100), class: "urgent"}, false},
+	} {
+		b := newBench(t)
+		b.machine("m", "big", "a")
+		b.Settle()
+		b.job("x", func(j *model.Job) { j.Class = "x" })
+		b.job("other", func(j *model.Job) { j.Class = "other" })
+		b.job("saves", func(j *model.Job) { j.Tasks = 64 })
+		x, m := b.jobs.At("x"), b.machines.At("m")
+		slots := x.Spec.Size.Slots(b.types["big"].Size)
+		for i := range slots - 1 { // room for one is free
+			b.start(at(1), b.jobs.At("saves"), i, m, b.nextAttempt())
+		}
+		name := "other"
+		if c.other.class != "" {
+			name = c.other.class
+		}
+		c.own.size, c.other.size = x.Spec.Size, x.Spec.Size
+		c.own.rank, c.other.rank = c.own.rank+x.rank, c.other.rank+x.rank // both at least its own
+		if !c.own.until.IsZero() {
+			m.reserve("x", c.own)
+		}
+		m.reserve(name, c.other)
+		if got := x.Spec.Size.Fits(b.free(m, x, at(2))); got != c.free {
+			t.Errorf("%s: there is room: %v", c.name, got)
+		}
+	}
+}
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -276,6 +276,7 @@
 // keptFrom is the room on a machine that is reserved against a job.
 func (b *Book) keptFrom(m *Machine, j *Job, now time.Time) model.Size {
 	var kept model.Size
+	own := m.reserved.At(j.Spec.ID)
 	for id, r := range m.reserved.All() {
 		switch {
 		case now.After(r.until) || (r.class == "" && (b.jobs.At(id) == nil || b.jobs.At(id).Unplaced() == 0)):
@@ -284,6 +285,11 @@
 				b.room++ // see clear
 			}
 		case r.class != "" && j.hurried: // standing room is for what may yet come
+		case r.class == "" && own.class == "" && own.rank >= r.rank && !now.After(own.until):
+			// Guard: both have room here, part of which saves still, and each kept what was free
+			// already from the other. When the save ended, what had saved took its place again,
+			// and was stopped again, for ever (explorer, 7200007027: idle_room). The one that is
+			// kept room at least as strictly uses the free room first.
 		case id != j.Spec.ID && r.class != j.Spec.Class && r.rank >= j.rank:
 			kept = kept.Add(r.size)
 		}
