standin: hollow workers wake for what is due, and count their traffic

Cause: a tick every 10 ms over all machines, a poll every 10 ms by each worker, a walk over all running tasks for each gang and over all machines for each rental do not carry 5,500 machines.

Change: each machine has a timer for what is due first, and is woken when something changes; gangs and rented machines are counted as they change. Machines can fail, be callable one and all, and count bytes and requests; an observer is told of each task that comes or leaves.

--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -43,6 +43,24 @@
 	Takes func(j *model.Job, index int) time.Duration
 	// Fails tells whether a job's tasks end with an error; nil: none does.
 	Fails func(j *model.Job) bool
+	// Callable has direct calls reach every machine, not every other one only.
+	Callable bool
+	// Observe is told of each task that comes to be on a machine or leaves it, under the cloud's
+	// lock and in the order in which it happens; nil: nobody is.
+	Observe func(e Event)
+}
+
+// Event is a task that comes to be on a machine, or leaves it.
+type Event struct {
+	At      time.Time
+	On      bool // it came; else it left
+	Done    bool // it left since it was completed
+	Job     *model.Job
+	Task    string
+	Machine string
+	Type    string
+	Zone    string
+	Spot    bool
 }
 
 // scaled is a time at the cloud's speed.
@@ -62,56 +80,53 @@
 	mu       sync.Mutex
 	now      time.Time
 	machines map[string]*machine
+	rented   map[offer]int
 	charters map[string][]string
 	count    int
-	running  map[string]*attempt      // the copy of each task that is on a machine
-	finished map[string]bool          // tasks whose result is kept
-	progress map[string]time.Duration // saved
-	stored   map[string]uint64        // by gang: the attempt whose progress was saved
+	running  map[string]*attempt              // the copy of each task that is on a machine
+	gangs    map[gangAttempt]map[int]*attempt // those of gangs, by their index
+	finished map[string]bool                  // tasks whose result is kept
+	progress map[string]time.Duration         // saved
+	stored   map[string]uint64                // by gang: the attempt whose progress was saved
 	broken   []string
 	started  int
 	lost     time.Duration // run time of tasks that ended without being done or saved, in CPU time
 }
 
-// cloudTick is how often machines look what is due.
-const cloudTick = 10 * time.Millisecond
+// offer is what the cloud has a limited number of.
+type offer struct {
+	typ  *Type
+	zone string
+	spot bool
+}
+
+// gangAttempt is one attempt of a gang.
+type gangAttempt struct {
+	job    *model.Job
+	number uint64
+}
+
+// deadListed is for how long a machine that failed is listed as running.
+const deadListed = 30 * time.Second
 
 // NewCloud starts a cloud on a loopback port.
 func NewCloud(opt Options) *Cloud {
-	c := &Cloud{opt: opt, closed: make(chan struct{}), now: time.Now(), machines: map[string]*machine{}, charters: map[string][]string{},
-		running: map[string]*attempt{}, finished: map[string]bool{}, progress: map[string]time.Duration{}, stored: map[string]uint64{}}
+	c := &Cloud{opt: opt, closed: make(chan struct{}), now: time.Now(), machines: map[string]*machine{}, rented: map[offer]int{},
+		charters: map[string][]string{}, running: map[string]*attempt{}, gangs: map[gangAttempt]map[int]*attempt{}, finished: map[string]bool{}, progress: map[string]time.Duration{}, stored: map[string]uint64{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /machine_types", c.types)
 	mux.HandleFunc("POST /hosts", c.rent)
 	mux.HandleFunc("POST /hosts/release", c.release)
 	mux.HandleFunc("GET /hosts", c.list)
 	c.Server = httptest.NewServer(mux)
-	go c.run()
 	return c
 }
 
-func (c *Cloud) run() {
-	t := time.NewTicker(cloudTick)
-	defer t.Stop()
-	for {
-		select {
-		case <-c.closed:
-			return
-		case now := <-t.C:
-			c.mu.Lock()
-			c.now = now
-			for name, m := range c.machines {
-				if !m.upAt.After(now) {
-					m.advance(now)
-				}
-				if !m.recall.IsZero() && now.After(m.recall) {
-					m.end()
-					delete(c.machines, name)
-				}
-			}
-			c.mu.Unlock()
-		}
-	}
+// remove forgets a machine.
+func (c *Cloud) remove(m *machine) {
+	m.end()
+	delete(c.machines, m.name)
+	c.rented[offer{m.typ, m.zone, m.spot}]--
 }
 
 // Close stops every worker and the cloud.
@@ -119,7 +134,7 @@
 	close(c.closed)
 	c.mu.Lock()
 	for _, m := range c.machines {
-		m.stop()
+		m.halt()
 	}
 	c.mu.Unlock()
 	c.Server.Close()
@@ -186,10 +201,33 @@
 	m := c.machines[name]
 	if m != nil {
 		m.hung = time.Now().Add(d)
+		m.arm()
 	}
 	return m != nil
 }
 
+// Fail has a machine stop with all that is on it. It is listed for a while longer. It tells
+// whether there is such a machine.
+func (c *Cloud) Fail(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := c.machines[name]
+	if m == nil || m.failed {
+		return false
+	}
+	c.now = time.Now()
+	m.failed = true
+	m.end()
+	time.AfterFunc(deadListed, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.machines[name] == m {
+			c.remove(m)
+		}
+	})
+	return true
+}
+
 // Recall has the cloud take a machine away after a notice. It tells whether there is such
 // a machine.
 func (c *Cloud) Recall(name string, notice time.Duration) bool {
@@ -197,7 +235,9 @@
 	defer c.mu.Unlock()
 	m := c.machines[name]
 	if m != nil {
-		m.recall, m.changed = time.Now().Add(notice), true
+		m.recall = time.Now().Add(notice)
+		m.change()
+		m.arm()
 	}
 	return m != nil
 }
@@ -209,20 +249,41 @@
 		c.broken = append(c.broken, "ran twice: "+t.name+" on "+o.m.name+" and "+t.m.name)
 	}
 	c.running[t.name] = t
+	if t.job.Shape == model.Gang {
+		key := gangAttempt{t.job, t.number}
+		if c.gangs[key] == nil {
+			c.gangs[key] = map[int]*attempt{}
+		}
+		c.gangs[key][t.index] = t
+	}
+	c.observe(t, true)
 }
 
 func (c *Cloud) left(t *attempt) {
 	if c.running[t.name] == t {
 		delete(c.running, t.name)
 	}
+	key := gangAttempt{t.job, t.number}
+	if g := c.gangs[key]; g[t.index] == t {
+		delete(g, t.index)
+		if len(g) == 0 {
+			delete(c.gangs, key)
+		}
+	}
+	c.observe(t, false)
+}
+
+func (c *Cloud) observe(t *attempt, on bool) {
+	if c.opt.Observe != nil {
+		c.opt.Observe(Event{At: time.Now(), On: on, Done: t.cause == model.CauseDone, Job: t.job, Task: t.name,
+			Machine: t.m.name, Type: t.m.typ.Name, Zone: t.m.zone, Spot: t.m.spot})
+	}
 }
 
 // gang is what of a gang's attempt is on machines, in the order of its pieces.
 func (c *Cloud) gang(t *attempt) (out []*attempt) {
-	for _, o := range c.running {
-		if o.job == t.job && o.number == t.number {
-			out = append(out, o)
-		}
+	for _, o := range c.gangs[gangAttempt{t.job, t.number}] {
+		out = append(out, o)
 	}
 	sort.Slice(out, func(i, k int) bool { return out[i].index < out[k].index })
 	return out
@@ -278,14 +339,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	names, known := c.charters[q.Charter]
-	there := 0
-	for _, m := range c.machines {
-		if m.typ == t && m.zone == q.Yard && m.spot == q.Loaners {
-			there++
-		}
-	}
-	for ; !known && len(names) < q.Number && (t.Limit == 0 || there < t.Limit); there++ {
+	of := offer{t, q.Yard, q.Loaners}
+	for !known && len(names) < q.Number && (t.Limit == 0 || c.rented[of] < t.Limit) {
 		c.count++
+		c.rented[of]++
 		name := fmt.Sprintf("vm-%06d", c.count)
 		names = append(names, name)
 		c.boot(name, t, q.Yard, q.Loaners)
@@ -305,10 +362,10 @@
 	_ = json.NewDecoder(r.Body).Decode(&q)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.now = time.Now()
 	for _, name := range q.Berths {
 		if m := c.machines[name]; m != nil {
-			m.end()
-			delete(c.machines, name)
+			c.remove(m)
 		}
 	}
 	reply(w, 200, struct{}{})
@@ -318,6 +375,7 @@
 	after := r.URL.Query().Get("after")
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.now = time.Now()
 	names := []string{}
 	for name := range c.machines {
 		if name > after {
@@ -339,19 +397,23 @@
 	reply(w, 200, map[string]any{"berths": all, "more": more})
 }
 
-// boot begins a machine. Every other one can be called directly.
+// boot begins a machine. Every other one can be called directly, or all of them.
 func (c *Cloud) boot(name string, t *Type, zone string, spot bool) {
 	ctx, cancel := context.WithCancel(context.Background())
 	now := time.Now()
 	up := now.Add(time.Duration(float64(c.opt.scaled(t.Boot)) * (0.6 + 0.9*rand.Float64())))
-	m := &machine{cloud: c, name: name, typ: t, zone: zone, spot: spot, rented: now, upAt: up, session: 1, leased: up, stop: cancel}
+	m := &machine{cloud: c, name: name, typ: t, zone: zone, spot: spot, rented: now, upAt: up, session: 1, leased: up, stop: cancel,
+		wake: make(chan struct{}, 1)}
 	addr := "127.0.0.1:1"
-	if c.count%2 == 0 {
-		server := httptest.NewServer(http.HandlerFunc(m.orders))
+	if c.count%2 == 0 || c.opt.Callable {
+		server := httptest.NewUnstartedServer(http.HandlerFunc(m.orders))
+		server.Listener = countedListener{server.Listener, &m.traffic}
+		server.Start()
 		addr = server.Listener.Addr().String()
 		m.stop = func() { cancel(); go server.Close() }
 	}
 	c.machines[name] = m
+	m.timer = time.AfterFunc(time.Until(up), m.due)
 	go m.serve(ctx, addr)
 }
 
@@ -367,6 +429,7 @@
 		return
 	}
 	c := m.cloud
+	m.traffic.requests.Add(1)
 	for { // a machine that hangs answers when it goes on
 		c.mu.Lock()
 		left := time.Until(m.hung)
@@ -377,10 +440,11 @@
 		time.Sleep(left)
 	}
 	defer c.mu.Unlock()
-	if c.machines[m.name] != m || time.Now().Before(m.upAt) {
+	if c.machines[m.name] != m || m.failed || time.Now().Before(m.upAt) {
 		reply(w, 503, map[string]string{"error": "not there"})
 		return
 	}
+	c.now = time.Now()
 	status := 409
 	if *q.Token >= m.token && *q.Session == m.session {
 		status = 200
@@ -398,7 +462,7 @@
 		members = append(members, name)
 	}
 	sort.Strings(members)
-	client := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{}}
+	client := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DialContext: m.traffic.dial}}
 	defer client.CloseIdleConnections()
 	to := rand.IntN(len(members))
 	wait := time.Until(m.upAt)
@@ -407,6 +471,7 @@
 			return
 		}
 		c.mu.Lock()
+		c.now = time.Now()
 		hung := time.Until(m.hung)
 		sent, session := time.Now(), m.session
 		body, _ := json.Marshal(m.report(addr))
@@ -415,6 +480,7 @@
 			wait = hung
 			continue
 		}
+		m.traffic.requests.Add(1)
 		status, answer := post(ctx, client, "http://"+c.opt.Nodes[members[to]]+"/checkin", body)
 		wait = c.opt.Report*3/4 + time.Duration(rand.Int64N(int64(c.opt.Report/2)+1))
 		if status != 200 {
@@ -426,8 +492,10 @@
 			continue
 		}
 		c.mu.Lock()
+		c.now = time.Now()
 		if answer.Token >= m.token && session == m.session && time.Now().After(m.hung) {
 			m.leased = sent
+			m.arm()
 			m.sees(answer.Token)
 			m.obey(answer.Commands, time.Now())
 		}
@@ -459,19 +527,22 @@
 
 // sleep waits for the next report, which comes sooner when something changes.
 func (m *machine) sleep(ctx context.Context, d time.Duration) bool {
-	until, soon := time.Now().Add(d), time.Now().Add(m.cloud.opt.Soon)
-	for {
-		now := time.Now()
-		m.cloud.mu.Lock()
-		changed := m.changed && !now.Before(m.upAt)
-		m.cloud.mu.Unlock()
-		if !now.Before(until) || (changed && !now.Before(soon)) {
-			return ctx.Err() == nil
-		}
-		select {
-		case <-ctx.Done():
-			return false
-		case <-time.After(min(until.Sub(now), cloudTick)):
-		}
+	until, soon := time.NewTimer(d), m.cloud.opt.Soon
+	defer until.Stop()
+	began := time.Now()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-until.C:
+		return ctx.Err() == nil
+	case <-m.wake:
+	}
+	left := time.NewTimer(min(soon, d) - time.Since(began))
+	defer left.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-left.C:
+		return ctx.Err() == nil
 	}
 }
--- a/internal/standin/machine.go
+++ b/internal/standin/machine.go
@@ -23,9 +23,63 @@
 	session, seq, token uint64
 	leased              time.Time // when the last answered report was sent, or the session began
 	tasks               []*attempt
-	images              []string // the last used one last
-	changed             bool     // a report is due soon
+	images              []string      // the last used one last
+	wake                chan struct{} // a report is due soon
+	timer               *time.Timer   // when something is due
+	failed              bool          // it stopped, and is listed for a while longer
 	stop                func()
+	traffic             Traffic
+}
+
+// change has the next report come soon.
+func (m *machine) change() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// arm sets the timer to what is due first.
+func (m *machine) arm() {
+	at := m.leased.Add(m.cloud.opt.Lease + time.Millisecond)
+	for _, t := range m.tasks {
+		if !t.next.IsZero() && t.next.Before(at) {
+			at = t.next
+		}
+	}
+	if at.Before(m.hung) {
+		at = m.hung
+	}
+	if !m.recall.IsZero() && m.recall.Before(at) {
+		at = m.recall
+	}
+	if at.Before(m.upAt) {
+		at = m.upAt
+	}
+	m.timer.Reset(time.Until(at))
+}
+
+// due does what is due, when the timer fires.
+func (m *machine) due() {
+	c := m.cloud
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.machines[m.name] != m || m.failed {
+		return
+	}
+	c.now = time.Now()
+	if !m.recall.IsZero() && !c.now.Before(m.recall) {
+		c.remove(m)
+		return
+	}
+	m.advance(c.now)
+	m.arm()
+}
+
+// halt ends the machine's worker.
+func (m *machine) halt() {
+	m.timer.Stop()
+	m.stop()
 }
 
 // attempt is a task on a machine.
@@ -53,7 +107,9 @@
 // to is the one place where an attempt's state changes.
 func (t *attempt) to(s model.TaskState, next time.Time) {
 	was := t.on()
-	t.state, t.next, t.m.changed = s, next, true
+	t.state, t.next = s, next
+	t.m.change()
+	t.m.arm()
 	switch is := t.on(); {
 	case is && !was:
 		t.m.cloud.began(t)
@@ -76,6 +132,7 @@
 		for _, o := range t.m.cloud.gang(t) {
 			if !o.doomed && o.state == model.TaskRunning {
 				o.doomed, o.next = true, t.m.cloud.now.Add(gangPeer)
+				o.m.arm()
 			}
 		}
 	}
@@ -127,7 +184,9 @@
 	}
 	m.tasks = nil
 	m.session++
-	m.seq, m.leased, m.changed = 0, now, true
+	m.seq, m.leased = 0, now
+	m.change()
+	m.arm()
 }
 
 func (m *machine) fetched(t *attempt, now time.Time) {
@@ -194,7 +253,10 @@
 // report writes the next report.
 func (m *machine) report(addr string) model.Report {
 	m.seq++
-	m.changed = false
+	select {
+	case <-m.wake: // what changed is told now
+	default:
+	}
 	r := model.Report{Machine: m.name, Addr: addr, Type: m.typ.Name, Zone: m.zone, Spot: m.spot, Session: m.session, Seq: m.seq,
 		Token: m.token, Tasks: []model.WireTask{}}
 	if !m.recall.IsZero() {
@@ -209,7 +271,8 @@
 
 func (m *machine) sees(token uint64) {
 	if token > m.token {
-		m.token, m.changed = token, true
+		m.token = token
+		m.change()
 	}
 }
 
@@ -242,7 +305,7 @@
 		}
 	}
 	m.tasks = append(m.tasks, t)
-	m.changed = true
+	m.change()
 	switch {
 	case t.job == nil || index >= t.job.Tasks:
 		t.exit(model.CauseUnknown, false)
@@ -256,6 +319,7 @@
 			fetch = m.cloud.opt.scaled(model.Seconds(t.job.ImageGB / m.typ.FetchGBPerS))
 		}
 		t.next = now.Add(fetch)
+		m.arm()
 	}
 }
 
@@ -276,5 +340,5 @@
 		t.exit(model.CauseStopped, false)
 	}
 	m.tasks = nil
-	m.stop()
+	m.halt()
 }
--- /dev/null
+++ b/internal/standin/traffic.go
@@ -0,0 +1,71 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+)
+
+// Traffic counts what a machine's worker sends and receives, in bytes of its connections'
+// payload: HTTP with its headers, without those of TCP and IP.
+type Traffic struct {
+	sent, received, requests atomic.Int64
+}
+
+// Counts are the totals of a machine so far: bytes sent and received, and requests in both
+// directions.
+type Counts struct{ Sent, Received, Requests int64 }
+
+func (t *Traffic) counts() Counts {
+	return Counts{t.sent.Load(), t.received.Load(), t.requests.Load()}
+}
+
+// dial opens a connection whose bytes are counted.
+func (t *Traffic) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{conn, t}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic.received.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.traffic.sent.Add(int64(n))
+	return n, err
+}
+
+type countedListener struct {
+	net.Listener
+	traffic *Traffic
+}
+
+func (l countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{conn, l.traffic}, nil
+}
+
+// Traffic lists what each machine's worker has sent and received, by the machine's name.
+func (c *Cloud) Traffic() map[string]Counts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make(map[string]Counts, len(c.machines))
+	for name, m := range c.machines {
+		out[name] = m.traffic.counts()
+	}
+	return out
+}
