scale: a run of the planned size, with real controllers and hollow workers

Three regions, each a deployment of its own: three controllers as processes of the built program, and one process with a state service, a cloud, its hollow workers and its users. Rules are judged by what is on the machines; a broken one ends the run with status 1. It reports starts, tasks, waits, what a worker and a controller take, as a table, JSON and a plot; kills a leader and machines; and bounds itself to half of the memory and to loopback.

Tests: a share of 0.02 with a leader and machines lost (rules and totals, never times); each rule is seen to break; bounds.

--- a/internal/lab/child_other.go
+++ b/internal/lab/child_other.go
@@ -4,5 +4,5 @@
 
 import "syscall"
 
-// childAttr keeps the terminal's Ctrl-C from a controller: the lab ends it in order.
-func childAttr() *syscall.SysProcAttr { return &syscall.SysProcAttr{Setpgid: true} }
+// ChildAttr keeps the terminal's Ctrl-C from a controller: the lab ends it in order.
+func ChildAttr() *syscall.SysProcAttr { return &syscall.SysProcAttr{Setpgid: true} }
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -206,7 +206,7 @@
 func (l *Lab) run(n *node) error {
 	cmd := exec.Command(l.opt.Program, "serve", "--config", l.path(n, "json"), "--settings", l.path(n, "sexp"))
 	cmd.Stdout, cmd.Stderr = l.opt.Log, l.opt.Log
-	cmd.SysProcAttr = childAttr()
+	cmd.SysProcAttr = ChildAttr()
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("lab: %s: %w", n.name, err)
 	}
--- /dev/null
+++ b/internal/scale/region.go
@@ -0,0 +1,220 @@
+package scale
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/marlwood/marlwood/internal/leadership"
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/standin"
+)
+
+// RegionConfig is what a region's process is told first, as one line of JSON.
+type RegionConfig struct {
+	Plan  Plan
+	Nodes map[string]string // addresses of the region's controllers, by name
+}
+
+// Addresses is what a region's process answers that with.
+type Addresses struct{ State, Cloud string }
+
+// Command is what a region's process is told later, one a line.
+type Command struct {
+	Start bool // users begin
+	Fail  int  // so many machines stop
+}
+
+// Snapshot is what a region's process tells every second.
+type Snapshot struct {
+	At        time.Duration // since users began
+	Leader    string
+	Started   int
+	Running   int
+	Machines  int
+	Requests  int64 // to the state service so far
+	Writes    int64
+	Users     UserCounts
+	LongestMS int64 // without any start, so far
+	Peaks     map[string]float64
+	Broken    []string
+	Final     *Final // with the last one
+}
+
+// Final is what is told at the end.
+type Final struct {
+	Urgent, Ordinary *hdrhistogram.Snapshot // in microseconds
+	Workers          []WorkerRate
+}
+
+// WorkerRate is what one worker's traffic comes to, a second.
+type WorkerRate struct{ Sent, Received, Requests float64 }
+
+// ServeRegion plays a region's outside systems: it reads a RegionConfig and then Commands from in,
+// and tells Addresses and then Snapshots on out. It ends with the plan's length, with in, or with ctx.
+func ServeRegion(ctx context.Context, in io.Reader, out io.Writer) error {
+	lines := bufio.NewScanner(in)
+	lines.Buffer(nil, 1<<20)
+	var cfg RegionConfig
+	if !lines.Scan() {
+		return fmt.Errorf("scale: no configuration: %w", lines.Err())
+	}
+	if err := json.Unmarshal(lines.Bytes(), &cfg); err != nil {
+		return fmt.Errorf("scale: configuration: %w", err)
+	}
+	r := newRegion(cfg)
+	defer r.close()
+	tell := json.NewEncoder(out)
+	if err := tell.Encode(Addresses{r.state.Listener.Addr().String(), r.cloud.Listener.Addr().String()}); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	commands := make(chan Command)
+	go func() {
+		defer cancel() // the run has ended
+		for lines.Scan() {
+			var c Command
+			if json.Unmarshal(lines.Bytes(), &c) == nil {
+				commands <- c
+			}
+		}
+	}()
+	return r.serve(ctx, commands, tell)
+}
+
+// region is one region's outside systems.
+type region struct {
+	plan  Plan
+	state *standin.State
+	cloud *standin.Cloud
+	truth *truth
+	users *users
+	nodes map[string]string
+	from  map[string]standin.Counts // of workers' traffic, when counting began
+	since time.Time
+}
+
+func newRegion(cfg RegionConfig) *region {
+	r := &region{plan: cfg.Plan, state: standin.NewState(), truth: newTruth(cfg.Plan), nodes: cfg.Nodes}
+	r.cloud = standin.NewCloud(standin.Options{Nodes: cfg.Nodes, Types: cfg.Plan.standinTypes(), Lease: leaseLength, Report: reportEvery,
+		Soon: 500 * time.Millisecond, Jobs: r.state.Job, Callable: true, Observe: r.truth.observe,
+		Takes: func(j *model.Job, index int) time.Duration { // give or take a quarter
+			if j.Shape == model.Gang {
+				return j.Estimate
+			}
+			return time.Duration(float64(j.Estimate) * (0.75 + float64(index*7919%100)/200))
+		}})
+	return r
+}
+
+func (r *region) close() {
+	r.cloud.Close()
+	r.state.CloseClientConnections()
+	r.state.Close()
+}
+
+// serve plays until the plan's length is over.
+func (r *region) serve(ctx context.Context, commands <-chan Command, tell *json.Encoder) error {
+	second := time.NewTicker(time.Second)
+	defer second.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case c := <-commands:
+			if c.Start && r.users == nil {
+				r.begin(ctx)
+			}
+			for range c.Fail {
+				r.failOne()
+			}
+		case now := <-second.C:
+			if r.users == nil {
+				continue
+			}
+			r.truth.sweep(now)
+			s := r.snapshot(now)
+			if err := tell.Encode(s); err != nil {
+				return err
+			}
+			if s.Final != nil {
+				return nil
+			}
+		}
+	}
+}
+
+// begin has users begin, once the controllers answer.
+func (r *region) begin(ctx context.Context) {
+	var addrs []string
+	for _, a := range r.nodes {
+		addrs = append(addrs, a)
+	}
+	for _, a := range addrs {
+		for ctx.Err() == nil {
+			resp, err := http.Get("http://" + a + "/up")
+			if err == nil {
+				_ = resp.Body.Close()
+				if resp.StatusCode == http.StatusOK {
+					break
+				}
+			}
+			sleep(ctx, 100*time.Millisecond)
+		}
+	}
+	r.users = newUsers(r.plan, addrs, r.truth)
+	r.users.run(ctx)
+}
+
+func (r *region) failOne() {
+	names := r.cloud.Machines()
+	if len(names) > 0 {
+		r.cloud.Fail(names[rand.IntN(len(names))])
+	}
+}
+
+func (r *region) snapshot(now time.Time) Snapshot {
+	broken, longest, peaks := r.truth.take()
+	s := Snapshot{At: now.Sub(r.users.began), Started: r.cloud.Started(), Running: r.cloud.Running(), Machines: len(r.cloud.Machines()),
+		LongestMS: longest.Milliseconds(), Peaks: peaks, Broken: append(broken, r.cloud.Broken()...)}
+	s.Requests, s.Writes = r.state.Asked()
+	var v leadership.Value
+	if json.Unmarshal(r.state.Value(leadership.Key), &v) == nil {
+		s.Leader = v.Member
+	}
+	r.users.mu.Lock()
+	s.Users = r.users.counts
+	r.users.mu.Unlock()
+	if r.from == nil && s.At > r.plan.Length/2 { // machines are up
+		r.from, r.since = r.cloud.Traffic(), now
+	}
+	if s.At >= r.plan.Length {
+		s.Final = r.final(now)
+	}
+	return s
+}
+
+func (r *region) final(now time.Time) *Final {
+	f := &Final{}
+	seconds := now.Sub(r.since).Seconds()
+	for name, to := range r.cloud.Traffic() {
+		from, there := r.from[name]
+		if !there || seconds <= 0 {
+			continue
+		}
+		f.Workers = append(f.Workers, WorkerRate{float64(to.Sent-from.Sent) / seconds, float64(to.Received-from.Received) / seconds,
+			float64(to.Requests-from.Requests) / seconds})
+	}
+	r.users.mu.Lock()
+	defer r.users.mu.Unlock()
+	f.Urgent, f.Ordinary = r.users.urgent.Export(), r.users.ordinary.Export()
+	return f
+}
--- /dev/null
+++ b/internal/scale/run.go
@@ -0,0 +1,317 @@
+package scale
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/lab"
+)
+
+// controller is a real one, as a process of its own.
+type controller struct {
+	name, zone, listen, peer string
+	process                  *process
+	samples                  []Sample
+}
+
+// regionRun is one region of a run: its outside systems in one process, and its controllers.
+type regionRun struct {
+	plan        Plan
+	process     *process
+	commands    *json.Encoder
+	lines       *bufio.Scanner
+	addrs       Addresses
+	controllers []*controller
+	snapshots   []Snapshot
+}
+
+// process is one that the run started.
+type process struct {
+	cmd   *exec.Cmd
+	ended chan struct{}
+}
+
+func start(cmd *exec.Cmd) (*process, error) {
+	cmd.SysProcAttr = lab.ChildAttr()
+	if err := cmd.Start(); err != nil {
+		return nil, fmt.Errorf("scale: %s: %w", filepath.Base(cmd.Path), err)
+	}
+	p := &process{cmd: cmd, ended: make(chan struct{})}
+	go func() {
+		_ = cmd.Wait()
+		close(p.ended)
+	}()
+	return p, nil
+}
+
+// end ends the process, and waits until it has ended.
+func (p *process) end(signal os.Signal) {
+	if p == nil {
+		return
+	}
+	_ = p.cmd.Process.Signal(signal)
+	select {
+	case <-p.ended:
+	case <-time.After(3 * time.Second):
+		_ = p.cmd.Process.Kill()
+		<-p.ended
+	}
+}
+
+// run is one under way.
+type run struct {
+	opt     Options
+	dir     string
+	regions []*regionRun
+}
+
+// Run plays a run, and reports it. A rule that was broken is ErrRule, with the report of the run.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	if err := o.check(); err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "marlwood-scale-")
+	if err != nil {
+		return nil, err
+	}
+	r := &run{opt: o, dir: dir}
+	defer r.close()
+	for i := range regionsPlanned {
+		g := &regionRun{plan: planRegion(o, i)}
+		r.regions = append(r.regions, g)
+		if err := r.begin(g); err != nil {
+			return nil, err
+		}
+	}
+	if err := r.watch(ctx); err != nil {
+		return nil, err
+	}
+	out := r.report()
+	if len(out.Broken) > 0 {
+		return out, fmt.Errorf("%w: %s", ErrRule, out.Broken[0])
+	}
+	return out, nil
+}
+
+// close ends all processes and removes all files of the run.
+func (r *run) close() {
+	for _, g := range r.regions {
+		for _, c := range g.controllers {
+			c.process.end(syscall.SIGTERM)
+		}
+		g.process.end(syscall.SIGTERM)
+	}
+	_ = os.RemoveAll(r.dir)
+}
+
+// begin starts a region's outside systems and its controllers.
+func (r *run) begin(g *regionRun) error {
+	cfg := RegionConfig{Plan: g.plan, Nodes: map[string]string{}}
+	for i := range controllersEach {
+		c := &controller{name: fmt.Sprintf("%s-c%d", g.plan.Region, i+1), zone: g.plan.Zones[i%len(g.plan.Zones)]}
+		for _, a := range []*string{&c.listen, &c.peer} {
+			addr, err := freeAddr()
+			if err != nil {
+				return err
+			}
+			*a = addr
+		}
+		cfg.Nodes[c.name] = c.listen
+		g.controllers = append(g.controllers, c)
+	}
+	if err := r.startRegion(g, cfg); err != nil {
+		return err
+	}
+	for _, c := range g.controllers {
+		if err := r.startController(g, c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func freeAddr() (string, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("scale: no loopback address is free: %w", err)
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+func (r *run) startRegion(g *regionRun, cfg RegionConfig) error {
+	cmd := exec.Command(r.opt.Region[0], r.opt.Region[1:]...)
+	cmd.Stderr = os.Stderr
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		return err
+	}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return err
+	}
+	if g.process, err = start(cmd); err != nil {
+		return err
+	}
+	g.commands, g.lines = json.NewEncoder(in), bufio.NewScanner(out)
+	g.lines.Buffer(nil, 64<<20)
+	if err := g.commands.Encode(cfg); err != nil {
+		return err
+	}
+	if !g.lines.Scan() {
+		return fmt.Errorf("scale: the process of region %s ended", g.plan.Region)
+	}
+	return json.Unmarshal(g.lines.Bytes(), &g.addrs)
+}
+
+func (r *run) startController(g *regionRun, c *controller) error {
+	path := filepath.Join(r.dir, c.name+".json")
+	if err := writePlatform(path, g, c); err != nil {
+		return err
+	}
+	args := []string{"serve", "--config", path}
+	if r.opt.Settings != "" {
+		args = append(args, "--settings", r.opt.Settings)
+	}
+	cmd := exec.Command(r.opt.Program, args...)
+	cmd.Env = append(os.Environ(), "LOG_LEVEL=info")
+	cmd.Stderr = io.Discard
+	if r.opt.Log != "" {
+		f, err := os.OpenFile(filepath.Join(r.opt.Log, c.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+		if err != nil {
+			return err
+		}
+		defer f.Close() // the process has its own
+		cmd.Stderr = f
+	}
+	var err error
+	c.process, err = start(cmd)
+	return err
+}
+
+// errEnded tells that a region's process ended before its time.
+var errEnded = errors.New("scale: a region's process ended early")
+
+// watch has the users begin, and follows the regions until they are through.
+func (r *run) watch(ctx context.Context) error {
+	type told struct {
+		region   *regionRun
+		snapshot Snapshot
+		ok       bool
+	}
+	news := make(chan told)
+	stop := make(chan struct{})
+	defer close(stop)
+	for _, g := range r.regions {
+		if err := g.commands.Encode(Command{Start: true}); err != nil {
+			return err
+		}
+		go func() {
+			for {
+				t := told{region: g, ok: g.lines.Scan()}
+				t.ok = t.ok && json.Unmarshal(g.lines.Bytes(), &t.snapshot) == nil
+				select {
+				case news <- t:
+				case <-stop:
+					return
+				}
+				if !t.ok || t.snapshot.Final != nil {
+					return
+				}
+			}
+		}()
+	}
+	bound, err := memoryBound()
+	if err != nil {
+		return err
+	}
+	second := time.NewTicker(time.Second)
+	defer second.Stop()
+	faults := r.faults()
+	for left := len(r.regions); left > 0; {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case t := <-news:
+			if !t.ok {
+				return fmt.Errorf("%w: %s", errEnded, t.region.plan.Region)
+			}
+			t.region.snapshots = append(t.region.snapshots, t.snapshot)
+			if t.snapshot.Final != nil {
+				left--
+			}
+		case <-second.C:
+			if memory := r.sample(); memory > bound {
+				return fmt.Errorf("%w: the processes take %d MB", ErrRoom, memory>>20)
+			}
+			if err := faults(); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// at is how long the region's users have been at it, by its last snapshot.
+func (g *regionRun) at() time.Duration {
+	if len(g.snapshots) == 0 {
+		return 0
+	}
+	return g.snapshots[len(g.snapshots)-1].At
+}
+
+// leader is the region's leader by its last snapshot; nil: none is known.
+func (g *regionRun) leader() *controller {
+	if len(g.snapshots) == 0 {
+		return nil
+	}
+	for _, c := range g.controllers {
+		if c.name == g.snapshots[len(g.snapshots)-1].Leader {
+			return c
+		}
+	}
+	return nil
+}
+
+// backAfter is when a controller that was killed starts again.
+const backAfter = 8 * time.Second
+
+// faults returns a function that brings each fault about once its time has come.
+func (r *run) faults() func() error {
+	first := r.regions[0]
+	var killed *controller
+	var back time.Time
+	leaderDone, machinesDone := r.opt.KillLeader == 0, r.opt.KillMachines == 0
+	return func() error {
+		if !leaderDone && first.at() >= r.opt.KillLeader {
+			if killed = first.leader(); killed != nil {
+				killed.process.end(syscall.SIGKILL)
+				back, leaderDone = time.Now().Add(backAfter), true
+			}
+		}
+		if killed != nil && time.Now().After(back) {
+			c := killed
+			killed = nil
+			return r.startController(first, c)
+		}
+		if !machinesDone && first.at() >= r.opt.KillAt {
+			machinesDone = true
+			for _, g := range r.regions {
+				if err := g.commands.Encode(Command{Fail: r.opt.KillMachines}); err != nil {
+					return err
+				}
+			}
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/scale/scale_test.go
@@ -0,0 +1,143 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/standin"
+)
+
+// built builds the program and the run's own command.
+func built(t *testing.T) (program, scale string) {
+	dir := t.TempDir()
+	program, scale = filepath.Join(dir, "marlwood"), filepath.Join(dir, "scale")
+	for to, pkg := range map[string]string{program: "../../cmd/marlwood", scale: "./cmd"} {
+		if out, err := exec.Command("go", "build", "-o", to, pkg).CombinedOutput(); err != nil {
+			t.Fatalf("%s: %v\n%s", pkg, err, out)
+		}
+	}
+	return program, scale
+}
+
+// A small share with a leader and machines lost: all that is counted comes about, and no rule
+// breaks. It asserts no times.
+func TestSmallShare(t *testing.T) {
+	program, scale := built(t)
+	r, err := Run(context.Background(), Options{Program: program, Region: []string{scale, "region"}, Share: 0.02, For: 25 * time.Second,
+		Peak: 8 * time.Second, Seed: 1, KillLeader: 12 * time.Second, KillMachines: 2, KillAt: 14 * time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.RunningMost < 100 || r.MachinesMost < 10 || r.Jobs.Accepted < 20 || r.Jobs.Done == 0 || r.Starts.Most == 0 {
+		t.Errorf("%d tasks and %d machines at once, jobs %+v, starts %+v", r.RunningMost, r.MachinesMost, r.Jobs, r.Starts)
+	}
+	if r.WorkerSent.Mean == 0 || r.WorkerHeard.Mean == 0 || r.StateWrote.Most == 0 || len(r.Controllers) != regionsPlanned*controllersEach {
+		t.Errorf("not counted: worker %v, %v, state service %v, %d controllers", r.WorkerSent, r.WorkerHeard, r.StateWrote, len(r.Controllers))
+	}
+	var table strings.Builder
+	if err := r.Write(&table); err != nil || !strings.Contains(table.String(), "rules broken") {
+		t.Errorf("the table: %v\n%s", err, table.String())
+	}
+	if err := r.Plot(filepath.Join(t.TempDir(), "starts.png")); err != nil {
+		t.Error(err)
+	}
+}
+
+// What can't be played is told before anything starts.
+func TestOptions(t *testing.T) {
+	good := Options{Share: 0.02, For: time.Minute, Peak: 20 * time.Second}
+	for name, change := range map[string]func(o *Options){
+		"no share": func(o *Options) { o.Share = 0 }, "more than the plan": func(o *Options) { o.Share = 1.5 },
+		"too short": func(o *Options) { o.For = time.Second }, "all of it the peak": func(o *Options) { o.Peak = o.For },
+	} {
+		o := good
+		change(&o)
+		if _, err := Run(context.Background(), o); err == nil || errors.Is(err, ErrRule) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// Each rule is seen to break by what is on the machines.
+func TestTruth(t *testing.T) {
+	p := planRegion(Options{Share: 1, For: time.Minute}, 0)
+	small, zones := p.Types[0].Name, p.Zones
+	job := func(change func(j *model.Job)) *model.Job {
+		j := &model.Job{ID: "j", Team: p.Teams[0].Name, Shape: model.Array, Tasks: 4, Size: model.Size{CPUs: 1}}
+		change(j)
+		return j
+	}
+	now := time.Now()
+	on := func(j *model.Job, task, zone string) standin.Event {
+		return standin.Event{At: now, On: true, Job: j, Task: task, Machine: "m", Type: small, Zone: zone}
+	}
+	for _, c := range []struct {
+		name, rule string
+		do         func(x *truth)
+	}{
+		{"all is well", "", func(x *truth) {
+			j := job(func(*model.Job) {})
+			x.observe(on(j, "j/0", zones[0]))
+			e := on(j, "j/0", zones[0])
+			e.On, e.Done = false, true
+			x.observe(e)
+			x.answered("j", 1, model.Done, now)
+			x.answered("j", 1, model.Done, now)
+		}},
+		{"above the limit", "quota", func(x *truth) {
+			j := job(func(j *model.Job) { j.Size.CPUs, j.Tasks = 4, 1000 })
+			for i := 0.0; i <= p.Teams[0].Limit; i += 4 {
+				x.observe(on(j, "j/0", zones[0]))
+			}
+		}},
+		{"a zone that is not allowed", "wrong_place", func(x *truth) {
+			x.observe(on(job(func(j *model.Job) { j.Zone = zones[1] }), "j/0", zones[0]))
+		}},
+		{"a type that is not allowed", "wrong_place", func(x *truth) {
+			x.observe(on(job(func(j *model.Job) { j.Types = []string{"large"} }), "j/0", zones[0]))
+		}},
+		{"a spot machine", "wrong_place", func(x *truth) {
+			e := on(job(func(*model.Job) {}), "j/0", zones[0])
+			e.Spot = true
+			x.observe(e)
+		}},
+		{"not together", "wrong_place", func(x *truth) {
+			j := job(func(j *model.Job) { j.OneZone = true })
+			x.observe(on(j, "j/0", zones[0]))
+			x.observe(on(j, "j/1", zones[1]))
+		}},
+		{"not apart", "wrong_place", func(x *truth) {
+			j := job(func(j *model.Job) { j.Spread = true })
+			for _, task := range []string{"j/0", "j/1", "j/2"} {
+				x.observe(on(j, task, zones[0]))
+			}
+		}},
+		{"started long after it was cancelled", "ran_cancelled", func(x *truth) {
+			x.answered("j", 4, model.Cancelled, now.Add(-cancelWait-time.Second))
+			x.observe(on(job(func(*model.Job) {}), "j/0", zones[0]))
+		}},
+		{"runs long after it was cancelled", "ran_cancelled", func(x *truth) {
+			x.observe(on(job(func(*model.Job) {}), "j/0", zones[0]))
+			x.answered("j", 4, model.Cancelled, now)
+			x.sweep(now.Add(cancelWait + time.Second))
+		}},
+		{"done before its tasks are", "not_done", func(x *truth) { x.answered("j", 4, model.Done, now) }},
+		{"called something else later", "went_back", func(x *truth) {
+			x.answered("j", 4, model.Cancelled, now)
+			x.answered("j", 4, "running", now)
+		}},
+	} {
+		x := newTruth(p)
+		c.do(x)
+		broken, _, _ := x.take()
+		if got := strings.Join(broken, "; "); (got == "") != (c.rule == "") || !strings.HasPrefix(got, c.rule) {
+			t.Errorf("%s: %q", c.name, got)
+		}
+	}
+}
