--- a/internal/placement/scale_test.go
+++ b/internal/placement/scale_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -321,3 +322,49 @@
 		}
 	}
 }
+
+// BenchmarkMemory measures what a leader's book holds live: by machine, by task on it, and by job.
+//
+//	go test -run '^$' -bench Memory -benchtime 1x ./internal/placement
+func BenchmarkMemory(t *testing.B) {
+	live := func() float64 {
+		runtime.GC()
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc)
+	}
+	for _, machines := range []int{1000, 4000, 16000} {
+		for _, tasks := range []int{0, 9} {
+			t.Run(fmt.Sprintf("machines=%d/tasks=%d", machines, tasks), func(t *testing.B) {
+				for t.Loop() {
+					before := live()
+					b := newBench(t)
+					b.job("j", func(j *model.Job) { j.Tasks, j.Size = 100_000, model.Size{CPUs: 0.001} })
+					for i := range machines {
+						var on []*peerspb.Task
+						for k := range tasks {
+							on = append(on, &peerspb.Task{Job: "j", Index: uint32((i*tasks + k) % 100_000), Attempt: uint64(i), State: "running"})
+						}
+						b.machine(fmt.Sprintf("vm-%06d", i), "small", "a", on...)
+					}
+					t.ReportMetric((live()-before)/float64(machines), "bytes/machine")
+					runtime.KeepAlive(b)
+				}
+			})
+		}
+	}
+	for _, jobs := range []int{200, 1000, 10_000} {
+		t.Run(fmt.Sprintf("jobs=%d", jobs), func(t *testing.B) {
+			for t.Loop() {
+				before := live()
+				b := newBench(t)
+				for i := range jobs {
+					b.job(fmt.Sprintf("req-%06d", i), func(j *model.Job) { j.Tasks = 75 })
+				}
+				t.ReportMetric((live()-before)/float64(jobs), "bytes/job")
+				runtime.KeepAlive(b)
+			}
+		})
+	}
+}
