--- /dev/null
+++ b/internal/controller/leading.go
@@ -0,0 +1,106 @@
+package controller
+
+import (
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/leadership"
+	"github.com/marlwood/marlwood/internal/store"
+)
+
+// mayAct tells outside the loop whether the node may act as leader now.
+//
+// Guard: a process may stand still between a decision and what follows from it,
+// longer than its right to act lasts. So the right is looked at again right
+// before a message goes out, wherever it waited until then.
+func (n *Node) mayAct() bool { return int64(n.world.Now().Sub(n.start)) < n.actsUntil.Load() }
+
+// noteRight lays out for mayAct how long the right to act lasts.
+func (n *Node) noteRight() {
+	until := int64(0)
+	if at := n.lead.ActsUntil(); !at.IsZero() {
+		until = int64(at.Sub(n.start))
+	}
+	n.actsUntil.Store(until)
+}
+
+// follow begins and ends terms as leadership comes and goes.
+func (n *Node) follow(now time.Time) {
+	n.noteRight()
+	state := n.lead.State()
+	if state != n.lastState {
+		n.log.Info("leadership", "from", n.lastState.String(), "to", state.String(), "token", n.lead.Token())
+		n.lastState = state
+		n.setBudgets(state == leadership.Leading)
+	}
+	switch {
+	case state != leadership.Leading && n.term != nil:
+		n.term.endDrains()
+		n.term.end()
+		n.term = nil
+		n.views.Store(nil)
+	case state == leadership.Leading && n.term == nil && n.knownTypes() != nil:
+		n.term = newTerm(n, n.lead.Token(), now)
+	case state == leadership.Leading && n.term != nil && n.term.token != n.lead.Token():
+		n.term.renewed(n.lead.Token(), now)
+	}
+}
+
+// perform carries out the actions of the leadership machine.
+func (n *Node) perform(actions []leadership.Action) {
+	for _, a := range actions {
+		n.world.Go(func() { n.performOne(a) })
+	}
+}
+
+func (n *Node) performOne(a leadership.Action) {
+	sent, ctx := n.world.Now(), store.Urgent(n.ctx)
+	switch a.Op {
+	case leadership.ReadKey:
+		it, err := n.store.Get(ctx, leadership.Key)
+		var v leadership.Value
+		if err == nil {
+			if jerr := json.Unmarshal(it.Value, &v); jerr != nil {
+				err = jerr
+			}
+		}
+		n.post(func() {
+			now := n.world.Now()
+			switch {
+			case err == nil:
+				n.sawStore(now)
+				n.perform(n.lead.KeyRead(now, sent, true, v, it.Stamp))
+			case errors.Is(err, store.ErrNotFound):
+				n.sawStore(now)
+				n.perform(n.lead.KeyRead(now, sent, false, v, it.Stamp))
+			default:
+				n.lead.ReadFailed(now)
+			}
+			n.desk.NoneBelow(n.lead.Least())
+			n.follow(now)
+		})
+	case leadership.GetHold:
+		hold, err := n.store.Hold(ctx, n.terms.Hold)
+		n.post(func() {
+			if err != nil {
+				n.lead.HoldFailed(n.world.Now())
+				return
+			}
+			n.perform(n.lead.HoldMade(n.world.Now(), hold))
+		})
+	case leadership.Write:
+		w := store.Put(leadership.Key, a.Claim)
+		w.Hold = a.Hold
+		out, err := n.store.Do(ctx, store.Txn{Guards: []store.Guard{{Key: leadership.Key, Stamp: a.Guard}},
+			Writes: []store.Write{w}})
+		n.post(func() {
+			now := n.world.Now()
+			n.lead.Written(now, sent, err == nil, out.OK(), out.Revision)
+			n.follow(now)
+		})
+	case leadership.Touch:
+		err := n.store.Touch(ctx, a.Hold)
+		n.post(func() { n.lead.Touched(n.world.Now(), errors.Is(err, store.ErrNoHold)) })
+	}
+}
--- a/internal/controller/standstill_test.go
+++ b/internal/controller/standstill_test.go
@@ -123,9 +123,11 @@
 			}
 			now := n.start.Add(at)
 			if i == 0 {
-				n.decide(now, waitingReport{r, func(v workers.Verdict) { answers = append(answers, v) }, now.Add(op.Placement.ReportWait)})
-			} else {
+				n.Report(now, r, func(v workers.Verdict) { answers = append(answers, v) })
+			} else if c.granted > 0 && at >= c.granted { // a message came
 				n.decideWaiting(now)
+			} else { // a tick
+				n.giveUpWaiting(now)
 			}
 		}
 		if len(answers) != 1 || answers[0].Status != c.status || answers[0].Foreman != c.foreman {
--- a/internal/workers/calls.go
+++ b/internal/workers/calls.go
@@ -22,7 +22,7 @@
 
 // urgent tells whether anything waits that a direct call could be worth.
 func (m *machine) urgent() bool {
-	if m.phase == Joining || m.odd > 0 || m.reach.deaf {
+	if m.phase == Joining || m.unexpected > 0 || m.reach.deaf {
 		return true
 	}
 	for _, o := range m.pending {
@@ -49,17 +49,17 @@
 	for e := d.due.Front(); e != nil && d.calling < d.opt.Calls; e = d.due.Front() {
 		m, _ := d.due.Remove(e).(*machine)
 		m.due = nil
-		if !m.urgent() || m.call != 0 || m.failed || m.phase == Expired && m.odd == 0 || m.addr == "" || m.notice >= 0 || d.owners[m.kind] != d.opt.Member {
+		if !m.urgent() || m.call != 0 || m.failed || m.phase == Expired && m.unexpected == 0 || m.addr == "" || m.notice >= 0 || d.owners[m.kind] != d.opt.Member {
 			continue
 		}
 		c := Call{Machine: m.name, Addr: m.addr, Token: d.token, Session: m.session, Commands: []model.Command{}, Until: d.grant,
 			known: [3]uint64{m.shown, m.session, m.seq}}
 		due := m.phase == Joining || m.reach.deaf
-		if m.odd > 0 {
-			due, c.Session, m.odd = true, m.odd, 0
+		if m.unexpected > 0 {
+			due, c.Session, m.unexpected = true, m.unexpected, 0
 		}
 		for _, o := range m.pending {
-			if o.state != queued || len(c.Commands) >= maxOrders || m.held(o) || m.phase != Current || c.Session != m.session || m.reborn || m.reach.deaf {
+			if o.state != queued || len(c.Commands) >= maxOrders || m.held(o) || m.phase != Current || c.Session != m.session || m.restarted || m.reach.deaf {
 				continue
 			}
 			switch {
@@ -121,11 +121,11 @@
 		switch {
 		case slices.Compare(c.known[:], []uint64{r.Token, r.Session, r.Seq}) >= 0:
 			d.begunAnew(m)
-		case !m.reborn && r.Session > m.ended && m.older(r):
+		case !m.restarted && r.Session > m.ended && m.older(r):
 			d.takeReport(now, m, r)
 		}
 	}
-	if m.reborn {
+	if m.restarted {
 		// Guard: its new life may have carried out what the call brought, and none of its
 		// reports counts. Settled by the answer, the starts went elsewhere as well
 		// (explorer, 210009384). They stay open until the fresh token.
--- a/internal/workers/desk.go
+++ b/internal/workers/desk.go
@@ -26,31 +26,31 @@
 )
 
 type machine struct {
-	name    string
-	addr    string
-	kind    model.Kind
-	spot    bool
-	phase   Phase
-	shown   uint64 // the highest token that its newest report showed
-	session uint64
-	seq     uint64
-	checked uint64        // number of the last report in this session that it sent by itself
-	ended   uint64        // the session that the leader was told is over, or 0
-	notice  time.Duration // -1: none
-	tasks   []*peerspb.Task
-	pending []*order
-	cordon  bool
-	quiet   bool   // no report for longer than they are apart
-	reach   reach  // whether what we say reaches it
-	asked   bool   // a report that did not show our token was answered with it
-	lost    bool   // and a call went unanswered, since it last showed our token
-	odd     uint64 // session of a report that came late or from a worker that began anew; 0: none did
-	reborn  bool   // its worker began anew under this token; see Called
-	listed  uint64 // change by which the leader is told of its tasks; see awaitsLeader
-	vetted  bool   // the leader has acknowledged a complete list of its tasks under this token
-	waiting uint64 // number of the report whose answer waits for that; 0: none does
-	call    uint64 // number of the direct call under way, or 0
-	failed  bool   // the last direct call failed: the next report is awaited
+	name       string
+	addr       string
+	kind       model.Kind
+	spot       bool
+	phase      Phase
+	shown      uint64 // the highest token that its newest report showed
+	session    uint64
+	seq        uint64
+	checked    uint64        // number of the last report in this session that it sent by itself
+	ended      uint64        // the session that the leader was told is over, or 0
+	notice     time.Duration // -1: none
+	tasks      []*peerspb.Task
+	pending    []*order
+	cordon     bool
+	quiet      bool   // no report for longer than they are apart
+	reach      reach  // whether what we say reaches it
+	asked      bool   // a report that did not show our token was answered with it
+	lost       bool   // and a call went unanswered, since it last showed our token
+	unexpected uint64 // session of a report that came late or from a worker that began anew; 0: none did
+	restarted  bool   // its worker began anew under this token; see Called
+	listed     uint64 // change by which the leader is told of its tasks; see awaitsLeader
+	vetted     bool   // the leader has acknowledged a complete list of its tasks under this token
+	waiting    uint64 // number of the report whose answer waits for that; 0: none does
+	call       uint64 // number of the direct call under way, or 0
+	failed     bool   // the last direct call failed: the next report is awaited
 
 	// Attempts whose start may be carried out late in this session. A worker
 	// ignores a start of an attempt that it knows, so these are not forgotten
@@ -131,7 +131,9 @@
 	Token    uint64
 	Commands []model.Command
 	Changed  bool // the leader should hear of this soon
-	Wait     bool // only a grant is missing
+	Wait     bool // only a message of the leader is missing
+	// Unacknowledged tells that this is the acknowledgement of the machine's tasks, not a grant.
+	Unacknowledged bool
 }
 
 // CheckReport tells what is wrong with a report.
@@ -255,7 +257,7 @@
 		// not bring it back to life.
 		d.ask(m, r)
 		return Verdict{Status: 503}
-	} else if m.reborn {
+	} else if m.restarted {
 		d.heard(now, m) // what it says counts from the fresh token on
 		return Verdict{Status: 200, Token: d.token, Commands: m.stops()}
 	} else if m.waiting != 0 && m.waiting == r.Seq && m.session == r.Session {
@@ -290,7 +292,7 @@
 func (d *Desk) answer(now time.Time, m *machine, r *model.Report) Verdict {
 	if d.awaitsLeader(m) {
 		m.waiting = r.Seq
-		return Verdict{Status: 503, Wait: true}
+		return Verdict{Status: 503, Wait: true, Unacknowledged: true}
 	}
 	m.waiting = 0
 	d.heard(now, m)
--- a/internal/workers/late.go
+++ b/internal/workers/late.go
@@ -32,7 +32,7 @@
 	// was, is waited for by nobody: copies kept machines that were gone from being called so.
 	awaited := r.Session == m.session && r.Seq > m.checked
 	if awaited && d.awaitsLeader(m) {
-		return Verdict{Status: 503, Wait: true}
+		return Verdict{Status: 503, Wait: true, Unacknowledged: true}
 	}
 	if awaited {
 		m.checked = r.Seq
@@ -47,7 +47,7 @@
 // Guard: a worker that began anew has low numbers again. Taken for late, its reports were
 // passed over until they had risen to what they were before, or its lease had.
 func (d *Desk) ask(m *machine, r *model.Report) {
-	m.odd, m.failed = r.Session, false
+	m.unexpected, m.failed = r.Session, false
 	if m.addr == "" {
 		m.addr = r.Addr
 	}
@@ -61,8 +61,8 @@
 // the lives apart: nothing that was said before it shows it. Until then the machine's tasks
 // count as they did, nothing is started there, and the leader is told of the doubt.
 func (d *Desk) begunAnew(m *machine) {
-	if !m.reborn {
-		m.reborn = true
+	if !m.restarted {
+		m.restarted = true
 		d.touch(m)
 	}
 }
--- a/internal/workers/late_test.go
+++ b/internal/workers/late_test.go
@@ -75,11 +75,11 @@
 func TestBegunAnew(t *testing.T) {
 	running := model.WireTask{Task: "j/1", Attempt: 9, State: model.TaskRunning}
 	for _, c := range []struct {
-		name    string
-		low     *model.Report // what comes first of the new life
-		body    *model.Report // what it answers the call
-		reborn  bool
-		session uint64 // that the call names
+		name      string
+		low       *model.Report // what comes first of the new life
+		body      *model.Report // what it answers the call
+		restarted bool
+		session   uint64 // that the call names
 	}{
 		{"it began anew", report(1, 1, 0), report(1, 2, 5), true, 1},
 		{"in the session that it had", report(3, 1, 0), report(3, 2, 5), true, 3},
@@ -99,10 +99,10 @@
 		}
 		d.Called(at(1.1), calls[0], Refused, c.body)
 		d.Round(at(1.2), grant(5, 10, ord(1, peerspb.Op_OP_START, 2)))
-		if m := heard(d, 1.3, 0); m.Unsure != c.reborn || len(m.Tasks) != 1 || (len(m.Undecided) == 0) != c.reborn {
+		if m := heard(d, 1.3, 0); m.Unsure != c.restarted || len(m.Tasks) != 1 || (len(m.Undecided) == 0) != c.restarted {
 			t.Errorf("%s: the leader hears %v", c.name, m)
 		}
-		if !c.reborn {
+		if !c.restarted {
 			continue
 		}
 		if len(d.vacancies()) > 0 {
--- a/internal/workers/orders.go
+++ b/internal/workers/orders.go
@@ -173,7 +173,7 @@
 		defer d.mayCall(m)
 		next := &order{id: o.Id, op: o.Op, job: o.Job, index: int(o.Index), attempt: o.Attempt,
 			grace: time.Duration(o.GraceMs) * time.Millisecond}
-		if next.start() && (m.phase != Current || m.reborn || m.reach.deaf) {
+		if next.start() && (m.phase != Current || m.restarted || m.reach.deaf) {
 			d.touch(m) // not taken in, hence decided: the leader is told
 			return
 		}
--- a/internal/workers/rounds.go
+++ b/internal/workers/rounds.go
@@ -77,12 +77,12 @@
 		// meanwhile. Counted from what this desk last heard, the machine was
 		// called expired although it lived, and its reports were refused.
 		m.pending, m.cordon, m.failed, m.ended, m.quiet = nil, false, false, 0, false
-		m.asked, m.lost, m.odd = false, false, 0
+		m.asked, m.lost, m.unexpected = false, false, 0
 		m.vetted, m.waiting = false, 0
-		if m.reborn {
+		if m.restarted {
 			// What it said before it began anew says nothing of it any more, and shows an
 			// earlier token; what shows this one it has said since.
-			m.reborn, m.shown, m.session, m.seq, m.checked, m.tasks = false, 0, 0, 0, 0, nil
+			m.restarted, m.shown, m.session, m.seq, m.checked, m.tasks = false, 0, 0, 0, 0, nil
 		}
 		d.heard(now, m)
 		if m.phase != Expired {
@@ -149,7 +149,7 @@
 			}
 		}
 	}
-	doubt := m.reborn
+	doubt := m.restarted
 	for _, o := range m.pending {
 		doubt = doubt || (o.state == unsure && o.void)
 	}
--- a/internal/workers/samples.go
+++ b/internal/workers/samples.go
@@ -43,7 +43,7 @@
 func (d *Desk) vacancies() map[model.Kind][]vacancy {
 	out := map[model.Kind][]vacancy{}
 	for _, m := range d.machines.All() {
-		if m.phase != Current || m.cordon || m.notice >= 0 || m.quiet || m.reborn || m.reach.deaf || d.owners[m.kind] != d.opt.Member {
+		if m.phase != Current || m.cordon || m.notice >= 0 || m.quiet || m.restarted || m.reach.deaf || d.owners[m.kind] != d.opt.Member {
 			continue
 		}
 		if used, known := d.occupancy(m); known {
