quota: teams' limits hold over several regions, by allocations that move

Cause: each region must go on alone for an hour, and a team's limit holds over all of them at every moment. One state service, a fixed division or loans with a time-out do not give both.

Change: each region stores its allocation of each limit, the transfers it sent and the number it credited last from each other region, one record a team, guarded by its stamp and the token. A debit leaves the book's limit in the same step as the look at what may run; only what is stored is told; a number is credited once; a change without an answer counts as the less favourable until it is read, and is written again as it was. What is idle goes to whoever comes first in the one order of all regions. Off by default: no key, no message.

--- a/internal/controller/leading.go
+++ b/internal/controller/leading.go
@@ -37,6 +37,7 @@
 	switch {
 	case state != leadership.Leading && n.term != nil:
 		n.term.endDrains()
+		n.term.regions.end()
 		n.term.end()
 		n.term = nil
 		n.views.Store(nil)
--- a/internal/controller/live.go
+++ b/internal/controller/live.go
@@ -18,6 +18,7 @@
 	"github.com/marlwood/marlwood/internal/metrics"
 	"github.com/marlwood/marlwood/internal/model"
 	"github.com/marlwood/marlwood/internal/peers"
+	"github.com/marlwood/marlwood/internal/quota"
 	"github.com/marlwood/marlwood/internal/settings"
 	"github.com/marlwood/marlwood/internal/sockets"
 	"github.com/marlwood/marlwood/internal/store"
@@ -64,7 +65,8 @@
 func (w *live) Go(f func())          { go f() }
 func (w *live) NewGate() intake.Gate { return intake.NewGate() }
 
-func (w *live) Dial(addr string) (Peer, error) { return peers.Dial(addr, w.dial) }
+func (w *live) DialRegion(addr string) (RegionPeer, error) { return quota.Dial(addr, w.dial) }
+func (w *live) Dial(addr string) (Peer, error)             { return peers.Dial(addr, w.dial) }
 
 // stop tells those who wait for the loop that it has ended.
 func (w *live) stop() { w.end.Do(func() { close(w.ended) }) }
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -25,6 +25,7 @@
 	"github.com/marlwood/marlwood/internal/peers"
 	"github.com/marlwood/marlwood/internal/peers/peerspb"
 	"github.com/marlwood/marlwood/internal/placement"
+	"github.com/marlwood/marlwood/internal/quota"
 	"github.com/marlwood/marlwood/internal/record"
 	"github.com/marlwood/marlwood/internal/settings"
 	"github.com/marlwood/marlwood/internal/sockets"
@@ -176,6 +177,9 @@
 	stopPeers, err := peers.Serve(n.cfg.PeerListen, n.serveRound, func(s grpc.ServiceRegistrar) {
 		record.Register(s, n.hub)
 		operators.RegisterRelay(s, n.Operate, n.CheckSettings)
+		if n.op.Regions.Name != settings.NoRegions {
+			quota.Register(s, n.serveRegion)
+		}
 	})
 	if err != nil {
 		return err
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -50,6 +50,7 @@
 	cloudJobs   []func()
 	hosts       *hosts.Ledger
 	accounts    *shares.Accounts // nil: none are kept
+	regions     *regions         // nil: there is one region only
 	markStamp   uint64           // of the accounts' mark as last known; 0: there is none
 	nextFlush   time.Time
 	parts       partStamps
@@ -78,6 +79,7 @@
 		deaf: map[deafness]time.Time{}, parts: partStamps{}, cancelled: map[string]time.Time{}, expiring: map[string]uint64{}, drains: map[string]store.Item{}, fence: fence{key: drainsFence}, goneSince: map[string]time.Time{}}
 	t.core = core.New(coreConfig(n.cfg, n.now), core.Identity{Member: n.cfg.Member, Boot: n.boot, Token: token},
 		n.knownTypes(), [2]uint64{n.world.Random(), n.world.Random()}, now, n.world.Wall(), n.tap, n.log)
+	t.regions = newRegions(t, now)
 	for _, l := range n.links {
 		l.acked, l.seen, l.sizes, l.busy, l.lost = false, 0, map[string]bool{}, false, false
 		// An earlier leader may have acted for H after its last check, and its
@@ -300,6 +302,7 @@
 	t.runGraph(now)
 	t.saveHosts(now)
 	t.keepAccounts(now)
+	t.keepRegions(now)
 	if !now.Before(t.nextFleet) {
 		t.nextFleet = now.Add(t.n.now.Fleet.Tick)
 		t.runFleet(now)
--- a/internal/controller/world.go
+++ b/internal/controller/world.go
@@ -36,6 +36,8 @@
 
 	Store() Store
 	Cloud() Cloud
+	// DialRegion makes a link to a controller of another region. Nothing is sent before the first message.
+	DialRegion(addr string) (RegionPeer, error)
 	// Dial makes a link to a sibling. Nothing is sent before the first message.
 	Dial(addr string) (Peer, error)
 	// Orders sends a direct call to a worker's address. The status is that of the
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -243,6 +243,8 @@
 		c.book.Renewed(x.Renewed.Token, now)
 	case *recordpb.Event_Owners:
 		c.applyOwners(x.Owners)
+	case *recordpb.Event_Limits:
+		c.applyLimits(x.Limits)
 	case *recordpb.Event_Config:
 		c.applyConfig(x.Config.Json)
 	case *recordpb.Event_Drains:
@@ -382,6 +384,15 @@
 	c.book.LoadUsage(e.Usage)
 }
 
+// applyLimits goes on with other limits of teams.
+func (c *Core) applyLimits(e *recordpb.Limits) {
+	limits := make(map[string]model.Size, len(e.Limits))
+	for _, l := range e.Limits {
+		limits[l.Team] = model.Size{CPUs: l.Cpus, GPUs: l.Gpus}
+	}
+	c.book.SetLimits(limits)
+}
+
 // applyConfig goes on with other settings.
 func (c *Core) applyConfig(text []byte) {
 	var cfg Config
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/marlwood/marlwood/internal/fleet"
@@ -71,6 +73,20 @@
 	return nil
 }
 
+// SetLimits replaces what teams may use in all.
+func (c *Core) SetLimits(now time.Time, limits map[string]model.Size) {
+	x := &recordpb.Limits{}
+	for _, team := range slices.Sorted(maps.Keys(limits)) {
+		x.Limits = append(x.Limits, &recordpb.Limit{Team: team, Cpus: limits[team].CPUs, Gpus: limits[team].GPUs})
+	}
+	e := c.event(now)
+	e.What = &recordpb.Event_Limits{Limits: x}
+	c.step(e)
+}
+
+// Demands are what all teams take and wait for; false: that is not known for sure.
+func (c *Core) Demands() (map[string]placement.TeamDemand, bool) { return c.book.Demands() }
+
 // SetDrains takes in all drains that are in force.
 func (c *Core) SetDrains(now time.Time, drains []store.Item) {
 	e := c.event(now)
--- a/internal/explore/plan.go
+++ b/internal/explore/plan.go
@@ -35,7 +35,8 @@
 	fates  func(c storeClient, t store.Txn) fate
 	calls  func(m *worker, o model.DirectOrders) time.Duration
 	script func(w *world)
-	idle   time.Duration // after which a machine is returned; 0: 4 s
+	shared map[string]model.Team // teams of several regions; nil: there is one
+	idle   time.Duration         // after which a machine is returned; 0: 4 s
 }
 
 // Submission is a user's job.
@@ -347,6 +348,11 @@
 
 // end releases what the processes hold.
 func (w *world) end() {
+	w.endProcesses()
+	w.sim.End()
+}
+
+func (w *world) endProcesses() {
 	for _, n := range w.nodes {
 		if n.process != nil && !n.process.Dead() {
 			n.cancel()
@@ -354,7 +360,6 @@
 		}
 	}
 	w.users.Kill()
-	w.sim.End()
 }
 
 // fault begins a fault.
--- a/internal/explore/saving.go
+++ b/internal/explore/saving.go
@@ -64,6 +64,8 @@
 // teams are those of a schedule.
 func (p Plan) teams() map[string]model.Team {
 	switch {
+	case p.shared != nil:
+		return p.shared
 	case p.Limits:
 		return limitedTeams
 	case p.Guarantee:
--- a/internal/explore/users.go
+++ b/internal/explore/users.go
@@ -278,17 +278,25 @@
 		s.breaks("wrong_place", "%s starts in zone %s, where %d tasks of its job are", name, m.kind.Zone, inZone-1)
 	}
 	j.on[t.index] = m
-	var used model.Size
-	for _, o := range w.all {
-		if o.spec.Team == j.spec.Team {
-			used = used.Add(o.spec.Size.Times(len(o.on)))
-		}
+	used := w.usedBy(j.spec.Team)
+	if w.regions != nil {
+		used = w.regions.usedBy(j.spec.Team)
 	}
 	if !w.plan.teams()[j.spec.Team].WithinLimit(used) {
 		s.breaks("quota", "%s starts: team %s uses %v CPUs", name, j.spec.Team, used.CPUs)
 	}
 }
 
+// usedBy is what the tasks of a team use in this world.
+func (w *world) usedBy(team string) (used model.Size) {
+	for _, o := range w.all {
+		if o.spec.Team == team {
+			used = used.Add(o.spec.Size.Times(len(o.on)))
+		}
+	}
+	return used
+}
+
 // left takes a task off the books of the world.
 func (w *world) left(m *worker, t *copyOf) {
 	if t.job.on[t.index] == m {
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -65,6 +65,8 @@
 	missed                int                                   // faults that hit nothing
 	met                   [MetKinds]int                         // what came about, of each kind
 	old                   time.Duration                         // until then the first controller reads an earlier form of records
+	regions               *regionSet                            // that this world is one of; nil: it is alone
+	region                int                                   // which one
 	rounds                func(to int, r *peerspb.RoundRequest) // if not nil, is told of messages that leaders send to siblings
 }
 
@@ -91,12 +93,17 @@
 })
 
 func newWorld(p Plan, story *strings.Builder, level slog.Level, tap func() core.Tap) (*world, error) {
+	return newWorldIn(&sim{Sim: virtual.New(p.Seed), story: story}, p, level, tap, nil, 0)
+}
+
+// newWorldIn makes a world in a time that it may share with others: the index-th of regions, if there
+// are any.
+func newWorldIn(s *sim, p Plan, level slog.Level, tap func() core.Tap, regions *regionSet, index int) (*world, error) {
 	op, err := operator()
 	if err != nil {
 		return nil, err
 	}
-	s := &sim{Sim: virtual.New(p.Seed), story: story}
-	w := &world{sim: s, plan: p, net: &network{sim: s}, store: virtual.NewStore(s.Sim, 16), storeAt: &place{name: "store", role: storeRole}, jobs: map[string]*job{}, drained: map[string]bool{}, operated: map[string]bool{}, op: op, level: level, tap: tap,
+	w := &world{regions: regions, region: index, sim: s, plan: p, net: &network{sim: s}, store: virtual.NewStore(s.Sim, 16), storeAt: &place{name: "store", role: storeRole}, jobs: map[string]*job{}, drained: map[string]bool{}, operated: map[string]bool{}, op: op, level: level, tap: tap,
 		place: &place{name: "users", role: userRole}}
 	w.used, w.attempts = map[string]time.Duration{}, map[string]int{}
 	if p.Accounts {
@@ -109,6 +116,11 @@
 		kept.Fleet.Idle = p.idle
 		w.op = &kept
 	}
+	if regions != nil {
+		kept := *w.op
+		kept.Regions.Name, kept.Regions.Others = regionNames[index], regions.others(index)
+		w.op = &kept
+	}
 	w.store.Lost = func(key string) { s.tell("the key %s goes with its hold", key) }
 	w.cloud = &cloud{world: w, place: &place{name: "cloud", role: cloudRole}, charters: map[string][]string{}}
 	w.users = s.NewProcess("users")
@@ -201,6 +213,13 @@
 func (n *node) Store() controller.Store                  { return storeClient{n} }
 func (n *node) Cloud() controller.Cloud                  { return cloudClient{n} }
 
+func (n *node) DialRegion(addr string) (controller.RegionPeer, error) {
+	if n.world.regions == nil {
+		return nil, errors.New("no such region")
+	}
+	return regionLink{n, n.world.regions.at(addr)}, nil
+}
+
 func (n *node) Dial(addr string) (controller.Peer, error) {
 	for _, o := range n.world.nodes {
 		if o.place.name == addr {
--- a/internal/placement/book.go
+++ b/internal/placement/book.go
@@ -6,6 +6,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -109,7 +110,8 @@
 	complete  bool
 	resumed   bool // claims that an earlier leader stored were gone on with
 	types     map[string]model.MachineType
-	teams     map[string]model.Team
+	teams     map[string]model.Team // with the limits in force; see SetLimits
+	settings  map[string]model.Team // as the platform gave them
 	jobs      *model.Table[string, *Job]
 	machines  *model.Table[string, *Machine]
 	aside     map[string]*Machine // those of which something is yet to come; see look
@@ -154,7 +156,7 @@
 	if opt.Rand == nil {
 		opt.Rand = rand.New(rand.NewPCG(token, 0))
 	}
-	b := &Book{opt: opt, token: token, teams: teams, types: types, jobs: model.NewTable[string, *Job](),
+	b := &Book{opt: opt, token: token, teams: maps.Clone(teams), settings: teams, types: types, jobs: model.NewTable[string, *Job](),
 		machines: model.NewTable[string, *Machine](), aside: map[string]*Machine{}, wandering: map[string]*Machine{}, ofKind: map[model.Kind]int{}, owners: map[model.Kind]string{}, out: map[string][]*peerspb.Order{},
 		gone: map[string]time.Time{}, classes: model.NewTable[string, *class](), holders: map[string]*model.Table[string, *Machine]{},
 		use: map[string]*teamUse{}, ended: map[string]*model.Table[string, *Machine]{}, drains: model.NewTable[string, *Drain]()}
--- /dev/null
+++ b/internal/placement/limits.go
@@ -0,0 +1,57 @@
+package placement
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/marlwood/marlwood/internal/model"
+)
+
+// SetLimits replaces what teams may use in all. A team that is not named keeps its limit.
+func (b *Book) SetLimits(limits map[string]model.Size) {
+	for name, limit := range limits {
+		team, known := b.teams[name]
+		if !known || team.Limit == limit {
+			continue
+		}
+		team.Limit = limit
+		b.teams[name] = team
+		if u := b.use[name]; u != nil {
+			u.team = team
+		}
+		b.room++ // what a limit held back may start
+	}
+}
+
+// TeamDemand is what a team's tasks take, and what its jobs wait for.
+type TeamDemand struct {
+	Used    model.Size // by all that is bound
+	Waiting model.Size // by all tasks that are not
+	Rank    int        // of the first job that waits: of its priority
+	Since   time.Time  // and when it was accepted
+}
+
+// Demands are those of all teams. false: they are not known, for the book is not complete, or tasks run
+// of which nobody knows whose they are.
+func (b *Book) Demands() (map[string]TeamDemand, bool) {
+	if !b.complete || b.strays() > 0 {
+		return nil, false
+	}
+	out := make(map[string]TeamDemand, len(b.use))
+	for name, u := range b.use {
+		out[name] = TeamDemand{Used: u.size}
+	}
+	for _, j := range b.jobs.All() {
+		n := j.Unplaced()
+		if n <= 0 || j.Cancelled || j.Suspect() {
+			continue
+		}
+		d := out[j.Spec.Team]
+		if d.Waiting == (model.Size{}) || cmp.Or(cmp.Compare(j.rank, d.Rank), d.Since.Compare(j.Accepted)) > 0 {
+			d.Rank, d.Since = j.rank, j.Accepted
+		}
+		d.Waiting = d.Waiting.Add(j.Spec.Size.Times(n))
+		out[j.Spec.Team] = d
+	}
+	return out, true
+}
--- /dev/null
+++ b/internal/placement/limits_test.go
@@ -0,0 +1,58 @@
+package placement
+
+import (
+	"testing"
+
+	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/peers/peerspb"
+)
+
+// A limit that is replaced holds from then on, for what was bound before as well, outlives a copy of the
+// state, and is that of one book only.
+func TestSetLimits(t *testing.T) {
+	b := newBench(t)
+	b.machine("m", "big", "a", &peerspb.Task{Job: "x", Index: 0, Attempt: 1, State: "running"})
+	b.job("x", func(j *model.Job) { j.Team, j.Tasks = "tight", 9 })
+	b.says(1, "m", "current", 0, &peerspb.Task{Job: "x", Index: 0, Attempt: 1, State: "running"})
+	b.Settle()
+	x := b.jobs.At("x")
+	for _, c := range []struct{ limit, room float64 }{{4, 1}, {2, 0}, {1e-9, 0}, {10, 4}, {100, 8}} {
+		b.SetLimits(map[string]model.Size{"tight": {CPUs: c.limit}, "unknown": {CPUs: 1}})
+		if got := b.headroom(x); got != int(c.room) {
+			t.Errorf("with a limit of %g there is room for %d more, want %g", c.limit, got, c.room)
+		}
+		s, err := b.Export()
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := Import(b.opt, b.settings, s)
+		if err != nil || again.headroom(again.jobs.At("x")) != int(c.room) {
+			t.Errorf("with a limit of %g a copy has other room: %v", c.limit, err)
+		}
+	}
+	if other := newBench(t); other.teams["tight"].Limit.CPUs != 4 {
+		t.Error("another book has its limit")
+	}
+}
+
+// What teams take and wait for; nothing is known while the book is not complete or strays run.
+func TestDemands(t *testing.T) {
+	b := newBench(t)
+	b.machine("m", "big", "a")
+	b.job("x", func(j *model.Job) { j.Team, j.Tasks, j.Priority = "tight", 3, model.Low })
+	b.job("y", func(j *model.Job) { j.Team, j.Tasks, j.Priority = "tight", 2, model.High })
+	if _, known := b.Demands(); known {
+		t.Error("it is known before the book is complete")
+	}
+	b.Settle()
+	b.start(at(1), b.jobs.At("x"), 0, b.machines.At("m"), b.nextAttempt())
+	d, known := b.Demands()
+	x := b.jobs.At("x").Spec.Size
+	if got := d["tight"]; !known || got.Used != x || got.Waiting != x.Times(4) || got.Rank != b.jobs.At("y").rank {
+		t.Errorf("%v, %+v", known, got)
+	}
+	b.says(2, "m", "current", 100, &peerspb.Task{Job: "nobody", Index: 0, Attempt: 9, State: "running"})
+	if _, known := b.Demands(); known {
+		t.Error("it is known while tasks run that nobody knows")
+	}
+}
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -31,6 +31,7 @@
 	Out                            map[string][][]byte // orders by member
 	Gone                           map[string]time.Time
 	Classes                        []ClassState
+	Limits                         map[string]model.Size // where they are not the settings
 	Use                            map[string]UseState
 	Urgencies                      map[string]Urgency
 	Coming                         []JobState
@@ -176,7 +177,7 @@
 func (b *Book) Export() (*State, error) {
 	s := &State{Token: b.token, Complete: b.complete, Resumed: b.resumed, Split: b.split, FewParts: b.fewParts, OrderID: b.orderID,
 		Attempts: b.attempts, Saves: b.saves, Room: b.room, Rounds: b.rounds, Capacity: b.capacity, Gathering: b.gathering, Types: b.types, Out: map[string][][]byte{}, Gone: b.gone,
-		Use: map[string]UseState{}, Urgencies: b.urgencies}
+		Use: map[string]UseState{}, Limits: map[string]model.Size{}, Urgencies: b.urgencies}
 	if s.Mark, s.Heard = b.mark, b.heard; b.usage != nil {
 		s.Lately = b.usage.Export()
 	}
@@ -216,6 +217,11 @@
 	for team, u := range b.use {
 		s.Use[team] = UseState{u.size, u.tasks}
 	}
+	for name, team := range b.teams {
+		if team.Limit != b.settings[name].Limit {
+			s.Limits[name] = team.Limit
+		}
+	}
 	for _, d := range b.drains.All() {
 		s.Drains = append(s.Drains, *d)
 	}
@@ -285,12 +291,13 @@
 		b.usage.Import(s.Lately)
 	}
 	b.rounds, b.capacity, b.gathering = s.Rounds, s.Capacity, s.Gathering
+	b.SetLimits(s.Limits)
 	b.kindsGen = 1 // above that of all jobs, which have no kinds yet
 	for _, o := range s.Owners {
 		b.owners[o.Kind] = o.Member
 	}
 	for team, u := range s.Use {
-		b.use[team] = &teamUse{team: teams[team], size: u.Size, tasks: u.Tasks}
+		b.use[team] = &teamUse{team: b.teams[team], size: u.Size, tasks: u.Tasks}
 	}
 	for _, d := range s.Drains {
 		b.drains.Put(d.Target(), &d)
--- a/internal/replay/world.go
+++ b/internal/replay/world.go
@@ -291,6 +291,10 @@
 
 func (w *world) Sleep(_ context.Context, d time.Duration) { w.process.Sleep(d) }
 
+func (w *world) DialRegion(string) (controller.RegionPeer, error) {
+	return nil, errors.New("replay: there is one region only")
+}
+
 func (w *world) Dial(string) (controller.Peer, error) {
 	return nil, errors.New("there are no siblings")
 }
--- a/internal/settings/defaults.sexp
+++ b/internal/settings/defaults.sexp
@@ -58,4 +58,7 @@
     (flush "10s")         ; how often it is written
     (ties "age"))         ; "share": of jobs alike in priority and guarantee those of the team come first that had least of its share lately
   (record
-    (lines "off")))       ; "stderr": what a leader takes in and decides is written there as lines
+    (lines "off"))        ; "stderr": what a leader takes in and decides is written there as lines
+  (regions                ; teams' limits hold over several regions, each a deployment of its own; see docs/operators/regions.md
+    (name "off")          ; this region's name
+    (others "")))         ; the other regions and their controllers: "south 10.1.0.1:8081 10.1.0.2:8081; west 10.2.0.1:8081"
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -75,6 +75,9 @@
 	if err := o.checkOperators(); err != nil {
 		return nil, err
 	}
+	if _, err := o.OtherRegions(); err != nil {
+		return nil, err
+	}
 	return &o, nil
 }
 
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -86,6 +86,10 @@
 	Record struct {
 		Lines string `sexp:"lines" oneof:"off stderr"`
 	} `sexp:"record"`
+	Regions struct {
+		Name   string `sexp:"name"`
+		Others string `sexp:"others"`
+	} `sexp:"regions"`
 }
 
 // LoadOperator returns the defaults, changed by the file at path unless path
--- a/internal/settings/reload_test.go
+++ b/internal/settings/reload_test.go
@@ -70,6 +70,7 @@
 		`(marlwood (fleet (idle "25s")) (service (memory-share 0.5)))`:    "service.memory-share",
 		`(marlwood (operators (listen "127.0.0.1:1") (plaintext "yes")))`: "operators.listen",
 		`(marlwood (record (lines "stderr")))`:                            "record.lines",
+		`(marlwood (regions (name "a") (others "b 127.0.0.1:1")))`:        "regions.name",
 		`(marlwood (leadership (hold "5s")))`:                             "", // as it is
 	} {
 		next, err := o.Overlay([]byte(text))
