--- a/internal/explore/cmd/main.go
+++ b/internal/explore/cmd/main.go
@@ -24,6 +24,7 @@
 
 type cli struct {
 	Run     runCmd     `cmd:"" default:"withargs" help:"Explore until a rule is broken or the time is up."`
+	Regions regionsCmd `cmd:"" help:"Explore schedules of three regions that share teams' limits."`
 	Mutants mutantsCmd `cmd:"" help:"Try the explorer on mistakes that weaken one guard each. Run in the project's root."`
 }
 
