--- a/cmd/marlwood/ask.go
+++ b/cmd/marlwood/ask.go
@@ -130,9 +130,6 @@
 	return nil
 }
 
-// width is what tables fit into.
-const width = 100
-
 // table prints rows below headings, without lines, each cell no wider than it must be.
 func table(w io.Writer, headings []string, rows [][]string) error {
 	t := tablewriter.NewTable(w,
--- a/internal/standin/machine.go
+++ b/internal/standin/machine.go
@@ -94,7 +94,6 @@
 	saved   bool
 	next    time.Time // when its state ends by itself; zero: never
 	began   time.Time // running since
-	waits   time.Time // for its gang since
 	doomed  bool      // a piece of its gang is gone: it exits when next comes
 	already time.Duration
 }
