scale: limits shared by the regions of a run, and a region that is cut off

What teams use is noted at the same moments in all regions and summed: more than a limit breaks quota. Tasks that end with a lease are counted, and starts in the cut region second by second. The first team's limit is less than it asks for, so that parts of it move.

A controller's port is chosen below those that the system hands out, for a hollow worker once took it and the run waited for ever; a controller that ends, or is not ready within a minute, ends the run.

--- a/internal/scale/cmd/main.go
+++ b/internal/scale/cmd/main.go
@@ -32,6 +32,7 @@
 	Seed         uint64        `help:"Of what users submit." default:"1"`
 	KillLeader   time.Duration `help:"When the first region's leader is killed." placeholder:"AT"`
 	KillMachines string        `help:"How many machines of each region stop, and when: 20@30s." placeholder:"N@AT"`
+	CutRegion    string        `help:"A region that is cut off from the others: north@60s+60s." placeholder:"NAME@AT+FOR"`
 	Settings     string        `help:"Operators' settings for the controllers." type:"existingfile" optional:""`
 	Out          string        `help:"Folder for the report as JSON, a plot and the controllers' logs." placeholder:"DIR"`
 }
@@ -88,6 +89,9 @@
 			return o, err
 		}
 	}
+	if err := c.readCut(&o); err != nil {
+		return o, err
+	}
 	if c.KillMachines == "" {
 		return o, nil
 	}
@@ -101,6 +105,23 @@
 	return o, nil
 }
 
+// readCut reads --cut-region.
+func (c *runCmd) readCut(o *scale.Options) (err error) {
+	if c.CutRegion == "" {
+		return nil
+	}
+	name, times, _ := strings.Cut(c.CutRegion, "@")
+	at, length, _ := strings.Cut(times, "+")
+	o.CutRegion = name
+	if o.CutAt, err = time.ParseDuration(at); err == nil {
+		o.CutFor, err = time.ParseDuration(length)
+	}
+	if err != nil {
+		return fmt.Errorf("--cut-region %q: NAME@AT+FOR is expected: %w", c.CutRegion, err)
+	}
+	return nil
+}
+
 func (c *runCmd) save(r *scale.Report) error {
 	text, err := json.MarshalIndent(r, "", "  ")
 	if err != nil {
--- a/internal/scale/options.go
+++ b/internal/scale/options.go
@@ -17,6 +17,9 @@
 	KillLeader   time.Duration // when the first region's leader is killed; 0: never
 	KillMachines int           // machines of each region that stop
 	KillAt       time.Duration
+	CutRegion    string // a region that is cut off from the others; "": none is
+	CutAt        time.Duration
+	CutFor       time.Duration
 	Settings     string // operators' settings of the controllers; "": the defaults
 	Log          string // folder for what the controllers write; "": nowhere
 }
@@ -40,6 +43,8 @@
 		return fmt.Errorf("scale: share %g: it must be from %g to 1", o.Share, leastShare)
 	case o.For < leastFor || o.For > mostFor:
 		return fmt.Errorf("scale: for %v: it must be from %v to %v", o.For, leastFor, mostFor)
+	case o.CutRegion != "" && regionIndex(o.CutRegion) < 0:
+		return fmt.Errorf("scale: no region %q; there are %v", o.CutRegion, regionNames)
 	case o.Peak < 0 || o.Peak > o.For/2:
 		return fmt.Errorf("scale: peak %v: it must be at most half of %v", o.Peak, o.For)
 	}
--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/marlwood/marlwood/internal/model"
@@ -57,7 +58,7 @@
 	Limit    int // machines in a zone, ordinary and spot each
 }
 
-// Team is a team with what it may use in the region, in CPUs.
+// Team is a team with what it is guaranteed in the region and may use in all regions together, in CPUs.
 type Team struct {
 	Name      string
 	Guarantee float64
@@ -81,7 +82,7 @@
 // planRegion is one region's part of the plan.
 func planRegion(o Options, index int) Plan {
 	part := o.Share / regionsPlanned
-	p := Plan{Region: regionName(index), Seed: o.Seed + uint64(index), Length: o.For,
+	p := Plan{Region: regionNames[index], Seed: o.Seed + uint64(index), Length: o.For,
 		Long: int(0.6 * plannedTasks * part), Starts: plannedStarts * part / 2, Peak: plannedStarts * part,
 		Urgent: max(0.5, 6*part), Gangs: max(0.1, 1.5*part)}
 	p.PeakFrom = max(0, o.For-o.Peak-o.For/6)
@@ -94,16 +95,22 @@
 	for z := range zonesPerRegion {
 		p.Zones = append(p.Zones, fmt.Sprintf("%s-%d", p.Region, z+1))
 	}
-	// Three times the share of each team: limits bind for those that ask for more only.
+	// Three times the share of each team: limits bind for those that ask for more only. The first team has
+	// less than it asks for, so that parts of its limit move.
 	cpus := machines * zonesPerRegion * (smallShare*4 + (1-smallShare)*32)
 	for t := range plannedTeams {
 		p.Teams = append(p.Teams, Team{Name: fmt.Sprintf("team-%03d", t+1), Guarantee: float64(int(cpus / plannedTeams / 2)),
-			Limit: float64(max(64*2, int(3*cpus/plannedTeams)))})
+			Limit: float64(regionsPlanned * max(64*2, int(3*cpus/plannedTeams)))})
 	}
+	p.Teams[0].Limit = float64(regionsPlanned * max(8, int(cpus/plannedTeams/2)))
 	return p
 }
 
-func regionName(index int) string { return [...]string{"north", "south", "west"}[index] }
+// regionNames are those of the regions.
+var regionNames = [regionsPlanned]string{"north", "south", "west"}
+
+// regionIndex is the number of a region; below 0: there is none.
+func regionIndex(name string) int { return slices.Index(regionNames[:], name) }
 
 // standinTypes are the types as the stand-in offers them; all of them are ordinary.
 func (p Plan) standinTypes() (out []*standin.Type) {
--- a/internal/scale/region.go
+++ b/internal/scale/region.go
@@ -43,7 +43,8 @@
 	Writes    int64
 	Users     UserCounts
 	LongestMS int64 // without any start, so far
-	Peaks     map[string]float64
+	Killed    int   // tasks that ended with their machine's lease
+	Samples   []UseSample
 	Broken    []string
 	Final     *Final // with the last one
 }
@@ -131,7 +132,9 @@
 			return nil
 		case c := <-commands:
 			if c.Start && r.users == nil {
-				r.begin(ctx)
+				if err := r.begin(ctx); err != nil {
+					return err
+				}
 			}
 			for range c.Fail {
 				r.failOne()
@@ -152,14 +155,19 @@
 	}
 }
 
+// beginWithin is how long the controllers may take to be ready.
+const beginWithin = time.Minute
+
 // begin has users begin, once the controllers answer.
-func (r *region) begin(ctx context.Context) {
+func (r *region) begin(ctx context.Context) error {
+	ready, cancel := context.WithTimeout(ctx, beginWithin)
+	defer cancel()
 	var addrs []string
 	for _, a := range r.nodes {
 		addrs = append(addrs, a)
 	}
 	for _, a := range addrs {
-		for ctx.Err() == nil {
+		for {
 			resp, err := http.Get("http://" + a + "/up")
 			if err == nil {
 				_ = resp.Body.Close()
@@ -167,11 +175,26 @@
 					break
 				}
 			}
-			sleep(ctx, 100*time.Millisecond)
+			if !sleep(ready, 100*time.Millisecond) {
+				return fmt.Errorf("scale: the controller at %s is not ready", a)
+			}
 		}
 	}
 	r.users = newUsers(r.plan, addrs, r.truth)
 	r.users.run(ctx)
+	go r.sampleUse(ctx)
+	return nil
+}
+
+// sampleUse notes what teams use, at moments that are the same in all regions.
+func (r *region) sampleUse(ctx context.Context) {
+	for {
+		now := time.Now()
+		if !sleep(ctx, now.Truncate(sampleEvery).Add(sampleEvery).Sub(now)) {
+			return
+		}
+		r.truth.sample(time.Now())
+	}
 }
 
 func (r *region) failOne() {
@@ -182,9 +205,9 @@
 }
 
 func (r *region) snapshot(now time.Time) Snapshot {
-	broken, longest, peaks := r.truth.take()
+	broken, longest, samples := r.truth.take()
 	s := Snapshot{At: now.Sub(r.users.began), Started: r.cloud.Started(), Running: r.cloud.Running(), Machines: len(r.cloud.Machines()),
-		LongestMS: longest.Milliseconds(), Peaks: peaks, Broken: append(broken, r.cloud.Broken()...)}
+		LongestMS: longest.Milliseconds(), Killed: r.cloud.Killed(), Samples: samples, Broken: append(broken, r.cloud.Broken()...)}
 	s.Requests, s.Writes = r.state.Asked()
 	var v leadership.Value
 	if json.Unmarshal(r.state.Value(leadership.Key), &v) == nil {
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -36,7 +36,9 @@
 	StateWrote   Rate
 	Urgent       Waits
 	Ordinary     Waits
-	LongestMS    int64 // without any start in a region
+	Killed       int       // tasks that ended with their machine's lease
+	CutStarts    []float64 // starts a second in a region that was cut off, second by second
+	LongestMS    int64     // without any start in a region
 	Broken       []string
 	Seconds      []Second
 }
@@ -120,6 +122,8 @@
 	for _, g := range r.regions {
 		last := g.snapshots[len(g.snapshots)-1]
 		out.Broken = append(out.Broken, last.Broken...)
+		out.Killed += last.Killed
+		out.CutStarts = append(out.CutStarts, r.cutStarts(g)...)
 		out.LongestMS = max(out.LongestMS, last.LongestMS)
 		out.Jobs.add(last.Users)
 		urgent.Merge(hdrhistogram.Import(last.Final.Urgent))
@@ -136,6 +140,19 @@
 	return out
 }
 
+// cutStarts are the starts in each second in which a region was cut off.
+func (r *run) cutStarts(g *regionRun) (out []float64) {
+	if g.plan.Region != r.opt.CutRegion {
+		return nil
+	}
+	for i := 1; i < len(g.snapshots); i++ {
+		if at := g.snapshots[i].At; at >= r.opt.CutAt && at < r.opt.CutAt+r.opt.CutFor {
+			out = append(out, float64(g.snapshots[i].Started-g.snapshots[i-1].Started))
+		}
+	}
+	return out
+}
+
 func (c *UserCounts) add(o UserCounts) {
 	c.Submitted += o.Submitted
 	c.Accepted += o.Accepted
@@ -233,6 +250,8 @@
 		r.Urgent.row("urgent, submission to running"),
 		r.Ordinary.row("others, submission to first task"),
 		{"longest without a start", fmt.Sprintf("%d ms", r.LongestMS), "", ""},
+		{"tasks killed by leases", fmt.Sprint(r.Killed), "", ""},
+		{"starts a second while cut off", fmt.Sprintf("p50 %.0f", rate(r.CutStarts).P50), fmt.Sprintf("%d seconds", len(r.CutStarts)), ""},
 		{"rules broken", fmt.Sprint(len(r.Broken)), "", ""},
 	}
 	for _, c := range r.Controllers {
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -21,6 +22,7 @@
 type controller struct {
 	name, zone, listen, peer string
 	process                  *process
+	killed                   bool // by the run, until it is started again
 	samples                  []Sample
 }
 
@@ -31,6 +33,7 @@
 	commands    *json.Encoder
 	lines       *bufio.Scanner
 	addrs       Addresses
+	settings    string // path of its controllers' settings
 	controllers []*controller
 	snapshots   []Snapshot
 }
@@ -73,6 +76,9 @@
 	opt     Options
 	dir     string
 	regions []*regionRun
+	links   []*regionLink
+	taken   map[string]bool // addresses of controllers
+	broken  []string // rules over all regions
 }
 
 // Run plays a run, and reports it. A rule that was broken is ErrRule, with the report of the run.
@@ -84,11 +90,16 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &run{opt: o, dir: dir}
+	r := &run{opt: o, dir: dir, taken: map[string]bool{}}
 	defer r.close()
 	for i := range regionsPlanned {
 		g := &regionRun{plan: planRegion(o, i)}
 		r.regions = append(r.regions, g)
+		if err := r.nameControllers(g); err != nil {
+			return nil, err
+		}
+	}
+	for _, g := range r.regions {
 		if err := r.begin(g); err != nil {
 			return nil, err
 		}
@@ -97,6 +108,7 @@
 		return nil, err
 	}
 	out := r.report()
+	out.Broken = append(out.Broken, r.broken...)
 	if len(out.Broken) > 0 {
 		return out, fmt.Errorf("%w: %s", ErrRule, out.Broken[0])
 	}
@@ -105,6 +117,9 @@
 
 // close ends all processes and removes all files of the run.
 func (r *run) close() {
+	for _, k := range r.links {
+		_ = k.Close()
+	}
 	for _, g := range r.regions {
 		for _, c := range g.controllers {
 			c.process.end(syscall.SIGTERM)
@@ -114,21 +129,31 @@
 	_ = os.RemoveAll(r.dir)
 }
 
-// begin starts a region's outside systems and its controllers.
-func (r *run) begin(g *regionRun) error {
-	cfg := RegionConfig{Plan: g.plan, Nodes: map[string]string{}}
+// nameControllers names a region's controllers and takes their addresses.
+func (r *run) nameControllers(g *regionRun) error {
 	for i := range controllersEach {
 		c := &controller{name: fmt.Sprintf("%s-c%d", g.plan.Region, i+1), zone: g.plan.Zones[i%len(g.plan.Zones)]}
 		for _, a := range []*string{&c.listen, &c.peer} {
-			addr, err := freeAddr()
+			addr, err := r.freeAddr()
 			if err != nil {
 				return err
 			}
 			*a = addr
 		}
-		cfg.Nodes[c.name] = c.listen
 		g.controllers = append(g.controllers, c)
 	}
+	return nil
+}
+
+// begin starts a region's outside systems and its controllers.
+func (r *run) begin(g *regionRun) error {
+	cfg := RegionConfig{Plan: g.plan, Nodes: map[string]string{}}
+	for _, c := range g.controllers {
+		cfg.Nodes[c.name] = c.listen
+	}
+	if err := r.linkRegion(g); err != nil {
+		return err
+	}
 	if err := r.startRegion(g, cfg); err != nil {
 		return err
 	}
@@ -140,13 +165,32 @@
 	return nil
 }
 
-func freeAddr() (string, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("scale: no loopback address is free: %w", err)
+// Ports of controllers lie below those that the system gives to connections and to listeners that ask
+// for any.
+//
+// Guard: a port that was tried and given back was taken by a hollow worker before its controller began.
+const (
+	leastPort = 18_000
+	mostPort  = 32_000
+	portTries = 200
+)
+
+// freeAddr finds a loopback address that nobody listens on, and that it has not named before.
+func (r *run) freeAddr() (string, error) {
+	for range portTries {
+		addr := fmt.Sprintf("127.0.0.1:%d", leastPort+rand.IntN(mostPort-leastPort))
+		if r.taken[addr] {
+			continue
+		}
+		l, err := net.Listen("tcp4", addr)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		r.taken[addr] = true
+		return addr, nil
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", errors.New("scale: no loopback address is free")
 }
 
 func (r *run) startRegion(g *regionRun, cfg RegionConfig) error {
@@ -179,11 +223,7 @@
 	if err := writePlatform(path, g, c); err != nil {
 		return err
 	}
-	args := []string{"serve", "--config", path}
-	if r.opt.Settings != "" {
-		args = append(args, "--settings", r.opt.Settings)
-	}
-	cmd := exec.Command(r.opt.Program, args...)
+	cmd := exec.Command(r.opt.Program, "serve", "--config", path, "--settings", g.settings)
 	cmd.Env = append(os.Environ(), "LOG_LEVEL=info")
 	cmd.Stderr = io.Discard
 	if r.opt.Log != "" {
@@ -196,6 +236,7 @@
 	}
 	var err error
 	c.process, err = start(cmd)
+	c.killed = false
 	return err
 }
 
@@ -237,7 +278,8 @@
 	}
 	second := time.NewTicker(time.Second)
 	defer second.Stop()
-	faults := r.faults()
+	faults, use := r.faults(), newUseOfAll(r.regions[0].plan)
+	defer func() { r.broken = use.broken }()
 	for left := len(r.regions); left > 0; {
 		select {
 		case <-ctx.Done():
@@ -246,6 +288,8 @@
 			if !t.ok {
 				return fmt.Errorf("%w: %s", errEnded, t.region.plan.Region)
 			}
+			use.add(t.snapshot.Samples)
+			t.snapshot.Samples = nil
 			t.region.snapshots = append(t.region.snapshots, t.snapshot)
 			if t.snapshot.Final != nil {
 				left--
@@ -257,6 +301,25 @@
 			if err := faults(); err != nil {
 				return err
 			}
+			if err := r.checkRunning(); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// checkRunning tells of a controller that ended without having been killed.
+func (r *run) checkRunning() error {
+	for _, g := range r.regions {
+		for _, c := range g.controllers {
+			select {
+			case <-c.process.ended:
+				if !c.killed {
+					return fmt.Errorf("scale: controller %s ended", c.name)
+				}
+			default:
+			}
 		}
 	}
 	return nil
@@ -295,6 +358,7 @@
 	return func() error {
 		if !leaderDone && first.at() >= r.opt.KillLeader {
 			if killed = first.leader(); killed != nil {
+				killed.killed = true
 				killed.process.end(syscall.SIGKILL)
 				back, leaderDone = time.Now().Add(backAfter), true
 			}
@@ -304,6 +368,7 @@
 			killed = nil
 			return r.startController(first, c)
 		}
+		r.cutRegion()
 		if !machinesDone && first.at() >= r.opt.KillAt {
 			machinesDone = true
 			for _, g := range r.regions {
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -30,7 +30,8 @@
 func TestSmallShare(t *testing.T) {
 	program, scale := built(t)
 	r, err := Run(context.Background(), Options{Program: program, Region: []string{scale, "region"}, Share: 0.02, For: 25 * time.Second,
-		Peak: 8 * time.Second, Seed: 1, KillLeader: 12 * time.Second, KillMachines: 2, KillAt: 14 * time.Second})
+		Peak: 8 * time.Second, Seed: 1, KillLeader: 12 * time.Second, KillMachines: 2, KillAt: 14 * time.Second,
+		CutRegion: "south", CutAt: 10 * time.Second, CutFor: 10 * time.Second})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -40,6 +41,9 @@
 	if r.WorkerSent.Mean == 0 || r.WorkerHeard.Mean == 0 || r.StateWrote.Most == 0 || len(r.Controllers) != regionsPlanned*controllersEach {
 		t.Errorf("not counted: worker %v, %v, state service %v, %d controllers", r.WorkerSent, r.WorkerHeard, r.StateWrote, len(r.Controllers))
 	}
+	if len(r.CutStarts) == 0 || rate(r.CutStarts).Most == 0 {
+		t.Errorf("starts in the region that was cut off: %v", r.CutStarts)
+	}
 	var table strings.Builder
 	if err := r.Write(&table); err != nil || !strings.Contains(table.String(), "rules broken") {
 		t.Errorf("the table: %v\n%s", err, table.String())
@@ -64,6 +68,24 @@
 	}
 }
 
+// A team that uses more than its limit in all regions together is seen, at a moment that all told of.
+func TestUseOfAll(t *testing.T) {
+	p := planRegion(Options{Share: 1, For: time.Minute}, 0)
+	team := p.Teams[0]
+	for name, c := range map[string]struct {
+		parts  []float64
+		broken int
+	}{"at the limit": {[]float64{0.5, 0.25, 0.25}, 0}, "above it": {[]float64{0.5, 0.25, 0.26}, 1}, "not all have told": {[]float64{0.9, 0.9}, 0}} {
+		u := newUseOfAll(p)
+		for _, part := range c.parts {
+			u.add([]UseSample{{AtMS: 1000, Used: map[string]float64{team.Name: part * team.Limit}}, {AtMS: 1100}})
+		}
+		if len(u.broken) != c.broken {
+			t.Errorf("%s: %v", name, u.broken)
+		}
+	}
+}
+
 // Each rule is seen to break by what is on the machines.
 func TestTruth(t *testing.T) {
 	p := planRegion(Options{Share: 1, For: time.Minute}, 0)
--- a/internal/scale/truth.go
+++ b/internal/scale/truth.go
@@ -20,7 +20,7 @@
 	mu        sync.Mutex
 	jobs      map[string]*jobTruth
 	used      map[string]float64 // by team, in CPUs
-	peaks     map[string]float64 // the most of it since they were last taken
+	samples   []UseSample        // since they were last taken
 	broken    []string
 	lastStart time.Time
 	longest   time.Duration // without any start
@@ -39,7 +39,7 @@
 
 func newTruth(p Plan) *truth {
 	t := &truth{limits: map[string]float64{}, types: map[string]model.MachineType{}, jobs: map[string]*jobTruth{},
-		used: map[string]float64{}, peaks: map[string]float64{}}
+		used: map[string]float64{}}
 	for _, x := range p.Teams {
 		t.limits[x.Name] = x.Limit
 	}
@@ -86,7 +86,6 @@
 	j.on++
 	j.zones[e.Zone]++
 	t.used[team] += e.Job.Size.CPUs
-	t.peaks[team] = max(t.peaks[team], t.used[team])
 	if t.used[team] > t.limits[team]+rounding {
 		t.breaks("quota", "%s uses %.2f of %.2f CPUs with %s", team, t.used[team], t.limits[team], e.Task)
 	}
@@ -164,15 +163,33 @@
 	return t.job(id).began
 }
 
-// take returns the rules broken so far, the longest time without a start, and the most that each
-// team used since the last call.
-func (t *truth) take() (broken []string, longest time.Duration, peaks map[string]float64) {
+// UseSample is what teams use in a region at a moment of the time of day.
+type UseSample struct {
+	AtMS int64
+	Used map[string]float64 // CPUs
+}
+
+// sampleEvery is how often it is noted what teams use, at moments that are the same in all regions.
+const sampleEvery = 100 * time.Millisecond
+
+// sample notes what teams use now.
+func (t *truth) sample(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	peaks = t.peaks
-	t.peaks = make(map[string]float64, len(t.used))
+	s := UseSample{AtMS: now.Round(sampleEvery).UnixMilli(), Used: make(map[string]float64, len(t.used))}
 	for team, cpus := range t.used {
-		t.peaks[team] = math.Max(0, cpus)
+		if cpus > rounding {
+			s.Used[team] = math.Round(cpus*1000) / 1000
+		}
 	}
-	return slices.Clone(t.broken), t.longest, peaks
+	t.samples = append(t.samples, s)
+}
+
+// take returns the rules broken so far, the longest time without a start, and what was used since the
+// last call.
+func (t *truth) take() (broken []string, longest time.Duration, samples []UseSample) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	samples, t.samples = t.samples, nil
+	return slices.Clone(t.broken), t.longest, samples
 }
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -90,6 +90,7 @@
 	stored   map[string]uint64                // by gang: the attempt whose progress was saved
 	broken   []string
 	started  int
+	killed   int           // tasks that ended with their machine's lease
 	lost     time.Duration // run time of tasks that ended without being done or saved, in CPU time
 }
 
@@ -162,6 +163,13 @@
 	return c.started
 }
 
+// Killed counts the tasks that ended with their machine's lease.
+func (c *Cloud) Killed() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.killed
+}
+
 // Lost is the run time of tasks that ended without being done or saved, in CPU time.
 func (c *Cloud) Lost() time.Duration {
 	c.mu.Lock()
--- a/internal/standin/machine.go
+++ b/internal/standin/machine.go
@@ -179,6 +179,9 @@
 // endSession kills and forgets all tasks.
 func (m *machine) endSession(now time.Time) {
 	for _, t := range m.tasks {
+		if t.state != model.TaskExited {
+			m.cloud.killed++
+		}
 		t.exit(model.CauseStopped, false)
 	}
 	m.tasks = nil
