--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -78,7 +78,7 @@
 	regions []*regionRun
 	links   []*regionLink
 	taken   map[string]bool // addresses of controllers
-	broken  []string // rules over all regions
+	broken  []string        // rules over all regions
 }
 
 // Run plays a run, and reports it. A rule that was broken is ErrRule, with the report of the run.
