placement: the queue's order goes by a team's whole limit, not by what of it is here

Cause: how long a job keeps its team's limit busy divides by the limit. Where next to nothing of it is in this region, the estimate ran over and the job counted as the most urgent, and could not be stopped for others later. Read out of the code.

Change: such estimates take the limit of the settings. Without regions both are the same.

Tests: TestOrderByWholeLimit, seen to fail.

--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -23,6 +23,12 @@
 	}
 }
 
+// wholeLimit is what a job's team may use by its settings, wherever that is now.
+//
+// Guard: estimates of how long a job keeps its team's limit busy divided by what the team may use here at
+// the moment. Where that is next to nothing they ran over, and the job counted as the most urgent of all.
+func (b *Book) wholeLimit(j *Job) model.Size { return b.settings[j.Spec.Team].Limit }
+
 // TeamDemand is what a team's tasks take, and what its jobs wait for.
 type TeamDemand struct {
 	Used    model.Size // by all that is bound
--- a/internal/placement/limits_test.go
+++ b/internal/placement/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/marlwood/marlwood/internal/model"
 	"github.com/marlwood/marlwood/internal/peers/peerspb"
@@ -56,3 +57,24 @@
 		t.Error("it is known while tasks run that nobody knows")
 	}
 }
+
+// What a job goes by in the queue does not hang on how much of its team's limit is here at the moment.
+func TestOrderByWholeLimit(t *testing.T) {
+	b := newBench(t)
+	b.opt.ShortFirst, b.opt.BeginWithin = 10, 4*time.Minute
+	b.machine("m", "big", "a")
+	b.Settle()
+	b.job("x", func(j *model.Job) { j.Team, j.Tasks, j.Estimate = "tight", 90, time.Minute })
+	x := b.jobs.At("x")
+	b.capacity = 32
+	b.Needs(at(1))
+	due, facts := b.due(x, at(1), true), b.facts(x)
+	b.SetLimits(map[string]model.Size{"tight": {CPUs: 1e-9}})
+	b.Needs(at(1))
+	if got := b.due(x, at(1), true); !got.Equal(due) {
+		t.Errorf("due at %v with a limit, at %v with next to none", due, got)
+	}
+	if got := b.facts(x); got != facts {
+		t.Errorf("%+v with a limit, %+v with next to none", facts, got)
+	}
+}
--- a/internal/placement/line.go
+++ b/internal/placement/line.go
@@ -211,7 +211,7 @@
 func (b *Book) facts(j *Job) precedence.Facts {
 	f := precedence.Facts{Accepted: j.Accepted, Tasks: b.toBegin(j), CPUs: j.Spec.Size.CPUs, Runs: j.Spec.Estimate,
 		Capacity: b.capacity, Others: b.gathering}
-	if limit := j.use.team.Limit.CPUs; limit > 0 && limit < f.Capacity {
+	if limit := b.wholeLimit(j).CPUs; limit > 0 && limit < f.Capacity {
 		f.Capacity = limit
 	}
 	for _, k := range b.kindsFor(j) {
@@ -271,10 +271,10 @@
 func (b *Book) toBegin(j *Job) int {
 	n := j.Spec.Tasks
 	if j.Spec.Shape == model.Array {
-		if limit := j.use.team.Limit; limit.CPUs > 0 && j.Spec.Size.CPUs > 0 {
+		if limit := b.wholeLimit(j); limit.CPUs > 0 && j.Spec.Size.CPUs > 0 {
 			n = min(n, model.Size{CPUs: j.Spec.Size.CPUs}.Slots(model.Size{CPUs: limit.CPUs}))
 		}
-		if limit := j.use.team.Limit; limit.GPUs > 0 && j.Spec.Size.GPUs > 0 {
+		if limit := b.wholeLimit(j); limit.GPUs > 0 && j.Spec.Size.GPUs > 0 {
 			n = min(n, model.Size{GPUs: j.Spec.Size.GPUs}.Slots(model.Size{GPUs: limit.GPUs}))
 		}
 	}
--- a/internal/placement/needs.go
+++ b/internal/placement/needs.go
@@ -42,7 +42,7 @@
 	if aim.Wait > 0 {
 		by(aim.Wait*8/10 + j.Spec.Estimate)
 	}
-	limit := b.teams[j.Spec.Team].Limit
+	limit := b.wholeLimit(j)
 	switch {
 	case h == 0:
 		return b.opt.Horizon
--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -120,7 +120,7 @@
 		return by
 	}
 	wait := noDeadline
-	if limit := j.use.team.Limit.CPUs; limit > 0 && j.Spec.Shape != model.Service {
+	if limit := b.wholeLimit(j).CPUs; limit > 0 && j.Spec.Shape != model.Service {
 		work := j.Spec.Size.CPUs * float64(j.Spec.Tasks-j.finished.Len()) * j.Spec.Estimate.Seconds()
 		wait += model.Seconds(b.opt.ShortFirst * work / limit)
 	}
