workers: machines known before a takeover are answered while their lists are taken in

Change: an owner that had a machine's list acknowledged under the token before, with no stop left to carry out, answers for it until V + H + grant of the last view that the earlier leader told it of with its orders. What was cancelled before that view has been stopped there; what was cancelled since has its time from then on.

--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -118,7 +118,7 @@
 		store: world.Store(), cloud: world.Cloud(),
 		changes: make(chan struct{}, maxChanges), questions: make(chan struct{}, maxQuestions)}
 	n.desk = workers.NewDesk(workers.Options{Member: cfg.Member, Report: cfg.ReportEvery, Lease: cfg.Lease,
-		Margin: time.Second / 2, Calls: sockets.Divide(cfg.MaxConns, op.Service.UserConnsShare).Direct / 2},
+		Margin: time.Second / 2, Cover: cfg.CancelWait - cfg.Lease - terms.Margin, Calls: sockets.Divide(cfg.MaxConns, op.Service.UserConnsShare).Direct / 2},
 		n.boot, n.start, n.newRand())
 	n.lead = leadership.New(leadership.Options{Member: cfg.Member, Boot: n.boot, Poll: terms.Poll,
 		Hold: terms.Hold, Act: terms.Act})
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -150,6 +150,8 @@
 			wants, r.Seen = nil, workers.AllChanges
 		} else {
 			r.Orders = t.core.Orders(l.member)
+			// The owner's reading was made before its answer came.
+			r.ViewedNs = l.clock + int64(n.lead.LastView().Sub(l.okAt))
 		}
 		r.Sizes = t.sizesFor(l, r.Orders)
 		for _, w := range wants {
--- a/internal/workers/acknowledge.go
+++ b/internal/workers/acknowledge.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/marlwood/marlwood/internal/model"
 	"github.com/marlwood/marlwood/internal/peers/peerspb"
@@ -33,18 +34,33 @@
 // Guard: a leader that knew of a cancellation was refused by the state service before its takeover
 // was complete. Its owner still held a grant, and answered a machine that came back from a cut and
 // ran a task of the cancelled job: the task outlived cancel_s (explorer, 7100019330).
-func (d *Desk) awaitsLeader(m *machine) bool {
+func (d *Desk) awaitsLeader(now time.Time, m *machine) bool {
 	if m.vetted {
 		return false
 	}
 	if m.hasLiveTasks() && d.acknowledged < m.listed {
-		return true
+		return !now.Before(m.covered)
 	}
 	// Until the worker shows our token, an earlier leader's start may still reach it.
 	m.vetted = m.phase == Current
 	return false
 }
 
+// cover works out, as a fresh token voids what is known, until when a machine may be answered before
+// the next leader has acknowledged its tasks: what was cancelled before the last leader's view has
+// been stopped on it, and what was cancelled since has its time from then on.
+//
+// Guard: a new leader that has little processor time takes seconds to acknowledge the tasks of
+// thousands of machines. Unanswered meanwhile, they lost all of their tasks with their leases.
+func (d *Desk) cover(m *machine) {
+	switch {
+	case m.restarted || m.unexpected != 0 || len(m.stops()) > 0:
+		m.covered = time.Time{} // a stop that was not carried out yet is void now
+	case m.vetted && !d.viewed.IsZero():
+		m.covered = d.viewed.Add(d.opt.Cover)
+	}
+}
+
 func (m *machine) hasLiveTasks() bool {
 	for _, t := range m.tasks {
 		if t.State != string(model.TaskExited) {
--- a/internal/workers/acknowledge_test.go
+++ b/internal/workers/acknowledge_test.go
@@ -3,11 +3,29 @@
 import (
 	"reflect"
 	"testing"
+	"time"
 
 	"github.com/marlwood/marlwood/internal/model"
 	"github.com/marlwood/marlwood/internal/peers/peerspb"
 )
 
+// viewed has a leader, whose view is of 1 s, acknowledge a task and order its stop or not, and a next one
+// take over.
+func viewed(d *Desk, stopped bool) {
+	running := model.WireTask{Task: "j/1", Attempt: 9, State: model.TaskRunning}
+	d.CheckIn(at(1), report(1, 1, 5, running))
+	acknowledge(d, 1.1, 5, 20)
+	d.CheckIn(at(1.2), report(1, 1, 5, running))
+	message := grant(5, 20)
+	message.ViewedNs = at(1).Sub(t0).Nanoseconds()
+	if stopped {
+		message.Orders = []*peerspb.Order{ord(1, peerspb.Op_OP_STOP, 1)}
+	}
+	d.Round(at(1.5), message)
+	d.Round(at(2), grant(6, 20))
+	d.Round(at(2), grant(6, 20))
+}
+
 // A report whose machine has tasks is answered under a fresh token once the leader has acknowledged
 // them, and with the stops that came with that. Guard: explorer, 7100019330.
 func TestAwaitsLeader(t *testing.T) {
@@ -62,6 +80,18 @@
 			d.Round(at(1.2), grant(6, 10))
 			return d.CheckIn(at(1.3), report(1, 2, 5, running))
 		}, 503, nil},
+		{"a fresh token, within the time of what the last leader may not have seen", func(d *Desk) Verdict {
+			viewed(d, false)
+			return d.CheckIn(at(15.9), report(1, 2, 5, running))
+		}, 200, nil},
+		{"a fresh token, after that", func(d *Desk) Verdict {
+			viewed(d, false)
+			return d.CheckIn(at(16.1), report(1, 2, 5, running))
+		}, 503, nil},
+		{"a fresh token, and a stop of the last leader was not carried out", func(d *Desk) Verdict {
+			viewed(d, true)
+			return d.CheckIn(at(15.9), report(1, 2, 5, running))
+		}, 503, nil},
 		{"the leader needs to hear nothing", func(d *Desk) Verdict {
 			message := grant(5, 10)
 			message.Seen = AllChanges
@@ -69,7 +99,9 @@
 			return d.CheckIn(at(1), report(1, 1, 5, running))
 		}, 200, nil},
 	} {
-		v := c.steps(desk())
+		d := desk()
+		d.opt.Lease, d.opt.Cover = time.Minute, 15*time.Second
+		v := c.steps(d)
 		if got := commands(v); v.Status != c.status || v.Wait != (c.status == 503) || !reflect.DeepEqual(got, c.answer) {
 			t.Errorf("%s: %+v", c.name, v)
 		}
--- a/internal/workers/desk.go
+++ b/internal/workers/desk.go
@@ -40,17 +40,18 @@
 	tasks      []*peerspb.Task
 	pending    []*order
 	cordon     bool
-	quiet      bool   // no report for longer than they are apart
-	reach      reach  // whether what we say reaches it
-	asked      bool   // a report that did not show our token was answered with it
-	lost       bool   // and a call went unanswered, since it last showed our token
-	unexpected uint64 // session of a report that came late or from a worker that began anew; 0: none did
-	restarted  bool   // its worker began anew under this token; see Called
-	listed     uint64 // change by which the leader is told of its tasks; see awaitsLeader
-	vetted     bool   // the leader has acknowledged a complete list of its tasks under this token
-	waiting    uint64 // number of the report whose answer waits for that; 0: none does
-	call       uint64 // number of the direct call under way, or 0
-	failed     bool   // the last direct call failed: the next report is awaited
+	quiet      bool      // no report for longer than they are apart
+	reach      reach     // whether what we say reaches it
+	asked      bool      // a report that did not show our token was answered with it
+	lost       bool      // and a call went unanswered, since it last showed our token
+	unexpected uint64    // session of a report that came late or from a worker that began anew; 0: none did
+	restarted  bool      // its worker began anew under this token; see Called
+	listed     uint64    // change by which the leader is told of its tasks; see awaitsLeader
+	covered    time.Time // until then it is answered though its tasks are not acknowledged; see cover
+	vetted     bool      // the leader has acknowledged a complete list of its tasks under this token
+	waiting    uint64    // number of the report whose answer waits for that; 0: none does
+	call       uint64    // number of the direct call under way, or 0
+	failed     bool      // the last direct call failed: the next report is awaited
 
 	// Attempts whose start may be carried out late in this session. A worker
 	// ignores a start of an attempt that it knows, so these are not forgotten
@@ -76,7 +77,8 @@
 	Report time.Duration // between a worker's reports
 	Lease  time.Duration
 	Margin time.Duration
-	Calls  int // most direct calls at once
+	Cover  time.Duration // after a cancellation a task may be kept alive for so long by answers
+	Calls  int           // most direct calls at once
 }
 
 // Desk is one node's desk.
@@ -96,7 +98,8 @@
 	sizes        map[string]model.Size
 	change       uint64
 	applied      uint64
-	acknowledged uint64 // the last change that the leader has taken in under this token
+	viewed       time.Time // all that was cancelled before is in the orders of this token's leader
+	acknowledged uint64    // the last change that the leader has taken in under this token
 	calls        uint64
 	calling      int // direct calls under way
 	storeOK      time.Time
@@ -290,7 +293,7 @@
 // answer answers a report that was taken in, as soon as the leader has acknowledged the machine's
 // tasks.
 func (d *Desk) answer(now time.Time, m *machine, r *model.Report) Verdict {
-	if d.awaitsLeader(m) {
+	if d.awaitsLeader(now, m) {
 		m.waiting = r.Seq
 		return Verdict{Status: 503, Wait: true, Unacknowledged: true}
 	}
--- a/internal/workers/late.go
+++ b/internal/workers/late.go
@@ -31,7 +31,7 @@
 	// be over too early. A report that was answered before, or that was sent before one that
 	// was, is waited for by nobody: copies kept machines that were gone from being called so.
 	awaited := r.Session == m.session && r.Seq > m.checked
-	if awaited && d.awaitsLeader(m) {
+	if awaited && d.awaitsLeader(now, m) {
 		return Verdict{Status: 503, Wait: true, Unacknowledged: true}
 	}
 	if awaited {
--- a/internal/workers/rounds.go
+++ b/internal/workers/rounds.go
@@ -35,6 +35,9 @@
 		}
 		d.take(now, r)
 		d.acknowledge(r.Seen)
+		if viewed := d.start.Add(time.Duration(r.ViewedNs)); r.ViewedNs > 0 && viewed.After(d.viewed) {
+			d.viewed = viewed
+		}
 	}
 	d.expire(now)
 	out.Applied, out.Change = d.applied, d.change
@@ -76,6 +79,7 @@
 		// Guard: another owner may have kept the machine's session alive
 		// meanwhile. Counted from what this desk last heard, the machine was
 		// called expired although it lived, and its reports were refused.
+		d.cover(m)
 		m.pending, m.cordon, m.failed, m.ended, m.quiet = nil, false, false, 0, false
 		m.asked, m.lost, m.unexpected = false, false, 0
 		m.vetted, m.waiting = false, 0
@@ -92,6 +96,7 @@
 		}
 		d.noteListed(m)
 	}
+	d.viewed = time.Time{}
 }
 
 func (d *Desk) take(now time.Time, r *peerspb.RoundRequest) {
