workers: a machine is answered when a leader that acts is slow to acknowledge its tasks

Change: where the leader has gone on acting since it was sent a machine's list, and has not acknowledged it for 1.5 s, the report is answered. An exception to the invariant, said in safety.md.

--- a/internal/workers/acknowledge.go
+++ b/internal/workers/acknowledge.go
@@ -39,13 +39,30 @@
 		return false
 	}
 	if m.hasLiveTasks() && d.acknowledged < m.listed {
-		return !now.Before(m.covered)
+		return !now.Before(m.covered) && !d.isSlow(now, m)
 	}
 	// Until the worker shows our token, an earlier leader's start may still reach it.
 	m.vetted = m.phase == Current
 	return false
 }
 
+// slowLeader is how long a machine's tasks wait for the acknowledgement of a leader that acts.
+const slowLeader = 1500 * time.Millisecond
+
+// isSlow tells that the leader has gone on acting since it was told of a machine's tasks, and has not
+// acknowledged them for too long.
+//
+// Guard: a leader short of processor time takes many seconds over thousands of lists, and machines whose
+// kind has a new owner lost all of their tasks with their leases. Exception to the second invariant of
+// docs/safety.md: such a leader that loses its right before it comes to the list may keep a cancelled
+// task alive for one lease from here.
+func (d *Desk) isSlow(now time.Time, m *machine) bool {
+	if m.awaited.IsZero() {
+		m.awaited, m.awaitedRounds = now, d.rounds
+	}
+	return now.Sub(m.awaited) >= slowLeader && d.rounds > m.awaitedRounds
+}
+
 // cover works out, as a fresh token voids what is known, until when a machine may be answered before
 // the next leader has acknowledged its tasks: what was cancelled before the last leader's view has
 // been stopped on it, and what was cancelled since has its time from then on.
--- a/internal/workers/acknowledge_test.go
+++ b/internal/workers/acknowledge_test.go
@@ -92,6 +92,15 @@
 			viewed(d, true)
 			return d.CheckIn(at(15.9), report(1, 2, 5, running))
 		}, 503, nil},
+		{"the leader has acted since, and not acknowledged them for too long", func(d *Desk) Verdict {
+			d.CheckIn(at(1), report(1, 1, 0, running))
+			d.Round(at(2.4), grant(5, 10))
+			return d.CheckIn(at(2.6), report(1, 1, 0, running))
+		}, 200, nil},
+		{"it has not acted since", func(d *Desk) Verdict {
+			d.CheckIn(at(1), report(1, 1, 0, running))
+			return d.CheckIn(at(3.9), report(1, 1, 0, running))
+		}, 503, nil},
 		{"the leader needs to hear nothing", func(d *Desk) Verdict {
 			message := grant(5, 10)
 			message.Seen = AllChanges
--- a/internal/workers/desk.go
+++ b/internal/workers/desk.go
@@ -26,32 +26,34 @@
 )
 
 type machine struct {
-	name       string
-	addr       string
-	kind       model.Kind
-	spot       bool
-	phase      Phase
-	shown      uint64 // the highest token that its newest report showed
-	session    uint64
-	seq        uint64
-	checked    uint64        // number of the last report in this session that it sent by itself
-	ended      uint64        // the session that the leader was told is over, or 0
-	notice     time.Duration // -1: none
-	tasks      []*peerspb.Task
-	pending    []*order
-	cordon     bool
-	quiet      bool      // no report for longer than they are apart
-	reach      reach     // whether what we say reaches it
-	asked      bool      // a report that did not show our token was answered with it
-	lost       bool      // and a call went unanswered, since it last showed our token
-	unexpected uint64    // session of a report that came late or from a worker that began anew; 0: none did
-	restarted  bool      // its worker began anew under this token; see Called
-	listed     uint64    // change by which the leader is told of its tasks; see awaitsLeader
-	covered    time.Time // until then it is answered though its tasks are not acknowledged; see cover
-	vetted     bool      // the leader has acknowledged a complete list of its tasks under this token
-	waiting    uint64    // number of the report whose answer waits for that; 0: none does
-	call       uint64    // number of the direct call under way, or 0
-	failed     bool      // the last direct call failed: the next report is awaited
+	name          string
+	addr          string
+	kind          model.Kind
+	spot          bool
+	phase         Phase
+	shown         uint64 // the highest token that its newest report showed
+	session       uint64
+	seq           uint64
+	checked       uint64        // number of the last report in this session that it sent by itself
+	ended         uint64        // the session that the leader was told is over, or 0
+	notice        time.Duration // -1: none
+	tasks         []*peerspb.Task
+	pending       []*order
+	cordon        bool
+	quiet         bool      // no report for longer than they are apart
+	reach         reach     // whether what we say reaches it
+	asked         bool      // a report that did not show our token was answered with it
+	lost          bool      // and a call went unanswered, since it last showed our token
+	unexpected    uint64    // session of a report that came late or from a worker that began anew; 0: none did
+	restarted     bool      // its worker began anew under this token; see Called
+	listed        uint64    // change by which the leader is told of its tasks; see awaitsLeader
+	awaited       time.Time // since when its tasks wait for the acknowledgement under this token; zero: they do not
+	awaitedRounds uint64    // messages of the leader until then
+	covered       time.Time // until then it is answered though its tasks are not acknowledged; see cover
+	vetted        bool      // the leader has acknowledged a complete list of its tasks under this token
+	waiting       uint64    // number of the report whose answer waits for that; 0: none does
+	call          uint64    // number of the direct call under way, or 0
+	failed        bool      // the last direct call failed: the next report is awaited
 
 	// Attempts whose start may be carried out late in this session. A worker
 	// ignores a start of an attempt that it knows, so these are not forgotten
@@ -98,6 +100,7 @@
 	sizes        map[string]model.Size
 	change       uint64
 	applied      uint64
+	rounds       uint64    // messages of this token's leader that brought a grant
 	viewed       time.Time // all that was cancelled before is in the orders of this token's leader
 	acknowledged uint64    // the last change that the leader has taken in under this token
 	calls        uint64
--- a/internal/workers/rounds.go
+++ b/internal/workers/rounds.go
@@ -35,6 +35,7 @@
 		}
 		d.take(now, r)
 		d.acknowledge(r.Seen)
+		d.rounds++
 		if viewed := d.start.Add(time.Duration(r.ViewedNs)); r.ViewedNs > 0 && viewed.After(d.viewed) {
 			d.viewed = viewed
 		}
@@ -82,7 +83,7 @@
 		d.cover(m)
 		m.pending, m.cordon, m.failed, m.ended, m.quiet = nil, false, false, 0, false
 		m.asked, m.lost, m.unexpected = false, false, 0
-		m.vetted, m.waiting = false, 0
+		m.vetted, m.waiting, m.awaited = false, 0, time.Time{}
 		if m.restarted {
 			// What it said before it began anew says nothing of it any more, and shows an
 			// earlier token; what shows this one it has said since.
