placement: the silence of a machine counts anew under each fresh token

Cause: a machine that was Unseen already kept the time since when it was silent over a fresh token, so the next owner counted as silent in the same millisecond, and the pool's machines were redirected away from it. Change: the time starts anew.

--- a/internal/placement/cluster_state.go
+++ b/internal/placement/cluster_state.go
@@ -164,6 +164,9 @@
 	for _, machine := range cs.machines.All() {
 		if machine.Phase != Expired {
 			cs.setPhase(machine, Unseen, now)
+			// Guard: the silence of a machine that was unseen before is the earlier owner's. Counted on, the next owner
+			// was taken for silent at once, and the pool's machines were kept away from it (TestSilenceStartsAnewWithTheOwner).
+			machine.PhaseSince = now
 		}
 		// What an earlier owner reported says nothing of the next one.
 		machine.ScaleIn, machine.MissedHeartbeats, machine.Unreachable, machine.misdirectedAt = false, false, false, time.Time{}
