controller: one reachability state of owners, whose suspicions end by themselves

Cause: controllers redirected machines past an owner for as long as half of its pool was silent, and machines that have ended are silent too. Whether an owner was silent, unreachable and reachable again was held in three places, by facts of their own.

--- a/internal/controller/leader_term.go
+++ b/internal/controller/leader_term.go
@@ -52,7 +52,7 @@
 		end:             cancel,
 		token:           token,
 		began:           now,
-		ownership:       ownership{unreachable: map[unreachablePool]time.Time{}},
+		ownership:       ownership{reachability: ownerReachability{}},
 		cloudCalls:      newCloudCalls(now),
 		partRevisions:   partRevisions{},
 		cancelledJobs:   map[string]time.Time{},
@@ -93,6 +93,7 @@
 	for _, peer := range t.ctrl.peers {
 		peer.renewToken()
 	}
+	t.reachability.tokenRenewed(now)
 	t.assignOwners(now)
 	t.rounds.next = now
 }
--- a/internal/controller/ownership.go
+++ b/internal/controller/ownership.go
@@ -29,33 +29,10 @@
 // which receives the heartbeats of the pool's machines and delivers the leader's orders to them. The
 // assignment itself is the scheduler's; this is what decides when it is made again.
 type ownership struct {
-	assignedAt         time.Time                     // owners were last assigned; zero: not yet in this term
-	assignDeadline     time.Time                     // controllers that do not answer are waited for until then
-	silentPools        map[model.Pool]bool           // pools whose owners miss the heartbeats of most machines
-	unreachable        map[unreachablePool]time.Time // until when an owner isn't given a pool again
-	renewalRequestedAt time.Time                     // a fresh token was requested; zero: none is awaited
-}
-
-// unreachablePool is a pool whose machines its owner does not hear, although other controllers do: a
-// partition between that owner and the workers.
-type unreachablePool struct {
-	member string
-	pool   model.Pool
-}
-
-// mayOwn tells whether a member may be given a pool.
-func (o *ownership) mayOwn(member string, pool model.Pool, now time.Time) bool {
-	return !now.Before(o.unreachable[unreachablePool{member, pool}])
-}
-
-// isUnreachable tells whether an owner did not hear the machines of some pool lately.
-func (o *ownership) isUnreachable(member string, now time.Time) bool {
-	for unreachable, until := range o.unreachable {
-		if unreachable.member == member && now.Before(until) {
-			return true
-		}
-	}
-	return false
+	assignedAt         time.Time         // owners were last assigned; zero: not yet in this term
+	assignDeadline     time.Time         // controllers that do not answer are waited for until then
+	reachability       ownerReachability // whether the pools' machines reach their owners
+	renewalRequestedAt time.Time         // a fresh token was requested; zero: none is awaited
 }
 
 // assignInitialOwners assigns the owners of a term for the first time, as soon as every controller
@@ -86,7 +63,7 @@
 	next := 0
 	for _, pool := range pools {
 		candidates := slices.DeleteFunc(slices.Clone(live), func(peer *peerProgress) bool {
-			return !t.mayOwn(peer.member, pool, now)
+			return !t.reachability.mayOwn(peer.member, pool)
 		})
 		if len(candidates) == 0 {
 			candidates = live
@@ -137,7 +114,7 @@
 	}
 	reason := t.changedOwner(now)
 	late := 2*t.ctrl.cfg.ReportEvery + time.Second
-	t.silentPools = t.scheduler.SilentPools(now, late)
+	t.reachability.observe(now, t.scheduler.Owners(), t.scheduler.SilentPools(now, late), t.unreachableSpan())
 	if now.Sub(t.assignedAt) > assignmentWait {
 		if unreachable := t.markUnreachableOwners(now, late); unreachable != "" {
 			reason = unreachable
@@ -184,7 +161,7 @@
 // isBack tells whether a controller has answered for long enough to be given pools again.
 func (t *leaderTerm) isBack(peer *peerProgress, now time.Time) bool {
 	ownerBack := t.ctrl.settings.Placement.OwnerBack
-	return peer.live(now) && !t.isUnreachable(peer.member, now) && t.scheduler.Complete() &&
+	return peer.live(now) && !t.reachability.isUnreachable(peer.member) && t.scheduler.Complete() &&
 		now.Sub(peer.answeringSince) > ownerBack && now.Sub(t.assignedAt) > ownerBack
 }
 
@@ -195,20 +172,32 @@
 // leader. Its machines' tasks ended with their leases although another
 // controller could have kept them alive.
 func (t *leaderTerm) markUnreachableOwners(now time.Time, late time.Duration) (reason string) {
-	until := now.Add(t.ctrl.settings.Placement.OwnerBack)
 	for _, pool := range t.scheduler.UnreachablePools(now, late) {
 		owner := t.scheduler.Owners()[pool]
-		t.unreachable[unreachablePool{owner, pool}] = until
-		for other, member := range t.scheduler.Owners() {
-			if member == owner && t.silentPools[other] {
-				t.unreachable[unreachablePool{owner, other}] = until
-			}
+		t.reachability.markUnreachable(now, owner, pool)
+		if t.anyMayOwn(pool, now) {
+			reason = "owner hears nothing from " + pool.Type + " in " + pool.Zone + ": " + owner
 		}
-		reason = "owner hears nothing from " + pool.Type + " in " + pool.Zone + ": " + owner
 	}
 	return reason
 }
 
+// anyMayOwn tells whether there is a controller that a pool can move to. Without one a fresh token would leave it
+// where it is, and no machine's lease would ever run out under a token that young.
+func (t *leaderTerm) anyMayOwn(pool model.Pool, now time.Time) bool {
+	return slices.ContainsFunc(t.livePeers(now), func(peer *peerProgress) bool {
+		return t.reachability.mayOwn(peer.member, pool)
+	})
+}
+
+// unreachableSpan is how long a controller that a pool's machines did not reach is not given the pool again.
+//
+// Guard: that is never shorter than a machine's lease. Given back sooner, each time under a fresh token, no lease of a
+// machine that has ended would ever have run out under a token that young.
+func (t *leaderTerm) unreachableSpan() time.Duration {
+	return max(t.ctrl.settings.Placement.OwnerBack, withClockDrift(t.ctrl.cfg.Lease)+t.ctrl.timing.Margin)
+}
+
 // lateStart names a machine on which a start that is no longer wanted may still be executed;
 // empty: there is none. A fresh token voids the start.
 func (t *leaderTerm) lateStart() string {
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -176,12 +176,12 @@
 	return request
 }
 
-// ownerMessages lists the owner of each pool, and for pools whose owner misses most heartbeats the
+// ownerMessages lists the owner of each pool, and for pools whose owner is suspected to be unreachable the
 // controllers that their workers may try instead.
 func (t *leaderTerm) ownerMessages(now time.Time) (owners []*peerspb.KindOwner) {
 	for pool, member := range t.scheduler.Owners() {
 		owner := &peerspb.KindOwner{Kind: &peerspb.Kind{Type: pool.Type, Zone: pool.Zone}, Member: member}
-		if t.silentPools[pool] {
+		if t.reachability.suspects(member, pool) {
 			owner.Elsewhere = t.otherMembers(member, now)
 		}
 		owners = append(owners, owner)
--- a/internal/placement/reachability.go
+++ b/internal/placement/reachability.go
@@ -79,22 +79,31 @@
 		(m.Phase == Unseen || m.Phase == Joining) && m.PhaseSince.Before(since)
 }
 
-// SilentPools reports, for each pool with a silent machine, whether its owner has got no heartbeat from at
-// least half of its machines for longer than late.
+// SilentPools reports, for each pool with a silent machine, whether its owner has got no heartbeat for longer
+// than late from at least half of the machines that may be alive.
 func (cs *ClusterState) SilentPools(now time.Time, late time.Duration) map[model.Pool]bool {
-	silent := map[model.Pool]int{}
+	silent, ended := map[model.Pool]int{}, map[model.Pool]int{}
 	for _, machine := range cs.unreconciled {
-		if machine.silentSince(now.Add(-late)) {
+		switch {
+		case machine.hasEnded(now):
+			ended[machine.Pool]++
+		case machine.silentSince(now.Add(-late)):
 			silent[machine.Pool]++
 		}
 	}
 	out := map[model.Pool]bool{}
 	for pool, n := range silent {
-		out[pool] = 2*n >= cs.machinesInPool[pool]
+		out[pool] = 2*n >= cs.machinesInPool[pool]-ended[pool]
 	}
 	return out
 }
 
+// hasEnded tells that a machine's lease has expired, as far as its owner knows, and that it reports to no other
+// controller either: it is no sign against its owner.
+func (m *Machine) hasEnded(now time.Time) bool {
+	return (m.Phase == ExpiryReported || m.Phase == Expired) && now.Sub(m.misdirectedAt) >= misdirectedWindow
+}
+
 // UnreachablePools lists the pools of which the owner has got no heartbeats for longer than late from a third
 // of the machines, while these report to other controllers: they work, and cannot reach it.
 func (cs *ClusterState) UnreachablePools(now time.Time, late time.Duration) (out []model.Pool) {
