controller: what is told of drains after a lost answer is certain

Cause: after a change of drains without an answer the leader answered undrain and drains by what it had read before, while the change was stored already or could be executed late. Change: such a change leaves the drains unsettled; requests then first write the fence alone, which voids what is on its way, and read the records. Without the state service they are refused as not known.

--- a/internal/controller/drain_records.go
+++ b/internal/controller/drain_records.go
@@ -22,6 +22,8 @@
 	pending      []pendingDrain        // requests that wait for their answer
 	nextSweep    time.Time             // when drains of nodes that are gone are looked for
 	unknownSince map[string]time.Time  // by key: since when the drained node is not known
+	// unsettled tells that a change has an unknown outcome: what is stored, now or later, may differ from records.
+	unsettled bool
 }
 
 func newDrainRecords() drainRecords {
@@ -74,18 +76,23 @@
 // and all records are read again for a while: what is stored must be in force.
 func (t *leaderTerm) recordDrain(txn store.Txn, done func(store.Item, error)) {
 	if !t.drains.fence.run(func() { t.writeDrain(txn, done) }) {
-		done(store.Item{}, status.Errorf(codes.ResourceExhausted, "%d changes of drains are under way: try again", maxQueuedChanges))
+		done(store.Item{}, tooManyDrainChanges())
 	}
 }
 
+// tooManyDrainChanges refuses a change of drains for which there is no room in the queue.
+func tooManyDrainChanges() error {
+	return status.Errorf(codes.ResourceExhausted, "%d changes of drains are under way: try again", maxQueuedChanges)
+}
+
 // writeDrain executes recordDrain when it is its turn.
 func (t *leaderTerm) writeDrain(txn store.Txn, done func(store.Item, error)) {
 	readFirst := t.drains.fence.state == fenceUnknown
 	txn = t.drains.fence.guard(txn)
 	t.ctrl.env.Go(func() {
 		if readFirst {
-			revision, known := t.readFence(drainsFence)
-			if !known {
+			revision, err := t.readFence(drainsFence)
+			if err != nil {
 				t.ctrl.post(func() {
 					t.drains.fence.finish(0, false)
 					done(store.Item{}, status.Error(codes.Unavailable, "nothing was recorded: the state service does not answer"))
@@ -98,7 +105,8 @@
 		write := t.resolveWrite(txn.Writes[0], result, err)
 		revision, known := write.record.Revision, write.outcome == writeCommitted
 		if !known {
-			revision, known = t.readFence(drainsFence)
+			revision, err = t.readFence(drainsFence)
+			known = err == nil
 		}
 		t.ctrl.post(func() {
 			defer t.drains.fence.finish(revision, known)
@@ -114,6 +122,7 @@
 		err = status.Error(codes.Unknown, "recorded, but the leader has changed since: the next one goes on with it")
 	}
 	if recordsOutdated(write) {
+		t.drains.unsettled = true
 		t.operatorRelist.extend(t.ctrl.env.Now())
 	}
 	done(write.record, err)
--- a/internal/controller/drain_requests.go
+++ b/internal/controller/drain_requests.go
@@ -30,7 +30,7 @@
 
 // handleDrain records a drain, and answers once no start that was ordered before it can still be
 // executed.
-func (t *leaderTerm) handleDrain(now time.Time, caller *operatorspb.Caller, request *operatorspb.DrainRequest, reply operatorReply) {
+func (t *leaderTerm) handleDrain(caller *operatorspb.Caller, request *operatorspb.DrainRequest, reply operatorReply) {
 	scope, name, err := drainTarget(request.Node, request.Zone, request.Type)
 	if err != nil {
 		reply(nil, err)
@@ -52,6 +52,12 @@
 	if after := drainDeadline(request); after > 0 {
 		drain.Deadline = drain.Since.Add(after)
 	}
+	t.whenDrainsKnown(reply, func() { t.drain(drain, reply) })
+}
+
+// drain answers a valid request when it is known which drains are stored.
+func (t *leaderTerm) drain(drain *placement.Drain, reply operatorReply) {
+	now := t.ctrl.env.Now()
 	if recorded, ok := t.drains.records[drain.Key()]; ok {
 		t.answerRepeatedDrain(now, drain, recorded, reply)
 		return
@@ -217,6 +223,11 @@
 		return
 	}
 	drain := &placement.Drain{Scope: scope, Name: name}
+	t.whenDrainsKnown(reply, func() { t.undrain(drain, reply) })
+}
+
+// undrain ends a drain when it is known which drains are stored.
+func (t *leaderTerm) undrain(drain *placement.Drain, reply operatorReply) {
 	recorded, ok := t.drains.records[drain.Key()]
 	if !ok {
 		reply(nil, status.Errorf(codes.NotFound, "%s is not drained; marlwood drains lists what is", drain.Target()))
@@ -233,8 +244,11 @@
 }
 
 // handleDrains answers with all drains in force.
-func (t *leaderTerm) handleDrains(now time.Time, reply operatorReply) {
-	reply(&operatorspb.Reply{What: &operatorspb.Reply_Drains{Drains: &operatorspb.DrainsResponse{Rows: t.scheduler.DrainRows(now)}}}, nil)
+func (t *leaderTerm) handleDrains(reply operatorReply) {
+	t.whenDrainsKnown(reply, func() {
+		rows := t.scheduler.DrainRows(t.ctrl.env.Now())
+		reply(&operatorspb.Reply{What: &operatorspb.Reply_Drains{Drains: &operatorspb.DrainsResponse{Rows: rows}}}, nil)
+	})
 }
 
 // pendingDrain is a drain that is recorded and not yet answered.
--- a/internal/controller/fence.go
+++ b/internal/controller/fence.go
@@ -78,10 +78,10 @@
 const drainsFence = placement.OpsPrefix + "drains-fence"
 
 // readFence reads the revision of a fence. It runs outside the loop.
-func (t *leaderTerm) readFence(key string) (revision uint64, known bool) {
+func (t *leaderTerm) readFence(key string) (revision uint64, err error) {
 	item, err := t.ctrl.store.Get(t.ctx, key)
 	if errors.Is(err, store.ErrNotFound) {
-		return 0, true
+		return 0, nil
 	}
-	return item.Revision, err == nil
+	return item.Revision, err
 }
--- a/internal/controller/operators.go
+++ b/internal/controller/operators.go
@@ -87,11 +87,11 @@
 	case *operatorspb.Request_Blockers:
 		t.handleBlockers(now, query.Blockers, reply)
 	case *operatorspb.Request_Drain:
-		t.handleDrain(now, request.Caller, query.Drain, reply)
+		t.handleDrain(request.Caller, query.Drain, reply)
 	case *operatorspb.Request_Undrain:
 		t.handleUndrain(query.Undrain, reply)
 	case *operatorspb.Request_Drains:
-		t.handleDrains(now, reply)
+		t.handleDrains(reply)
 	case *operatorspb.Request_Settings:
 		t.handleSettings(query.Settings, reply)
 	case *operatorspb.Request_Compare:
