simtest: a deposed leader tells less than the next one has told

Cause: the leader lease outlasts the leader key, and a leader that is cut off from the state service and its peers goes on answering for that long.

--- a/internal/simtest/usage_answers_test.go
+++ b/internal/simtest/usage_answers_test.go
@@ -89,3 +89,27 @@
 	})
 	return used
 }
+
+// A leader that is cut off from the state service and the other controllers, and does not know that it has been deposed, does not tell less than
+// the next one has told.
+//
+// The leader lease outlasts the leader key: for some seconds two controllers act as leaders. Asked by turns, the next one
+// told what had been stored meanwhile, and then the deposed one what it had stored itself.
+func TestDeposedLeaderTellsNoUsage(t *testing.T) {
+	leader := len(zones) // see controller
+	for d, x := range deployments {
+		for seed := range uint64(10) {
+			p := Plan{Seed: seed + 1, Machines: 2, Report: x.report, Lease: x.lease, Cancel: x.cancel, Accounts: true,
+				Faults: []Fault{{Kind: "alone with workers", At: 20 * sec, For: 40 * sec, A: leader}},
+				Jobs:   []Submission{{At: 2 * sec, Shape: model.Service, Tasks: 2, Cancel: 70 * sec}}}
+			for i := range 24 {
+				p.Jobs = append(p.Jobs, Submission{At: time.Duration(4+2*i) * sec, Shape: model.Array, Tasks: 2, Takes: 3 * sec})
+			}
+			told := 0
+			p.script = func(w *cluster) { w.users.Spawn(func() { told = w.watchUsage(t, deployments[d].name) }) }
+			if out := Run(p, nil, 0); out.Broken != "" || told < 50 {
+				t.Errorf("%s, seed %d: %d answers, %+v", x.name, p.Seed, told, out)
+			}
+		}
+	}
+}
