controller: usage is told as it is stored, by a leader that still leads, or as not known

Symptom: an answer of usage was lower than one before (TestAccounts: 5.996 CPU seconds after 15.372). Causes, each shown apart: a new leader told its own term's sums before it had read the earlier ones; leaders told what they had not stored, which ended with them; a deposed leader went on telling for as long as its lease lasts; a late read of the accounts took the place of newer ones. Change: StoredRows, known once the store was read; the leader key is read for each answer; older reads are dropped; metrics have the sums on the leader alone.

--- a/cmd/marlwood/ask.go
+++ b/cmd/marlwood/ask.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -116,11 +117,27 @@
 	return err
 }
 
+// rowJSON returns one row as JSON, without what is not known.
+func rowJSON(row proto.Message) ([]byte, error) {
+	text, err := protojson.MarshalOptions{UseProtoNames: true, EmitUnpopulated: true}.Marshal(row)
+	if team, ok := row.(*operatorspb.Team); err != nil || !ok || !team.UsageUnknown {
+		return text, err
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(text, &fields); err != nil {
+		return nil, err
+	}
+	for _, name := range []string{"run_cpu_h", "wait_cpu_h", "lost_cpu_h"} {
+		delete(fields, name)
+	}
+	return json.Marshal(fields)
+}
+
 // printRows prints messages as one JSON array.
 func printRows[T proto.Message](rows []T) error {
 	parts := make([]string, 0, len(rows))
 	for _, r := range rows {
-		text, err := protojson.MarshalOptions{UseProtoNames: true, EmitUnpopulated: true}.Marshal(r)
+		text, err := rowJSON(r)
 		if err != nil {
 			return err
 		}
--- a/cmd/marlwood/rows.go
+++ b/cmd/marlwood/rows.go
@@ -147,7 +147,7 @@
 
 func writeTeams(w io.Writer, rows []*operatorspb.Team) error {
 	head := []string{"TEAM", "CPUS/LIMIT", "GUARANTEED", "GPUS/LIMIT", "GUARANTEED", "JOBS", "PLACED", "UNPLACED"}
-	kept := slices.ContainsFunc(rows, func(r *operatorspb.Team) bool { return r.RunCpuH+r.WaitCpuH > 0 })
+	kept := slices.ContainsFunc(rows, func(r *operatorspb.Team) bool { return r.UsageUnknown || r.RunCpuH+r.WaitCpuH > 0 })
 	if kept {
 		head = append(head, "CPU-H RUN", "WAITED", "REPEATED")
 	}
@@ -156,13 +156,21 @@
 		row := []string{cut(r.Name, 24), share(r.Cpus, r.LimitCpus), fmt.Sprintf("%g", r.GuaranteedCpus), share(r.Gpus, r.LimitGpus),
 			fmt.Sprintf("%g", r.GuaranteedGpus), strconv.Itoa(int(r.Jobs)), strconv.Itoa(int(r.Placed)), strconv.Itoa(int(r.Unplaced))}
 		if kept {
-			row = append(row, fmt.Sprintf("%.2f", r.RunCpuH), fmt.Sprintf("%.2f", r.WaitCpuH), fmt.Sprintf("%.2f", r.LostCpuH))
+			row = append(row, usageCells(r)...)
 		}
 		cells = append(cells, row)
 	}
 	return table(w, head, cells)
 }
 
+// usageCells are the cells of what a team has used.
+func usageCells(r *operatorspb.Team) []string {
+	if r.UsageUnknown {
+		return []string{"?", "?", "?"}
+	}
+	return []string{fmt.Sprintf("%.2f", r.RunCpuH), fmt.Sprintf("%.2f", r.WaitCpuH), fmt.Sprintf("%.2f", r.LostCpuH)}
+}
+
 type statusCmd struct {
 	connection `embed:""`
 }
--- a/internal/accounting/accounts.go
+++ b/internal/accounting/accounts.go
@@ -43,6 +43,7 @@
 	stored       map[string]Item // by key, as last known
 	total        map[int][]Row   // by part
 	earlierTerms map[uint64]bool // by token: not merged into the total yet
+	loaded       bool            // what is stored has been read once
 	inFlight     transaction
 }
 
@@ -102,7 +103,7 @@
 			earlierTerms[token] = true
 		}
 	}
-	a.stored, a.total, a.earlierTerms = stored, total, earlierTerms
+	a.stored, a.total, a.earlierTerms, a.loaded = stored, total, earlierTerms, true
 	a.setPhase(Idle)
 	return nil
 }
@@ -225,13 +226,35 @@
 // Rows returns all known usage: the total, the earlier terms that are not merged yet, and the present term
 // as of now.
 func (a *Accounts) Rows() []Row {
-	merged := a.Own.sortedRows(all)
+	merged := mergeRows(a.Own.sortedRows(all), a.totalRows())
+	return a.addStored(merged, func(token uint64) bool { return token != a.token })
+}
+
+// StoredRows returns all usage that is certainly stored: the total, the earlier terms that are not merged yet, and the
+// present term as last written. known is false until what is stored has been read.
+//
+// Guard: the rows of the present term as of now may be lost with this process, and what the earlier terms stored is
+// missing until it was read. Told to users, either went back with the next leader (simtest, TestUsageNeverGoesBack).
+func (a *Accounts) StoredRows() (rows []Row, known bool) {
+	if !a.loaded {
+		return nil, false
+	}
+	return a.addStored(a.totalRows(), func(uint64) bool { return true }), true
+}
+
+// totalRows returns the rows of the total.
+func (a *Accounts) totalRows() (merged []Row) {
 	for _, rows := range a.total {
 		merged = mergeRows(merged, rows)
 	}
+	return merged
+}
+
+// addStored adds the stored rows of the terms that a condition holds for.
+func (a *Accounts) addStored(merged []Row, ofTerm func(token uint64) bool) []Row {
 	for key, item := range a.stored {
 		token, _, err := parseKey(key)
-		if err != nil || token == 0 || token == a.token {
+		if err != nil || token == 0 || !ofTerm(token) {
 			continue
 		}
 		if rows, err := Decode(item.Value); err == nil {
--- a/internal/controller/accounts.go
+++ b/internal/controller/accounts.go
@@ -23,9 +23,18 @@
 type usageAccounts struct {
 	accounts          *accounting.Accounts // nil: nothing was used yet, or nothing is kept
 	watermarkRevision uint64               // of the stored watermark as last known; 0: there is none
+	knownRevision     uint64               // of the state service, up to which the accounts are known
 	nextFlush         time.Time
 }
 
+// stored returns the usage that is certainly stored; known is false as long as it isn't known what that is.
+func (u *usageAccounts) stored() (rows []accounting.Row, known bool) {
+	if u.accounts == nil {
+		return nil, false
+	}
+	return u.accounts.StoredRows()
+}
+
 // flushDue reports whether it is time to read or write the accounts.
 func (u *usageAccounts) flushDue(now time.Time) bool {
 	return !now.Before(u.nextFlush) && (u.accounts == nil || u.accounts.Phase() != accounting.Writing)
@@ -86,14 +95,19 @@
 
 // reportUsage gives what teams have used to the metrics and the log, as far as they are on.
 func (t *leaderTerm) reportUsage() {
-	debug := t.ctrl.log.Enabled(t.ctx, slog.LevelDebug)
-	if !debug && t.ctrl.metrics == nil {
-		return
+	if t.ctrl.metrics != nil {
+		rows, _ := t.usage.stored()
+		t.ctrl.metrics.Usage(rows)
 	}
-	rows := t.usage.accounts.Rows()
-	t.ctrl.metrics.Usage(rows)
-	if debug {
-		t.logUsage(rows)
+	if t.ctrl.log.Enabled(t.ctx, slog.LevelDebug) {
+		t.logUsage(t.usage.accounts.Rows())
+	}
+}
+
+// withdrawUsage takes what teams have used from the metrics while another controller may lead: that one knows more.
+func (t *leaderTerm) withdrawUsage(now time.Time) {
+	if t.ctrl.metrics != nil && !t.ctrl.elector.HoldsLease(now) {
+		t.ctrl.metrics.Usage(nil)
 	}
 }
 
@@ -110,7 +124,7 @@
 
 // readAccounts reads the stored accounts, to which those of this term are added. It runs outside the loop.
 func (t *leaderTerm) readAccounts() {
-	items, _, err := t.ctrl.store.List(t.ctx, accounting.Prefix)
+	items, revision, err := t.ctrl.store.List(t.ctx, accounting.Prefix)
 	var watermark store.Item
 	if err == nil {
 		if watermark, err = t.ctrl.store.Get(t.ctx, accounting.WatermarkKey); errors.Is(err, store.ErrNotFound) {
@@ -118,14 +132,17 @@
 		}
 	}
 	t.ctrl.post(func() {
-		if err != nil || t.ctx.Err() != nil || t.usage.accounts.Phase() != accounting.Loading {
+		// Guard: of two reads under way the earlier one may be answered last, after writes that followed the other.
+		// Its older sums would be told, and counted on (TestLateReadOfAccounts).
+		outdated := revision < t.usage.knownRevision
+		if err != nil || t.ctx.Err() != nil || outdated || t.usage.accounts.Phase() != accounting.Loading {
 			return
 		}
 		all := make([]accounting.Item, 0, len(items))
 		for _, item := range items {
 			all = append(all, accounting.Item{Key: item.Key, Value: item.Value, Revision: item.Revision})
 		}
-		t.usage.watermarkRevision = watermark.Revision
+		t.usage.watermarkRevision, t.usage.knownRevision = watermark.Revision, revision
 		if err := t.usage.accounts.Load(all); err != nil { // another version's, or damaged: left as it is
 			t.ctrl.log.Error("accounts are not written", "err", err)
 			t.usage.nextFlush = t.ctrl.env.Now().Add(accountsInvalidWait)
@@ -163,7 +180,7 @@
 			switch {
 			case t.ctx.Err() != nil:
 			case err == nil && result.Succeeded():
-				t.usage.watermarkRevision = result.Revision
+				t.usage.watermarkRevision, t.usage.knownRevision = result.Revision, result.Revision
 				t.usage.accounts.TxnCommitted(result.Revision)
 			default:
 				t.ctrl.log.Debug("accounts are read again", "err", err, "failed", result.Failed)
@@ -177,16 +194,13 @@
 // secondsPerHour converts CPU seconds, which are accounted, to CPU hours, which operators see.
 const secondsPerHour = 3600
 
-// addTo adds to the rows of teams what they have used since accounts are kept.
-func (u *usageAccounts) addTo(rows []*operatorspb.Team) {
-	if u.accounts == nil {
-		return
-	}
+// addUsage adds to the rows of teams what they have used since accounts are kept.
+func addUsage(rows []*operatorspb.Team, used []accounting.Row) {
 	teams := map[string]*operatorspb.Team{}
 	for _, row := range rows {
 		teams[row.Name] = row
 	}
-	for _, row := range u.accounts.Rows() {
+	for _, row := range used {
 		if team := teams[row.Team]; team != nil {
 			team.RunCpuH += row.Sums[accounting.Run].CPUSeconds() / secondsPerHour
 			team.WaitCpuH += row.Sums[accounting.Wait].CPUSeconds() / secondsPerHour
--- a/internal/controller/election.go
+++ b/internal/controller/election.go
@@ -54,6 +54,7 @@
 	c.term.end()
 	c.term = nil
 	c.jobCounts.Store(nil)
+	c.metrics.Usage(nil) // the next leader knows more
 }
 
 // performActions carries out the elector's actions, each beside the loop.
--- a/internal/controller/leader_term.go
+++ b/internal/controller/leader_term.go
@@ -102,6 +102,7 @@
 func (t *leaderTerm) tick(now time.Time) {
 	t.advanceRounds(now)
 	t.watchOwners(now)
+	t.withdrawUsage(now)
 	if !t.loaded {
 		return
 	}
--- a/internal/controller/queries.go
+++ b/internal/controller/queries.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -9,6 +10,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"github.com/marlwood/marlwood/internal/leadership"
 	"github.com/marlwood/marlwood/internal/model"
 	"github.com/marlwood/marlwood/internal/operators/operatorspb"
 	"github.com/marlwood/marlwood/internal/placement"
@@ -29,11 +31,50 @@
 
 // handleTeams answers with all teams and what they have used.
 func (t *leaderTerm) handleTeams(reply operatorReply) {
+	if t.ctrl.settings.Accounts.Keep != "yes" {
+		t.answerTeams(false, reply)
+		return
+	}
+	t.ctrl.env.Go(func() {
+		leads := t.stillLeads()
+		t.ctrl.post(func() { t.answerTeams(leads, reply) })
+	})
+}
+
+// answerTeams answers with all teams. What they have used is known if this controller led when it was asked and knows
+// what is stored.
+func (t *leaderTerm) answerTeams(leads bool, reply operatorReply) {
 	rows := t.scheduler.TeamRows()
-	t.usage.addTo(rows)
+	used, known := t.usage.stored()
+	if leads && known {
+		addUsage(rows, used)
+	} else {
+		for _, row := range rows {
+			row.UsageUnknown = t.ctrl.settings.Accounts.Keep == "yes"
+		}
+	}
 	reply(&operatorspb.Reply{What: &operatorspb.Reply_Teams{Teams: &operatorspb.TeamsResponse{Rows: rows}}}, nil)
 }
 
+// leadershipCheckTimeout bounds how long an answer waits for the state service to say who leads.
+const leadershipCheckTimeout = time.Second
+
+// stillLeads asks the state service whether the leader key is this controller's. It runs outside the loop.
+//
+// Guard: the leader lease may outlast the key. A deposed leader told less usage than the next one had told already
+// (simtest, TestDeposedLeaderTellsNoUsage).
+func (t *leaderTerm) stillLeads() bool {
+	ctx, cancel := context.WithTimeout(t.ctx, leadershipCheckTimeout)
+	defer cancel()
+	item, err := t.ctrl.store.Get(ctx, leadership.Key)
+	if err != nil {
+		return false
+	}
+	var record leadership.LeaderRecord
+	err = json.Unmarshal(item.Value, &record)
+	return err == nil && record.Member == t.ctrl.cfg.Member && record.Boot == t.ctrl.bootID && t.ctx.Err() == nil
+}
+
 // handleStatus answers with a summary of the cluster and its leader.
 func (t *leaderTerm) handleStatus(now time.Time, reply operatorReply) {
 	response := t.scheduler.Status(now)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -64,7 +64,7 @@
 	set.unusedReturns = counter("machines_returned_unused_total", "Idle machines returned on which no task was ever seen.")
 	set.thrashedRequests = counter("rent_loops_total", "Rentals of a kind of which several machines had just been returned unused.")
 	set.usage = prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: "marlwood", Name: "team_cpu_seconds", ConstLabels: labels,
-		Help: "CPU seconds that teams have used since accounts are kept, as this controller knew when it led last."}, []string{"team", "class", "spot", "kind"})
+		Help: "CPU seconds that teams have used since accounts are kept, as far as they are stored; told by the leader alone."}, []string{"team", "class", "spot", "kind"})
 	set.registry.MustRegister(set.usage, set.unusedReturns, set.thrashedRequests, set.loopDelay, set.rounds, set.heartbeats, set.storeWait, set.takeover, &socketCollector{use: use,
 		open:   prometheus.NewDesc("marlwood_sockets", "Accepted connections by duty.", []string{"duty"}, labels),
 		peak:   prometheus.NewDesc("marlwood_sockets_peak", "Most accepted connections at once by duty.", []string{"duty"}, labels),
@@ -141,11 +141,14 @@
 	}
 }
 
-// Usage records what teams have used. A sum never decreases on one controller.
+// Usage records what teams have used, of which nothing is known without rows. A sum never decreases on one controller.
 func (s *Set) Usage(rows []accounting.Row) {
 	if s == nil {
 		return
 	}
+	if len(rows) == 0 {
+		s.usage.Reset()
+	}
 	for _, r := range rows {
 		for kind, name := range map[accounting.UsageKind]string{accounting.Run: "run", accounting.Wait: "wait", accounting.Wasted: "lost"} {
 			s.usage.WithLabelValues(r.Team, r.Class, strconv.FormatBool(r.Spot), name).Set(r.Sums[kind].CPUSeconds())
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/marlwood/marlwood/internal/accounting"
+	"github.com/marlwood/marlwood/internal/model"
 	"github.com/marlwood/marlwood/internal/sockets"
 )
 
@@ -77,3 +79,26 @@
 		s.Loop(time.Millisecond)
 	}
 }
+
+// What teams have used is on the page as long as it is known, and not at all when it is not.
+func TestUsageOnPage(t *testing.T) {
+	set := New("berth-0", sockets.New(sockets.Limits{Listener: 10, Workers: 5}).Use)
+	ledger := accounting.NewLedger()
+	ledger.Count(accounting.Interval{Account: accounting.Account{Team: "grafo", Class: "tiles"}, Kind: accounting.Run,
+		Size: model.Size{CPUs: 2}, Duration: 5 * time.Second})
+	rows := accounting.NewAccounts(1, ledger).Rows()
+	for _, step := range []struct {
+		rows  []accounting.Row
+		shown bool
+	}{{nil, false}, {rows, true}, {nil, false}, {rows, true}} {
+		set.Usage(step.rows)
+		page, err := set.Page()
+		if err != nil {
+			t.Fatal(err)
+		}
+		const line = `marlwood_team_cpu_seconds{class="tiles",controller="berth-0",kind="run",spot="false",team="grafo"} 10`
+		if strings.Contains(string(page), line) != step.shown || strings.Contains(string(page), "marlwood_team_cpu_seconds{") != step.shown {
+			t.Errorf("with %d rows: %s", len(step.rows), page)
+		}
+	}
+}
--- a/internal/simtest/usage_answers_test.go
+++ b/internal/simtest/usage_answers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -69,25 +70,7 @@
 // askUsage asks a controller for the CPU seconds that the team "free" has used; 0: there is no answer.
 func (w *cluster) askUsage(n *node) float64 {
 	const perHour = 3600
-	if n.process.Dead() {
-		return 0
-	}
-	process := n.process
-	used, _ := ask(w.users, w.net, w.place, n.place, 3*time.Second, func(reply func(float64)) {
-		process.Enter(func() {
-			request := &operatorspb.Request{What: &operatorspb.Request_Teams{Teams: &operatorspb.TeamsRequest{}}}
-			n.node.HandleOperatorRequestOnLoop(context.Background(), n.Now(), request, func(answer *operatorspb.Reply, _ error) {
-				used := 0.0
-				for _, row := range answer.GetTeams().GetRows() {
-					if row.Name == "free" {
-						used = row.RunCpuH * perHour
-					}
-				}
-				reply(used)
-			})
-		})
-	})
-	return used
+	return w.askTeam(n).GetRunCpuH() * perHour
 }
 
 // A leader that is cut off from the state service and the other controllers, and does not know that it has been deposed, does not tell less than
@@ -113,3 +96,56 @@
 		}
 	}
 }
+
+// A row without usage says whether that is not known or none: once some was told, it is never told as none.
+func TestUnknownUsageIsSaidToBe(t *testing.T) {
+	leader := len(zones) // see controller
+	for seed := range uint64(10) {
+		p := Plan{Seed: seed + 1, Machines: 2, Lease: 12 * sec, Cancel: 30 * sec, Accounts: true,
+			Faults: []Fault{{Kind: "crash", At: 20 * sec, For: 5 * sec, A: leader}, {Kind: "slow store", At: 21 * sec, For: 20 * sec},
+				{Kind: "alone with workers", At: 45 * sec, For: 15 * sec, A: leader}},
+			Jobs: []Submission{{At: 2 * sec, Shape: model.Service, Tasks: 2, Cancel: 70 * sec}}}
+		unknown, known := 0, 0
+		p.script = func(w *cluster) {
+			w.users.Spawn(func() {
+				for ; w.sim.Now() < 65*sec; w.users.Sleep(100 * time.Millisecond) {
+					row := w.askTeam(w.nodes[w.sim.Rand.IntN(len(w.nodes))])
+					switch {
+					case row == nil:
+					case row.UsageUnknown && row.RunCpuH+row.WaitCpuH+row.LostCpuH == 0:
+						unknown++
+					case row.RunCpuH > 0 && !row.UsageUnknown:
+						known++
+					case known > 0 || row.UsageUnknown:
+						t.Errorf("seed %d, at %v: told %v", p.Seed, w.sim.Now(), row)
+					}
+				}
+			})
+		}
+		if out := Run(p, nil, 0); out.Broken != "" || unknown == 0 || known == 0 {
+			t.Errorf("seed %d: %d unknown, %d known, %+v", p.Seed, unknown, known, out)
+		}
+	}
+}
+
+// askTeam asks a controller for the team "free"; nil: there is no answer.
+func (w *cluster) askTeam(n *node) *operatorspb.Team {
+	if n.process.Dead() {
+		return nil
+	}
+	process := n.process
+	team, _ := ask(w.users, w.net, w.place, n.place, 3*time.Second, func(reply func(*operatorspb.Team)) {
+		process.Enter(func() {
+			request := &operatorspb.Request{What: &operatorspb.Request_Teams{Teams: &operatorspb.TeamsRequest{}}}
+			n.node.HandleOperatorRequestOnLoop(context.Background(), n.Now(), request, func(answer *operatorspb.Reply, _ error) {
+				rows := answer.GetTeams().GetRows()
+				if i := slices.IndexFunc(rows, func(row *operatorspb.Team) bool { return row.Name == "free" }); i >= 0 {
+					reply(rows[i])
+					return
+				}
+				reply(nil)
+			})
+		})
+	})
+	return team
+}
