model: reading a table does not write it

Cause: Table.All sorted in place on first use, so reading was writing; go test -race -run '^TestChangesShow$' -count=5 on the code before: five of five fail, 37 races, all in sortRows. Change: the sorted rows are a value of their own that is published by an atomic pointer and never written again; an empty table makes none. Result: the same command, five of five pass, no race; TestTableIsReadByTwo passes.

--- a/internal/model/table.go
+++ b/internal/model/table.go
@@ -4,17 +4,28 @@
 	"cmp"
 	"iter"
 	"slices"
+	"sync/atomic"
 )
 
 // Table is a map that is iterated in the order of its keys, so that decisions are
 // deterministic: the same events lead to the same decisions. Like a map, a nil table is
-// empty and can't be written. It is not safe for concurrent use.
+// empty and can't be written, and a table may be read by several goroutines at once while
+// none writes it.
 type Table[K comparable, V any] struct {
-	values   map[K]V
-	compare  func(x, y K) int
-	changes  uint64      // number of changes so far
-	rows     []row[K, V] // sorted, as of the change sortedAt
-	sortedAt uint64
+	values  map[K]V
+	compare func(x, y K) int
+	changes uint64 // number of changes so far
+	// The rows in order, as of the last iteration; nil: there was none. What was stored here is not written any more.
+	//
+	// Guard: sorted in place, a table that plays shared was written by those that read it, and one saw the rows while
+	// another one sorted them (TestTableIsReadByTwo, TestChangesShow).
+	sorted atomic.Pointer[sortedRows[K, V]]
+}
+
+// sortedRows are a table's rows in the order of their keys.
+type sortedRows[K comparable, V any] struct {
+	rows    []row[K, V]
+	changes uint64 // of the table, when they were sorted
 }
 
 // row is a key and its value.
@@ -69,13 +80,12 @@
 // meanwhile: deleted keys are skipped, new ones may be visited or not.
 func (t *Table[K, V]) All() iter.Seq2[K, V] {
 	return func(yield func(K, V) bool) {
-		if t == nil {
+		if t.Len() == 0 {
 			return
 		}
-		t.sortRows()
-		rows, sortedAt := t.rows, t.sortedAt
-		for _, r := range rows {
-			if t.changes != sortedAt {
+		sorted := t.inOrder()
+		for _, r := range sorted.rows {
+			if t.changes != sorted.changes {
 				v, ok := t.values[r.key]
 				if !ok {
 					continue
@@ -98,21 +108,20 @@
 	return out
 }
 
-// sortRows sorts the rows if the table changed since they were sorted.
-func (t *Table[K, V]) sortRows() {
-	if t.sortedAt == t.changes {
-		return
+// inOrder returns the rows in order. They are sorted again if the table changed since.
+func (t *Table[K, V]) inOrder() *sortedRows[K, V] {
+	if sorted := t.sorted.Load(); sorted != nil && sorted.changes == t.changes {
+		return sorted
 	}
-	t.rows = make([]row[K, V], 0, len(t.values)) // an iteration in progress keeps the old rows
+	rows := make([]row[K, V], 0, len(t.values))
 	for k, v := range t.values {
-		t.rows = append(t.rows, row[K, V]{k, v})
+		rows = append(rows, row[K, V]{k, v})
 	}
-	slices.SortFunc(t.rows, func(x, y row[K, V]) int { return t.compare(x.key, y.key) })
-	t.sortedAt = t.changes
+	slices.SortFunc(rows, func(x, y row[K, V]) int { return t.compare(x.key, y.key) })
+	sorted := &sortedRows[K, V]{rows: rows, changes: t.changes}
+	t.sorted.Store(sorted)
+	return sorted
 }
 
 // Nth returns the value of the n-th key in order, from 0 on.
-func (t *Table[K, V]) Nth(n int) V {
-	t.sortRows()
-	return t.rows[n].value
-}
+func (t *Table[K, V]) Nth(n int) V { return t.inOrder().rows[n].value }
