lab: the ports of controllers are reserved; an answer goes before a refused connection

Symptom: TestDrainScript failed at this step or that beside load; users of a lab saw controllers end at once or stay away from operators for a minute. The operators' client told the last error, a refused connection, in place of what the leader had answered. Change: loopback.Reserve binds the ports for the time of the lab, so that the system gives them to nobody; the test reserves its four ports in a row, below the ports of connections as scale does; the client prefers what a controller answered. The script and what it asks for are unchanged.

--- a/cmd/marlwood/script_test.go
+++ b/cmd/marlwood/script_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -13,30 +12,46 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/marlwood/marlwood/internal/loopback"
 )
 
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){"marlwood": main})
 }
 
-// freePorts finds four ports in a row.
-func freePorts() (int, error) {
+// Ports of labs lie below those that the system gives to connections and to listeners that ask for any.
+const (
+	leastPort = 18_000
+	mostPort  = 32_000
+)
+
+// reservePorts reserves four ports in a row, and returns the first and what gives them back.
+//
+// Guard: ports that were tried and given back were other labs', or connections', before the lab took them: a script
+// then spoke to another lab.
+func reservePorts() (first int, release func(), err error) {
 	for range 100 {
-		first := 20000 + rand.IntN(20000)
-		free := true
+		first = leastPort + rand.IntN(mostPort-leastPort)
+		var reserved []*loopback.Reservation
+		release = func() {
+			for _, reservation := range reserved {
+				_ = reservation.Close()
+			}
+		}
 		for i := range 4 {
-			l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", first+i))
+			reservation, err := loopback.Reserve(first + i)
 			if err != nil {
-				free = false
 				break
 			}
-			_ = l.Close()
+			reserved = append(reserved, reservation)
 		}
-		if free {
-			return first, nil
+		if len(reserved) == 4 {
+			return first, release, nil
 		}
+		release()
 	}
-	return 0, fmt.Errorf("no four ports in a row are free")
+	return 0, nil, fmt.Errorf("no four ports in a row are free")
 }
 
 // Every command as its users type it, against a lab. $PORTS is the first of three ports
@@ -64,10 +79,11 @@
 	testscript.Run(t, testscript.Params{
 		Files: files,
 		Setup: func(env *testscript.Env) error {
-			first, err := freePorts()
+			first, release, err := reservePorts()
 			if err != nil {
 				return err
 			}
+			env.Defer(release)
 			env.Setenv("PORTS", strconv.Itoa(first+1))
 			env.Setenv("CONTROL", fmt.Sprintf("127.0.0.1:%d", first))
 			env.Setenv("MARLWOOD_OPERATORS", fmt.Sprintf("127.0.0.1:%d,127.0.0.1:%d,127.0.0.1:%d", first+1, first+2, first+3))
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -15,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"github.com/marlwood/marlwood/internal/loopback"
 	"github.com/marlwood/marlwood/internal/model"
 	"github.com/marlwood/marlwood/internal/standin"
 )
@@ -47,8 +47,10 @@
 	cloud *standin.Cloud
 	users *users
 	links map[[2]string]*standin.Link // by who calls whom
-	stop  context.CancelFunc
-	web   net.Listener
+
+	reservations []*loopback.Reservation // of the addresses of controllers and of faults
+	stop         context.CancelFunc
+	web          net.Listener
 
 	mu    sync.Mutex
 	nodes []*node
@@ -62,20 +64,32 @@
 	ended                   chan struct{}
 }
 
-// freeAddr takes an address that is free, wanted if that is.
-func freeAddr(wanted string) (string, error) {
-	for _, a := range []string{wanted, "127.0.0.1:0"} {
-		if a == "" {
-			continue
-		}
-		l, err := net.Listen("tcp4", a)
-		if err != nil {
-			continue
-		}
-		defer func() { _ = l.Close() }()
-		return l.Addr().String(), nil
+// reserveAddr reserves an address for the time of the lab: wanted if nobody listens there, or else any.
+//
+// Guard: addresses that were free and given back were other programs' before the controllers listened on them, or
+// while a controller was down (TestAddressesAreKept).
+func (l *Lab) reserveAddr(wanted string) (string, error) {
+	reservation, err := reserveWanted(wanted)
+	if err != nil {
+		reservation, err = loopback.Reserve(0)
+	}
+	if err != nil {
+		return "", fmt.Errorf("lab: no loopback address is free: %w", err)
+	}
+	l.reservations = append(l.reservations, reservation)
+	return reservation.Addr(), nil
+}
+
+// reserveWanted reserves an address of the loopback interface.
+func reserveWanted(wanted string) (*loopback.Reservation, error) {
+	addr, err := net.ResolveTCPAddr("tcp4", wanted)
+	if err != nil {
+		return nil, err
 	}
-	return "", errors.New("lab: no loopback address is free")
+	if addr.Port == 0 || !addr.IP.IsLoopback() {
+		return nil, fmt.Errorf("lab: no port of the loopback interface: %q", wanted)
+	}
+	return loopback.Share(addr.Port)
 }
 
 // Start starts a lab.
@@ -104,7 +118,7 @@
 			to     *string
 			wanted string
 		}{{&n.listen, ""}, {&n.peer, ""}, {&n.operators, wanted}} {
-			if *a.to, err = freeAddr(a.wanted); err != nil {
+			if *a.to, err = l.reserveAddr(a.wanted); err != nil {
 				return err
 			}
 		}
@@ -312,6 +326,9 @@
 		l.state.CloseClientConnections()
 		l.state.Close()
 	}
+	for _, reservation := range l.reservations {
+		_ = reservation.Close()
+	}
 	if l.dir != "" {
 		_ = os.RemoveAll(l.dir)
 	}
@@ -319,7 +336,7 @@
 
 // control listens for faults.
 func (l *Lab) control() error {
-	addr, err := freeAddr(l.opt.Control)
+	addr, err := l.reserveAddr(l.opt.Control)
 	if err != nil {
 		return err
 	}
--- a/internal/operators/client.go
+++ b/internal/operators/client.go
@@ -1,6 +1,7 @@
 package operators
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -9,6 +10,7 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
@@ -86,8 +88,12 @@
 	return out, err
 }
 
-// tryOnce calls each controller at most once.
+// tryOnce calls each controller at most once. If none is of use, it returns the last error that a controller answered
+// with, or else the last one of a connection.
+//
+// Guard: a controller that does not run hid what the leader had answered (TestAnswersGoBeforeConnectionErrors).
 func tryOnce[T any](ctx context.Context, c *Client, change bool, do func(ctx context.Context, s operatorspb.OperatorsClient) (T, error)) (out T, err error) {
+	var answered error
 	for i, conn := range c.conns {
 		wait := queryTimeout
 		if change {
@@ -105,9 +111,12 @@
 		default:
 			return out, err
 		}
+		if conn.GetState() == connectivity.Ready {
+			answered = err
+		}
 		if ctx.Err() != nil {
-			return out, err
+			break
 		}
 	}
-	return out, err
+	return out, cmp.Or(answered, err)
 }
