--- a/internal/lab/fault.go
+++ b/internal/lab/fault.go
@@ -31,57 +31,73 @@
 
 // Fault carries a fault out.
 func (l *Lab) Fault(fault Fault) error {
-	var controller *node
-	if i := slices.IndexFunc(l.nodes, func(controller *node) bool { return controller.name == fault.Name }); i >= 0 {
-		controller = l.nodes[i]
-	}
 	switch fault.Op {
 	case "kill", "start", "freeze", "cut":
-		if controller == nil {
-			return fmt.Errorf("no controller %q; there are %s", fault.Name, strings.Join(Controllers, ", "))
-		}
+		return l.controllerFault(fault)
+	case "heal":
+		return l.cut(fault.Name, fault.To, false)
+	case "refuse", "serve":
+		l.state.Refuse(fault.Op == "refuse")
+		return nil
+	case "hang", "recall":
+		return l.machineFault(fault)
+	}
+	return fmt.Errorf("no fault %q", fault.Op)
+}
+
+// controllerFault carries out a fault of one controller.
+func (l *Lab) controllerFault(fault Fault) error {
+	i := slices.IndexFunc(l.nodes, func(controller *node) bool { return controller.name == fault.Name })
+	if i < 0 {
+		return fmt.Errorf("no controller %q; there are %s", fault.Name, strings.Join(Controllers, ", "))
 	}
+	controller := l.nodes[i]
 	switch fault.Op {
 	case "kill":
-		if !l.Up()[controller.name] {
-			return fmt.Errorf("%s does not run", controller.name)
-		}
-		if err := controller.cmd.Process.Kill(); err != nil {
-			return err
-		}
-		<-controller.ended
-		return nil
+		return l.kill(controller)
 	case "start":
 		if l.Up()[controller.name] {
 			return fmt.Errorf("%s runs", controller.name)
 		}
 		return l.run(controller)
 	case "freeze":
-		if err := controller.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
-			return err
-		}
-		cmd := controller.cmd
-		time.AfterFunc(max(fault.For, time.Second), func() { _ = cmd.Process.Signal(syscall.SIGCONT) })
-		return nil
-	case "cut":
-		return l.cut(fault.Name, fault.To, true)
-	case "heal":
-		return l.cut(fault.Name, fault.To, false)
-	case "refuse", "serve":
-		l.state.Refuse(fault.Op == "refuse")
-		return nil
-	case "hang":
-		if !l.cloud.Hang(fault.Name, max(fault.For, time.Second)) {
-			return fmt.Errorf("no machine %q", fault.Name)
-		}
-		return nil
-	case "recall":
-		if !l.cloud.Recall(fault.Name, max(fault.For, time.Second)) {
-			return fmt.Errorf("no machine %q", fault.Name)
-		}
-		return nil
+		return freeze(controller, max(fault.For, time.Second))
 	}
-	return fmt.Errorf("no fault %q", fault.Op)
+	return l.cut(fault.Name, fault.To, true)
+}
+
+// kill ends a controller's process, and waits for its end.
+func (l *Lab) kill(controller *node) error {
+	if !l.Up()[controller.name] {
+		return fmt.Errorf("%s does not run", controller.name)
+	}
+	if err := controller.cmd.Process.Kill(); err != nil {
+		return err
+	}
+	<-controller.ended
+	return nil
+}
+
+// freeze has a controller's process stand still for a time.
+func freeze(controller *node, span time.Duration) error {
+	process := controller.cmd.Process
+	if err := process.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	time.AfterFunc(span, func() { _ = process.Signal(syscall.SIGCONT) })
+	return nil
+}
+
+// machineFault carries out a fault of one machine.
+func (l *Lab) machineFault(fault Fault) error {
+	span, happens := max(fault.For, time.Second), l.cloud.Hang
+	if fault.Op == "recall" {
+		happens = l.cloud.Recall
+	}
+	if !happens(fault.Name, span) {
+		return fmt.Errorf("no machine %q", fault.Name)
+	}
+	return nil
 }
 
 // cut cuts or heals the links between a controller and another party, both ways; without
