controller: the records are read with what the term had at its beginning

Cause: go test -race over the whole suite but simtest: four races. Reading the records beside the loop used the term's token, the store and a setting of the loop's (TestRestartedOwner, TestResolveWrite, TestLateReadOfAccounts); a test of the store's client read a counter beside a late handler (TestListOfASlowService). Change: recordReader has what it needs as values, the ledger is handed to the loop with the records; the test reads its counter under its lock.

--- a/internal/controller/accounts.go
+++ b/internal/controller/accounts.go
@@ -40,19 +40,6 @@
 	return !now.Before(u.nextFlush) && (u.accounts == nil || u.accounts.Phase() != accounting.Writing)
 }
 
-// loadWatermark reads until when usage was last written. Without it nothing is counted for the time
-// between leaders. It runs outside the loop.
-func (t *leaderTerm) loadWatermark() []byte {
-	item, err := t.ctrl.store.Get(t.ctx, accounting.WatermarkKey)
-	if err != nil {
-		if !errors.Is(err, store.ErrNotFound) {
-			t.ctrl.log.Warn("usage watermark not read", "err", err)
-		}
-		return nil
-	}
-	return item.Value
-}
-
 // flushAccounts writes what teams have used, one transaction at a time. It has the lowest priority of the
 // leader's writes (see store.Txn.LowPriority): a flush for which the budget has nothing left waits, and the
 // next one holds all of it.
--- a/internal/controller/leader_term.go
+++ b/internal/controller/leader_term.go
@@ -79,7 +79,8 @@
 	if now.Sub(ctrl.startedAt) < recentStart {
 		t.assignDeadline = now.Add(peerStartWait)
 	}
-	ctrl.env.Go(t.loadRecords)
+	reader := t.newRecordReader()
+	ctrl.env.Go(func() { t.loadRecords(reader) })
 	return t
 }
 
--- a/internal/controller/loading.go
+++ b/internal/controller/loading.go
@@ -1,9 +1,13 @@
 package controller
 
 import (
+	"context"
+	"errors"
+	"log/slog"
 	"strings"
 	"time"
 
+	"github.com/marlwood/marlwood/internal/accounting"
 	"github.com/marlwood/marlwood/internal/autoscaler"
 	"github.com/marlwood/marlwood/internal/machinerecords"
 	"github.com/marlwood/marlwood/internal/placement"
@@ -16,6 +20,7 @@
 
 // storedRecords are the records that an earlier leader left.
 type storedRecords struct {
+	ledger          *machinerecords.Ledger // of the records of machines
 	machines        []store.Item
 	launches        []store.Item
 	parts           []store.Item // shards of jobs' completion bitmaps
@@ -26,21 +31,49 @@
 	watermark       []byte    // of the accounts; nil: there is none, or none are kept
 }
 
+// recordReader reads the records beside the loop. What it needs of the term it has as of the term's beginning: the
+// loop goes on meanwhile.
+type recordReader struct {
+	ctx          context.Context // of the term
+	env          Environment
+	store        Store
+	log          *slog.Logger
+	ledger       machinerecords.Options
+	token        uint64
+	keepAccounts bool
+}
+
+// newRecordReader returns a reader of the records, as of now.
+func (t *leaderTerm) newRecordReader() *recordReader {
+	return &recordReader{
+		ctx:   t.ctx,
+		env:   t.ctrl.env,
+		store: t.ctrl.store,
+		log:   t.ctrl.log,
+		ledger: machinerecords.Options{
+			MaxOps:        t.ctrl.cfg.TxnOps,
+			MaxValueBytes: min(t.ctrl.cfg.ValueBytes*3/4, maxGroupBytes),
+			MaxTxnBytes:   maxTxnBytes,
+		},
+		token:        t.token,
+		keepAccounts: t.ctrl.settings.Accounts.Keep == "yes",
+	}
+}
+
 // loadRecords reads everything that an earlier leader left, until it succeeds or the term ends. It
 // runs beside the loop.
-func (t *leaderTerm) loadRecords() {
-	ctrl := t.ctrl
-	for t.ctx.Err() == nil {
-		records, err := t.readRecords()
+func (t *leaderTerm) loadRecords(reader *recordReader) {
+	for reader.ctx.Err() == nil {
+		records, err := reader.read()
 		if err != nil {
-			ctrl.log.Warn("cannot read the records", "err", err)
-			ctrl.env.Sleep(t.ctx, readRetryWait)
+			reader.log.Warn("cannot read the records", "err", err)
+			reader.env.Sleep(reader.ctx, readRetryWait)
 			continue
 		}
-		if ctrl.settings.Accounts.Keep == "yes" {
-			records.watermark = t.loadWatermark()
+		if reader.keepAccounts {
+			records.watermark = reader.watermark()
 		}
-		ctrl.post(func() {
+		t.ctrl.post(func() {
 			if t.ctx.Err() == nil {
 				t.applyRecords(records)
 				t.observeJobs(records.jobsReadAt)
@@ -50,36 +83,31 @@
 	}
 }
 
-// readRecords reads the records once. The jobs come last: they are watched from their revision.
-func (t *leaderTerm) readRecords() (records storedRecords, err error) {
-	ctrl := t.ctrl
-	if records.machines, err = t.loadMachineRecords(); err != nil {
+// read reads the records once. The jobs come last: they are watched from their revision.
+func (r *recordReader) read() (records storedRecords, err error) {
+	if records.ledger, err = r.machineLedger(); err != nil {
 		return records, err
 	}
-	if records.launches, _, err = ctrl.store.List(t.ctx, autoscaler.LaunchPrefix); err != nil {
+	records.machines = machineItems(records.ledger)
+	if records.launches, _, err = r.store.List(r.ctx, autoscaler.LaunchPrefix); err != nil {
 		return records, err
 	}
-	if records.parts, _, err = ctrl.store.List(t.ctx, placement.PartPrefix); err != nil {
+	if records.parts, _, err = r.store.List(r.ctx, placement.PartPrefix); err != nil {
 		return records, err
 	}
-	if records.operatorRecords, _, err = ctrl.store.List(t.ctx, placement.OpsPrefix); err != nil {
+	if records.operatorRecords, _, err = r.store.List(r.ctx, placement.OpsPrefix); err != nil {
 		return records, err
 	}
-	records.jobsReadAt = ctrl.env.Now()
-	records.jobs, records.revision, err = ctrl.store.List(t.ctx, placement.OpenPrefix)
+	records.jobsReadAt = r.env.Now()
+	records.jobs, records.revision, err = r.store.List(r.ctx, placement.OpenPrefix)
 	return records, err
 }
 
-// loadMachineRecords reads the records of machines into a new ledger and returns a record for each
-// machine, as if each had one of its own.
-func (t *leaderTerm) loadMachineRecords() (machines []store.Item, err error) {
-	ledger := machinerecords.New(machinerecords.Options{
-		MaxOps:        t.ctrl.cfg.TxnOps,
-		MaxValueBytes: min(t.ctrl.cfg.ValueBytes*3/4, maxGroupBytes),
-		MaxTxnBytes:   maxTxnBytes,
-	}, t.token)
+// machineLedger reads the records of machines into a new ledger.
+func (r *recordReader) machineLedger() (*machinerecords.Ledger, error) {
+	ledger := machinerecords.New(r.ledger, r.token)
 	for _, prefix := range []string{machinerecords.SinglePrefix, machinerecords.GroupPrefix} {
-		items, _, err := t.ctrl.store.List(t.ctx, prefix)
+		items, _, err := r.store.List(r.ctx, prefix)
 		if err != nil {
 			return nil, err
 		}
@@ -87,17 +115,35 @@
 			return nil, err
 		}
 	}
+	return ledger, nil
+}
+
+// machineItems returns a record for each machine, as if each had one of its own.
+func machineItems(ledger *machinerecords.Ledger) (machines []store.Item) {
 	for _, machine := range ledger.Machines() {
 		write := store.Put(machinerecords.SinglePrefix+machine.Name, machine.Registration)
 		machines = append(machines, store.Item{Key: write.Set, Value: write.Value, Revision: machine.Revision})
 	}
-	t.machineRecords = ledger // the loop does not use it before the term has loaded
-	return machines, nil
+	return machines
+}
+
+// watermark reads until when usage was last written. Without it nothing is counted for the time
+// between leaders.
+func (r *recordReader) watermark() []byte {
+	item, err := r.store.Get(r.ctx, accounting.WatermarkKey)
+	if err != nil {
+		if !errors.Is(err, store.ErrNotFound) {
+			r.log.Warn("usage watermark not read", "err", err)
+		}
+		return nil
+	}
+	return item.Value
 }
 
 // applyRecords begins the term's work with the records that were read.
 func (t *leaderTerm) applyRecords(records storedRecords) {
 	now := t.ctrl.env.Now()
+	t.machineRecords = records.ledger
 	drains := t.applyOperatorRecords(records.operatorRecords)
 	t.scheduler.Load(now, scheduler.StoredRecords{
 		Machines:       records.machines,
--- a/internal/store/client_test.go
+++ b/internal/store/client_test.go
@@ -283,6 +283,8 @@
 			client := newClient(s, 100*time.Millisecond)
 			client.SetBudgets(Budgets{Calls: 1e6, UserWrites: 1, LeaderWrites: 1, Burst: 1})
 			items, revision, err := client.List(context.Background(), "p")
+			lock.Lock() // a late answer may be under way yet
+			defer lock.Unlock()
 			if !errors.Is(err, c.want) || (err == nil) != (c.want == nil) || total != c.requests {
 				t.Errorf("%v after %d requests, want %v after %d", err, total, c.want, c.requests)
 			}
