simtest: a held request of an operator is executed late, red

What is stored and answered shows it: the drain's record begins at 34.038 s, when the cut that held its request of 6.5 s ended, and the undrain had been told that there is no drain. Not mended: a request would have to carry until when it may be executed.

--- a/internal/simtest/seeds_test.go
+++ b/internal/simtest/seeds_test.go
@@ -29,3 +29,16 @@
 		t.Errorf("breaks %s: %+v", out.Broken, out)
 	}
 }
+
+// TestSeed51507100300 plays a schedule that the simulation found in the draw `preempting`: the job req-7 waits for
+// ever although no fault is left and the cloud has machines; the sources of 4f88aef break it too.
+//
+// An operator asks for a drain of its zone at 6.5 s and gives up; the request is held by a cut until 34 s. The operator
+// ends the drain meanwhile, and is told that there is none. The held request arrives just after that and is executed:
+// the drain's record has since 34.038 s, and "explain" answers DRAINED at 200 s.
+func TestSeed51507100300(t *testing.T) {
+	out := Run(Preempting.Example(51507100300), nil, 0)
+	if out.Broken != "" {
+		t.Errorf("breaks %s: %+v", out.Broken, out)
+	}
+}
