--- a/review/play/cases.go
+++ b/review/play/cases.go
@@ -64,14 +64,14 @@
 	if trouble {
 		w.kill(leader)
 		w.start(leader)
-		time.Sleep(time.Until(told.Add(19 * time.Second)))
+		time.Sleep(time.Until(told.Add(20 * time.Second)))
 		if w.leader() != leader {
 			must(errors.New("another controller leads"))
 		}
 		w.kill(owner)
 		owner.stateGate.once("/kv/leader", func() { w.outage(true) })
 		w.start(owner)
-		time.Sleep(time.Until(told.Add(19500 * time.Millisecond)))
+		time.Sleep(time.Until(told.Add(20500 * time.Millisecond)))
 		w.cutOff(nil)
 		time.AfterFunc(36*time.Second, func() { w.outage(false) })
 	}
@@ -224,34 +224,48 @@
 	}
 }
 
-// machinesFail: the first two machines that are rented fail every task that they start. No other machine does. The job
-// has to run all the same.
+// sickFor is for how long machines go on to fail tasks once a job has failed on two of them.
+const sickFor = 4 * time.Second
+
+// leftWaiting is how long a job may wait, once the troubles are over, while a machine that fits has room.
+const leftWaiting = 90 * time.Second
+
+// machinesFail: two machines fail every task that they start, for a while. A job's tasks fail on both. Another machine
+// that fits is up and has nothing to do all the time, and once the troubles are over nothing is wrong with any machine.
 func machinesFail(w *world, trouble bool) {
+	w.startAll()
+	urgent := w.add(map[string]any{"nameId": "req-000001", "docket": "tax-reclaim", "rank": "high", "cpus": 4.0, "hulls": []string{"s4"}})
+	id := w.add(map[string]any{"nameId": "req-000002", "pieces": 2, "cpus": 4.0, "hulls": []string{"s4"}, "apart": true, "guessS": 1.0})
+	w.begin(urgent)
+	idle := ""
+	w.need(15*time.Second, "a machine is kept ready for the urgent class", func() bool {
+		idle = w.idleMachine(urgent)
+		return idle != ""
+	})
+	time.Sleep(1500 * time.Millisecond)
+	w.note("machine %s is up and has nothing to do", idle)
 	if trouble {
-		w.faulty = []string{"vm-000001", "vm-000002"}
+		w.rules.failOn(id, 2)
 	}
-	w.startAll()
-	id := w.add(map[string]any{"nameId": "req-000001", "cpus": 4.0, "hulls": []string{"s4"}, "guessS": 1.0})
 	w.insist(w.nodes, "submit", id)
-	var over time.Time // since when no faulty machine is rented
-	var rentals int64  // requests for machines until then
-	for end := w.started.Add(w.longest); time.Now().Before(end); time.Sleep(time.Second) {
-		if t := w.call(w.nodes[0], "ask", id); t.stage == "done" {
-			return
+	if trouble {
+		w.need(20*time.Second, "the job fails on two machines", func() bool { return w.rules.failures(id) >= 2 })
+		time.Sleep(sickFor)
+		w.rules.failOn("", 0)
+	}
+	over := time.Now()
+	w.note("from now on no machine fails a task")
+	for time.Since(over) < leftWaiting+time.Second {
+		if t := w.call(w.nodes[0], "ask", id); t.stage == "done" || !w.rules.gone(id) {
+			return // it runs or is done
 		}
-		switch rented := w.cloud.Machines(); {
-		case !trouble || slices.Contains(rented, w.faulty[0]) || slices.Contains(rented, w.faulty[1]) || w.rules.failures(id) < 2:
-			over, rentals = time.Time{}, w.rentals.Load()
-		case over.IsZero():
-			over, rentals = time.Now(), w.rentals.Load()
-			w.note("both faulty machines have been returned")
+		if tasks := w.cloud.On(idle); len(tasks) > 0 || !slices.Contains(w.cloud.Machines(), idle) {
+			w.note("machine %s has no room any more: %v", idle, tasks)
+			return
 		}
-	}
-	if over.IsZero() {
-		must(errors.New("the faulty machines were not returned"))
+		time.Sleep(time.Second)
 	}
 	w.rules.mu.Lock()
 	defer w.rules.mu.Unlock()
-	w.rules.breaks("an accepted job must run", id, "is not done %.0f s after the last faulty machine was returned; machines that are there: %v; requests for machines since: %d",
-		time.Since(over).Seconds(), w.cloud.Machines(), w.rentals.Load()-rentals)
+	w.rules.breaks("left_waiting", id, "has waited for %.0f s since the troubles were over, while %s fits, is up and has no task", time.Since(over).Seconds(), idle)
 }
--- a/review/play/main.go
+++ b/review/play/main.go
@@ -14,6 +14,9 @@
 	"github.com/marlwood/marlwood/internal/standin"
 )
 
+// longest is how long a case may take.
+const longest = 117 * time.Second
+
 // scene is what a case plays, in a cloud of some machine types. The rules are watched meanwhile.
 type scene struct {
 	play  func(w *world, trouble bool)
@@ -30,7 +33,6 @@
 func main() {
 	record := flag.String("record", "record.txt", "where to write what was sent, answered and run")
 	trouble := flag.Bool("trouble", true, "bring about the disruption")
-	longest := flag.Duration("longest", 114*time.Second, "how long a case may take")
 	flag.Parse()
 	scene, known := scenes[flag.Arg(0)]
 	if !known {
@@ -42,12 +44,11 @@
 		select {
 		case <-ended:
 			must(errors.New("interrupted"))
-		case <-time.After(*longest + 3*time.Second):
+		case <-time.After(longest):
 			must(errors.New("it takes too long"))
 		}
 	}()
 	w := newWorld(*record, scene.types)
-	w.longest = *longest
 	stop := w.rules.watch()
 	scene.play(w, *trouble)
 	stop()
--- a/review/play/rules.go
+++ b/review/play/rules.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"sync"
 	"time"
 
@@ -38,6 +37,10 @@
 	jobs   map[string]*history
 	broken []string
 	seen   map[string]bool
+
+	sickJob  string // its first machines are sick
+	sickMost int
+	sick     map[string]bool // machines that fail every task
 }
 
 func newRules(w *world) *rules {
@@ -86,6 +89,9 @@
 		r.breaks("ran_twice", e.Task, "starts on %s while it is on %s", e.Machine, other.Machine)
 	}
 	h.active[e.Task] = e
+	if e.Job.ID == r.sickJob && len(r.sick) < r.sickMost {
+		r.sick[e.Machine] = true
+	}
 }
 
 // tick looks for tasks that are on a machine for too long after their user was told that the job is cancelled.
@@ -155,9 +161,23 @@
 	return machines
 }
 
-// onAny reports whether a task of a job is on one of some machines.
-func (r *rules) onAny(id string, machines []string) bool {
-	return slices.ContainsFunc(r.machines(id), func(name string) bool { return slices.Contains(machines, name) })
+// failOn has tasks of a job fail on the first machines that they are on; the others are well.
+func (r *rules) failOn(id string, machines int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sickJob, r.sickMost, r.sick = id, machines, map[string]bool{}
+}
+
+// fails reports whether a task of a job fails at its end, because a machine that it is on is sick.
+func (r *rules) fails(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range r.jobs[id].active {
+		if r.sick[e.Machine] {
+			return true
+		}
+	}
+	return false
 }
 
 // failures returns the number of machines on which a task of a job ended without being done.
--- a/review/play/world.go
+++ b/review/play/world.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -15,7 +16,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -47,7 +47,7 @@
 // types are the machine types of the cloud: a small and a large one, in some zones, and at most that many in each.
 func types(zones []string, most int) []*standin.Type {
 	return []*standin.Type{
-		{Name: "s4", Size: model.Size{CPUs: 4, MemoryGB: 16}, CacheGB: 20, FetchGBPerS: 2, Price: 0.2, SpotPrice: 0.06, Boot: 3 * time.Second, Zones: zones, Limit: most},
+		{Name: "s4", Size: model.Size{CPUs: 4, MemoryGB: 16}, CacheGB: 20, FetchGBPerS: 2, Price: 0.2, SpotPrice: 0.06, Boot: 2500 * time.Millisecond, Zones: zones, Limit: most},
 		{Name: "m8", Size: model.Size{CPUs: 8, MemoryGB: 64}, CacheGB: 40, FetchGBPerS: 2, Price: 0.2, SpotPrice: 0.06, Boot: 4 * time.Second, Zones: zones, Limit: most},
 	}
 }
@@ -71,14 +71,11 @@
 	dir     string
 	run     []string // the command of the deploy file
 	started time.Time
-	longest time.Duration // how long a case may take
 	state   *standin.State
 	cloud   *standin.Cloud
 	nodes   []*node
 	rules   *rules
 	logs    *os.File
-	rentals atomic.Int64
-	faulty  []string // machines that fail every task that they start
 
 	reservations []*loopback.Reservation
 
@@ -132,7 +129,7 @@
 	}
 	w.cloud = standin.NewCloud(standin.Options{Nodes: reportTo, Types: types, Lease: leaseTime, Report: reportEvery, Soon: 500 * time.Millisecond,
 		Speed: 1, Jobs: w.rules.job, Takes: func(j *model.Job, _ int) time.Duration { return j.Estimate }, Callable: true,
-		Fails: func(j *model.Job) bool { return w.rules.onAny(j.ID, w.faulty) }, Observe: w.rules.observe})
+		Fails: func(j *model.Job) bool { return w.rules.fails(j.ID) }, Observe: w.rules.observe})
 	for _, n := range w.nodes {
 		n.cloudLink = newLink(newGate(w.noteRentals(w.cloud.Config.Handler)).addr())
 		for _, other := range w.othersThan(n) {
@@ -163,10 +160,22 @@
 	})
 }
 
-// noteReturns counts requests for machines, and ends returned machines that have begun anew.
+// idleMachine returns a machine that is up and has no task, or "". Machines are up that have reported.
+func (w *world) idleMachine(job string) string {
+	for _, name := range w.cloud.Machines() {
+		w.mu.Lock()
+		up := slices.ContainsFunc(slices.Collect(maps.Values(w.callers)), func(c *caller) bool { return c.machine == name })
+		w.mu.Unlock()
+		if up && len(w.cloud.On(name)) == 0 && !slices.Contains(w.rules.machines(job), name) {
+			return name
+		}
+	}
+	return ""
+}
+
+// noteReturns ends returned machines that have begun anew.
 func (w *world) noteReturns(path string, body []byte) {
-	if path == "/hosts" {
-		w.rentals.Add(1)
+	if path != "/hosts/release" {
 		return
 	}
 	var names struct {
@@ -191,7 +200,7 @@
 	}
 	text, err := json.MarshalIndent(object{"member": n.name, "location": n.zone, "listen": n.listen, "peer_listen": n.peer, "siblings": siblings,
 		"endpoints": object{"cloud": n.cloudLink.addr(), "state": n.stateLink.addr()},
-		"deployment": object{"nodes": len(w.nodes), "zones": zones, "objectives": []object{},
+		"deployment": object{"nodes": len(w.nodes), "zones": zones, "objectives": []object{{"kind": "wait", "class": "tax-reclaim", "within_s": 2.0, "share": 0.82}},
 			"teams":   []object{{"name": "donor-care", "cpus": 0.0, "cpus_max": 0.0, "gpus": 0.0, "gpus_max": 0.0}},
 			"workers": object{"report_s": reportEvery.Seconds(), "lease_s": leaseTime.Seconds(), "gang_wait_s": 45.0, "gang_peer_s": 8.0, "cancel_s": cancelWait.Seconds()},
 			"state":   object{"rps": 120.0, "write_rps": 25.0, "value_kb": 8.0, "txn_ops": 16},
