workers: log and count reports that do not follow from earlier ones

Hypotheses about the lives of a worker could not be told apart from a controller's log.

Change: an owner logs ("unexpected report") and counts (marlwood_unexpected_reports_total by kind) a report that is no newer than the newest known one, a newer one of the same session that lacks live tasks, a worker that began anew, and the answer to a probe that showed the token. Each line has what was known and what came: baton, shift, tally, number of tasks. No decision changes.

Result: go test ./internal/workers ./internal/metrics passes.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -151,6 +151,8 @@
 		Margin:            time.Second / 2,
 		CancelGrace:       c.cfg.CancelWait - c.cfg.Lease - c.timing.Margin,
 		MaxCalls:          sockets.Divide(c.cfg.MaxConns, c.fileSettings.Service.UserConnsShare).DirectCalls / 2,
+		Log:               c.log,
+		OnAnomaly:         func(kind workers.Anomaly) { c.metrics.UnexpectedReport(string(kind)) },
 	}
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -40,6 +40,7 @@
 	takeover         prometheus.Histogram
 	unusedReturns    prometheus.Counter
 	thrashedRequests prometheus.Counter
+	unexpected       *prometheus.CounterVec
 	usage            *prometheus.GaugeVec
 }
 
@@ -66,7 +67,9 @@
 	set.thrashedRequests = counter("rent_loops_total", "Rentals of a kind of which several machines had just been returned unused.")
 	set.usage = prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: "marlwood", Name: "team_cpu_seconds", ConstLabels: labels,
 		Help: "CPU seconds that teams have used since accounts are kept, as far as they are stored; told by the leader alone."}, []string{"team", "class", "spot", "kind"})
-	set.registry.MustRegister(set.usage, set.unusedReturns, set.thrashedRequests, set.loopDelay, set.rounds, set.heartbeats, set.storeWait, set.takeover, &socketCollector{use: use,
+	set.unexpected = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "marlwood", Name: "unexpected_reports_total", ConstLabels: labels,
+		Help: "Messages of workers that do not follow from earlier ones: late, lacking tasks, or after a restart of the worker, by kind."}, []string{"kind"})
+	set.registry.MustRegister(set.unexpected, set.usage, set.unusedReturns, set.thrashedRequests, set.loopDelay, set.rounds, set.heartbeats, set.storeWait, set.takeover, &socketCollector{use: use,
 		open:   prometheus.NewDesc("marlwood_sockets", "Accepted connections by duty.", []string{"duty"}, labels),
 		peak:   prometheus.NewDesc("marlwood_sockets_peak", "Most accepted connections at once by duty.", []string{"duty"}, labels),
 		closed: prometheus.NewDesc("marlwood_sockets_closed_total", "Connections closed to keep within the limits, by how.", []string{"how"}, labels)})
@@ -119,6 +122,13 @@
 	}
 }
 
+// UnexpectedReport counts a message of a worker that does not follow from the earlier ones.
+func (s *Set) UnexpectedReport(kind string) {
+	if s != nil {
+		s.unexpected.WithLabelValues(kind).Inc()
+	}
+}
+
 // Store records how long a call to the store waited for its rate limit.
 func (s *Set) Store(budget string, d time.Duration) {
 	if s != nil {
--- a/internal/workers/calls.go
+++ b/internal/workers/calls.go
@@ -16,6 +16,7 @@
 	Deadline  time.Time // end of the lease; the call must not be sent after it
 	id        uint64
 	lastKnown heartbeatVersion // version of the machine's newest heartbeat when the call was created
+	suspicion bool             // made because a heartbeat did not fit the known state
 }
 
 // CallOutcome is the outcome of a direct call.
@@ -123,6 +124,7 @@
 	}
 	isDue = machine.needsProbe()
 	if machine.agent.unexpectedEpoch > 0 {
+		call.suspicion = true
 		isDue, call.Epoch, machine.agent.unexpectedEpoch = true, machine.agent.unexpectedEpoch, 0
 	}
 	if machine.acceptsStarts() && call.Epoch == machine.newest.epoch {
@@ -202,8 +204,11 @@
 	machine.reachability.confirm()
 	switch {
 	case !call.lastKnown.precedes(versionOf(heartbeat)):
-		reg.recordRestart(machine)
-	case !machine.agent.restarted && heartbeat.Session > machine.agent.endedEpoch && machine.precedes(heartbeat):
+		reg.recordRestart(machine, heartbeat)
+	case call.suspicion:
+		reg.recordAnomaly(SameIncarnation, machine, heartbeat)
+	}
+	if !machine.agent.restarted && heartbeat.Session > machine.agent.endedEpoch && machine.precedes(heartbeat) {
 		reg.applyHeartbeat(now, machine, heartbeat)
 	}
 }
--- a/internal/workers/heartbeat.go
+++ b/internal/workers/heartbeat.go
@@ -177,6 +177,9 @@
 // itself or in response to a direct call.
 func (reg *Registry) applyHeartbeat(now time.Time, machine *machineState, heartbeat *model.Heartbeat) {
 	epochChanged := machine.newest.epoch != heartbeat.Session
+	if !epochChanged && machine.missingTasks(heartbeat) > 0 {
+		reg.recordAnomaly(MissingTasks, machine, heartbeat)
+	}
 	machine.addr, machine.spot = heartbeat.Addr, heartbeat.Spot
 	machine.newest = versionOf(heartbeat)
 	reg.updateTerminationNotice(machine, heartbeat)
--- a/internal/workers/reachability.go
+++ b/internal/workers/reachability.go
@@ -68,13 +68,7 @@
 
 // reportsTask reports whether a heartbeat contains the task attempt of a start.
 func reportsTask(heartbeat *model.Heartbeat, order *pendingOrder) bool {
-	name := model.TaskName(order.job, order.index)
-	for _, task := range heartbeat.Tasks {
-		if task.Task == name && task.Attempt == order.attempt {
-			return true
-		}
-	}
-	return false
+	return containsAttempt(heartbeat, order.job, order.index, order.attempt)
 }
 
 // withholdsAnswer reports whether a machine's heartbeat must not be answered: an earlier heartbeat was
--- a/internal/workers/registry.go
+++ b/internal/workers/registry.go
@@ -12,6 +12,7 @@
 
 import (
 	"container/list"
+	"log/slog"
 	"math/rand/v2"
 	"time"
 
@@ -26,6 +27,8 @@
 	Margin            time.Duration // added to a worker's lease before it counts as expired
 	CancelGrace       time.Duration // after a cancellation, answers may keep a task alive for this long
 	MaxCalls          int           // maximum number of direct calls in flight
+	Log               *slog.Logger  // nil: nothing is logged
+	OnAnomaly         func(Anomaly) // called for each anomaly; nil: they are not counted
 }
 
 // Registry holds the workers of one controller's pools and the leader's orders for them.
--- a/internal/workers/restart.go
+++ b/internal/workers/restart.go
@@ -1,6 +1,10 @@
 package workers
 
-import "time"
+import (
+	"time"
+
+	"github.com/marlwood/marlwood/internal/model"
+)
 
 // agentState is what the registry knows about a machine's agent besides its newest heartbeat.
 type agentState struct {
@@ -17,8 +21,9 @@
 // distinguishes the incarnations, because no heartbeat sent before the token shows it. Until then the
 // machine's task list stays unchanged, nothing is started there, and the machine is reported to the
 // leader as uncertain.
-func (reg *Registry) recordRestart(machine *machineState) {
+func (reg *Registry) recordRestart(machine *machineState, heartbeat *model.Heartbeat) {
 	if !machine.agent.restarted {
+		reg.recordAnomaly(AgentRestart, machine, heartbeat)
 		machine.agent.restarted = true
 		reg.markChanged(machine)
 	}
--- a/internal/workers/stale.go
+++ b/internal/workers/stale.go
@@ -55,6 +55,9 @@
 		machine.agent.answeredSeq = heartbeat.Seq
 		reg.recordContact(now, machine)
 	}
+	if !awaited || heartbeat.Seq > machine.newest.seq {
+		reg.recordAnomaly(StaleHeartbeat, machine, heartbeat)
+	}
 	reg.scheduleProbe(machine, heartbeat)
 	return reg.accepted(machine.stopCommands())
 }
