simtest: restart workers out of reach, and count reports of earlier lives

Behind a cut, where heartbeats were copied, a worker waits four seconds for each and sends one in five seconds, so that its next life could not pass the last known number before its lease was over; those of a mute machine, which sends one each second, were not copied.

Change: the fault "reset machine" (each heartbeat is sent, its connection is reset, a copy may arrive later), the draw RestartedWorkers ("restarts", every sixth seed of "all"), which times faults of a machine from when its worker comes up, with the deployments' leases, and counts of such reports that the command prints.

--- a/internal/simtest/cluster.go
+++ b/internal/simtest/cluster.go
@@ -62,6 +62,7 @@
 	refused               int           // transactions rejected because of that limit
 	copies                time.Duration // until then some reports are also delivered a second time, later
 	rare                  rareFaults
+	workersUp             int                                   // number of machines that have come up
 	missed                int                                   // faults that found no target
 	met                   [MetKinds]int                         // number of observed events of each kind
 	old                   time.Duration                         // until then the first controller appears to read an earlier record format
@@ -292,6 +293,14 @@
 	do()
 }
 
+// connectable reports whether a controller can open a connection to the worker now. An attempt that is given up does not
+// complete afterwards, so that a call to a restarted worker can be held up only on a connection to its present process.
+func (m *worker) connectable(n *node) bool {
+	_, _, there := m.cluster.net.blocked(n.place, m.place)
+	_, _, back := m.cluster.net.blocked(m.place, n.place)
+	return !m.down && !there && !back
+}
+
 // directCall is the time that a controller waits for a worker's answer to a direct call.
 const directCall = 1500 * time.Millisecond
 
@@ -306,6 +315,10 @@
 			return 0, nil, httpwire.ErrNotSent
 		}
 		life := m.life // a connection ends when its worker process ends
+		if m.life > 0 && !m.connectable(n) {
+			n.process.Sleep(directCall)
+			return 0, nil, errNoAnswer
+		}
 		type answer struct {
 			status int
 			r      *model.Heartbeat
--- a/internal/simtest/cmd/main.go
+++ b/internal/simtest/cmd/main.go
@@ -33,7 +33,7 @@
 	For     time.Duration `help:"How long to explore." default:"1m"`
 	Most    uint64        `help:"Most schedules; 0: no bound."`
 	Workers int           `help:"Schedules at once; 0: one a processor."`
-	Draw    string        `help:"What to draw: faults; those and meetings; those and further troubles, or priorities and saves; of these two the last for every third seed (all)." enum:"all,faults,meetings,further,preempting" default:"all"`
+	Draw    string        `help:"What to draw: faults; those and meetings; those and further troubles, or priorities and saves; workers that restart; of the last three, priorities for every third seed and restarts for every sixth (all)." enum:"all,faults,meetings,further,preempting,restarts" default:"all"`
 	Repeat  bool          `help:"Play the schedule of --seed alone and tell its story."`
 	Log     slog.Level    `help:"What controllers log is told from this level on: debug, info, warn, error." default:"error"`
 	Shrink  time.Duration `help:"How long to make a finding smaller." default:"30s"`
@@ -62,6 +62,7 @@
 		workers = runtime.NumCPU()
 	}
 	var next, played, starts, found atomic.Uint64
+	var met eventCounts
 	next.Store(c.Seed)
 	began := time.Now()
 	var group sync.WaitGroup
@@ -75,6 +76,7 @@
 				out := simtest.Run(c.plans(seed).Example(int(seed)), nil, 0)
 				played.Add(1)
 				starts.Add(uint64(out.Starts))
+				met.add(out.Met)
 				if out.Broken != "" {
 					found.CompareAndSwap(0, seed)
 				}
@@ -97,6 +99,7 @@
 	took := time.Since(began)
 	fmt.Printf("%d schedules in %v on %d workers (%.0f a second), %d starts of tasks\n", played.Load(), took.Round(time.Millisecond), workers,
 		float64(played.Load())/took.Seconds(), starts.Load())
+	fmt.Println(met.String())
 	seed := found.Load()
 	if seed == 0 {
 		fmt.Println("no rule was broken")
@@ -106,6 +109,33 @@
 	return c.printStory(shrink(c.plans(seed), seed, c.Shrink), seed)
 }
 
+// eventCounts adds up the events of schedules, and the schedules in which each kind of event occurred. It is safe for
+// concurrent use.
+type eventCounts struct {
+	mu                sync.Mutex
+	events, schedules [simtest.MetKinds]int
+}
+
+func (c *eventCounts) add(met [simtest.MetKinds]int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for kind, n := range met {
+		c.events[kind] += n
+		if n > 0 {
+			c.schedules[kind]++
+		}
+	}
+}
+
+// String lists the kinds of events with how often each occurred, and in how many schedules.
+func (c *eventCounts) String() string {
+	var kinds []string
+	for kind := range simtest.MetKinds {
+		kinds = append(kinds, fmt.Sprintf("%v %d (in %d)", kind, c.events[kind], c.schedules[kind]))
+	}
+	return "events, and in how many schedules: " + strings.Join(kinds, ", ")
+}
+
 // drawn returns the name of the generator that draws the schedule of a seed.
 func (c *runCmd) drawn(seed uint64) string {
 	switch {
@@ -113,6 +143,8 @@
 		return c.Draw
 	case seed%3 == 0:
 		return "preempting"
+	case seed%6 == 1:
+		return "restarts"
 	}
 	return "further"
 }
@@ -120,7 +152,7 @@
 // plans returns the generator that draws the schedule of a seed.
 func (c *runCmd) plans(seed uint64) *rapid.Generator[simtest.Plan] {
 	return map[string]*rapid.Generator[simtest.Plan]{"faults": simtest.Plans, "meetings": simtest.OverlappingFaults, "further": simtest.RareFaults,
-		"preempting": simtest.Preempting}[c.drawn(seed)]
+		"preempting": simtest.Preempting, "restarts": simtest.RestartedWorkers}[c.drawn(seed)]
 }
 
 // printStory prints a schedule's story.
--- a/internal/simtest/machines.go
+++ b/internal/simtest/machines.go
@@ -102,7 +102,7 @@
 		as := w.sim.Now() - w.sim.Between(0, listLag)
 		var out []autoscaler.CloudMachine
 		for _, m := range w.cloud.machines {
-			if m.rented <= as && (!m.terminated || as < m.ended+m.shown) {
+			if m.rented <= as && (!m.terminated || as < m.ended+m.listed) {
 				out = append(out, autoscaler.CloudMachine{Name: m.name, Pool: m.pool, Spot: m.spot, Booting: !m.up, Age: as - m.rented})
 			}
 		}
@@ -123,7 +123,7 @@
 	spot       bool
 	rented     time.Duration
 	ended      time.Duration
-	shown      time.Duration // how long the cloud still lists it after its end
+	listed     time.Duration // how long the cloud still lists it after its end
 	up         bool
 	upAt       time.Duration
 	terminated bool
@@ -143,6 +143,8 @@
 	reports             uint64
 	due                 time.Duration // when the next heartbeat is due
 	mute                time.Duration // until then it reaches no controller, but direct calls reach it
+	resets              time.Duration // until then its connections to controllers are reset after it sent a heartbeat
+	shown               lifeProgress  // what controllers have received of its present life
 	reported            time.Duration // when the last heartbeat was sent
 }
 
@@ -186,6 +188,7 @@
 	m.cluster.sim.logf("%s is up in zone %s, spot %v", m.name, m.pool.Zone, m.spot)
 	m.newSession()
 	m.report()
+	m.beginFaults()
 }
 
 func (m *worker) leaseEnds() time.Duration {
@@ -234,7 +237,7 @@
 	}
 	m.tasks, m.terminated, m.ended = nil, true, m.cluster.sim.Now()
 	if why == "stopped" {
-		m.shown = 30 * time.Second
+		m.listed = 30 * time.Second
 	}
 }
 
@@ -250,6 +253,7 @@
 	}
 	m.tasks, m.queue, m.down, m.hung = nil, nil, true, false
 	m.life++
+	m.shown = lifeProgress{}
 	m.cluster.sim.After(after, func() {
 		if m.terminated {
 			return
@@ -318,19 +322,22 @@
 		s.After(5*time.Millisecond, func() { m.enter(func() { m.next(id) }) })
 		return
 	}
-	m.cluster.keep(r)
+	report := m.sentReport(r)
+	if s.Now() < m.resets { // the connection is reset, yet the network may deliver a copy later
+		m.deliverLateCopy(n, report, 1, m.cluster.plan.Lease)
+		s.After(5*time.Millisecond, func() { m.enter(func() { m.next(id) }) })
+		return
+	}
+	m.cluster.keep(report)
 	m.cluster.net.send(m.place, n.place, func() {
 		n.process.Enter(func() {
+			report.arrived()
 			n.node.HandleHeartbeat(n.Now(), r, func(v workers.HeartbeatResult) {
 				m.cluster.net.send(n.place, m.place, func() { m.enter(func() { m.answered(id, session, sent, v) }) }, nil)
 			})
 		})
 	}, nil)
-	if s.Now() < m.cluster.copies && s.Rand.IntN(3) == 0 {
-		s.After(s.Between(100*time.Millisecond, 3*m.cluster.plan.Lease), func() { // the answer is dropped
-			n.process.Enter(func() { n.node.HandleHeartbeat(n.Now(), r, func(workers.HeartbeatResult) {}) })
-		})
-	}
+	m.deliverLateCopy(n, report, 3, 3*m.cluster.plan.Lease)
 	s.After(4*time.Second, func() {
 		if m.sent == id {
 			m.enter(func() { m.next(id) })
--- a/internal/simtest/plan.go
+++ b/internal/simtest/plan.go
@@ -26,6 +26,7 @@
 	Jobs      []Submission
 	Faults    []Fault
 	Drains    []Draining
+	Workers   []WorkerFaults
 	Accounts  bool // whether the teams' usage is stored
 	Guarantee bool // whether one team has a guarantee
 	Limits    bool // whether every team has a limit of two concurrent tasks
@@ -236,7 +237,7 @@
 			return false
 		}
 	}
-	return len(p.Faults) <= 2
+	return len(p.Faults) <= 2 && len(p.Workers) == 0
 }
 
 // answerWithin is the time after the last fault within which a request about each job must have been answered.
@@ -366,7 +367,10 @@
 }
 
 // fault starts a fault.
-func (w *cluster) fault(f Fault) {
+func (w *cluster) fault(f Fault) { w.faultOn(f, w.machine(f.A)) }
+
+// faultOn starts a fault; m is the machine that it concerns if it is a fault of a machine.
+func (w *cluster) faultOn(f Fault, m *worker) {
 	s, a, b := w.sim, w.controller(f.A), w.controller(f.B)
 	s.logf("%s", f.story(a, b))
 	cut := func(blocks func(from, to *place) bool) {
@@ -375,7 +379,6 @@
 	between := func(x *place, with func(*place) bool) {
 		cut(func(from, to *place) bool { return (from == x && with(to)) || (to == x && with(from)) })
 	}
-	m := w.machine(f.A)
 	if strings.HasSuffix(f.Kind, " machine") && m == nil || f.ofNode() && a.process.Dead() {
 		w.missed++
 	}
@@ -405,6 +408,11 @@
 		if m != nil {
 			between(m.place, func(*place) bool { return true })
 		}
+	case "reset machine":
+		if m != nil {
+			m.resets = max(m.resets, s.Now()+f.For)
+			between(m.place, func(*place) bool { return true })
+		}
 	case "refuse":
 		w.net.refuse = max(w.net.refuse, s.Now()+f.For)
 	case "store refuses node":
@@ -525,7 +533,7 @@
 		what = fmt.Sprintf("machine %d ends, back after %v", f.A, f.restartDelay())
 	case "store refuses node", "crash", "freeze":
 		what = fmt.Sprintf("%s %s", f.Kind, a.place.name)
-	case "hang machine", "stop machine", "mute machine":
+	case "hang machine", "stop machine", "mute machine", "reset machine":
 		what = fmt.Sprintf("%s %d", f.Kind, f.A)
 	default:
 		what = f.Kind
--- a/internal/simtest/rare_faults.go
+++ b/internal/simtest/rare_faults.go
@@ -22,24 +22,27 @@
 
 // The kinds of events that are counted.
 const (
-	MetLeader          Met = iota // another process leads
-	MetToken                      // the leader took a new fencing token: pools change owners, or an unknown outcome is resolved
-	MetUnansweredWrite            // a transaction was applied at once and its answer lost
-	MetLateWrite                  // a transaction was applied late and changed something
-	MetCloseLook                  // a user's request was sent within milliseconds after a change of a job's stage
-	MetAtEnd                      // a cancellation sent as the last task ended was followed by a final stage
-	MetAtEndDone                  // the same, and the job was reported as done
-	MetOutOfReach                 // a cancellation was confirmed with a task on a machine that hangs or cannot exchange messages with the leader
-	MetAtLimit                    // the same, and the job's team was at its limit
-	MetOldReport                  // an old heartbeat reached a controller when a leader began, or after it had acted
-	MetNewMachine                 // a task began within three seconds after its machine came up, while writes were late or unanswered
-	MetMuteTask                   // a machine with tasks reached no controller
-	MetCallToMute                 // a direct call was carried out on a machine that reached no controller
-	MetZoneLoses                  // a machine ended with a task that is restricted to its zone
-	MetBadRequest                 // a bad submission, or a request about a job that nobody submitted, was refused
-	MetHandover                   // a cancellation was confirmed within five seconds before or after a new fencing token
-	MetAllAway                    // no controller was running one lease after all had crashed
-	MetZoneCut                    // a machine with tasks was in a zone that was cut off for longer than a lease
+	MetLeader               Met = iota // another process leads
+	MetToken                           // the leader took a new fencing token: pools change owners, or an unknown outcome is resolved
+	MetUnansweredWrite                 // a transaction was applied at once and its answer lost
+	MetLateWrite                       // a transaction was applied late and changed something
+	MetCloseLook                       // a user's request was sent within milliseconds after a change of a job's stage
+	MetAtEnd                           // a cancellation sent as the last task ended was followed by a final stage
+	MetAtEndDone                       // the same, and the job was reported as done
+	MetOutOfReach                      // a cancellation was confirmed with a task on a machine that hangs or cannot exchange messages with the leader
+	MetAtLimit                         // the same, and the job's team was at its limit
+	MetOldReport                       // an old heartbeat reached a controller when a leader began, or after it had acted
+	MetNewMachine                      // a task began within three seconds after its machine came up, while writes were late or unanswered
+	MetMuteTask                        // a machine with tasks reached no controller
+	MetCallToMute                      // a direct call was carried out on a machine that reached no controller
+	MetZoneLoses                       // a machine ended with a task that is restricted to its zone
+	MetBadRequest                      // a bad submission, or a request about a job that nobody submitted, was refused
+	MetHandover                        // a cancellation was confirmed within five seconds before or after a new fencing token
+	MetAllAway                         // no controller was running one lease after all had crashed
+	MetZoneCut                         // a machine with tasks was in a zone that was cut off for longer than a lease
+	MetEarlierLife                     // a heartbeat of an earlier life of a worker reached a controller
+	MetEarlierLifeOutruns              // the same; it showed the token that the present life had shown, with larger numbers
+	MetEarlierLifeLacksTask            // the same, and it lacked a task that was on the machine
 	MetKinds
 )
 
@@ -75,10 +78,10 @@
 type rareFaults struct {
 	unansweredWrites, keepReports, closeLooks, cancelAtEnd, badRequests time.Duration
 
-	kept            []*model.Heartbeat // heartbeats kept to be delivered again under the next leader
-	leader          string             // the process that is the leader
-	token           uint64             // the leader's fencing token, reset to 0 when a task begins under it
-	badRequestCount int                // bad submissions
+	kept            []sentReport // heartbeats kept to be delivered again under the next leader
+	leader          string       // the process that is the leader
+	token           uint64       // the leader's fencing token, reset to 0 when a task begins under it
+	badRequestCount int          // bad submissions
 
 	tokenAt, confirmedAt time.Duration // when the leader took its token; when a cancellation was last confirmed
 }
@@ -325,7 +328,7 @@
 }
 
 // keep stores a heartbeat to be delivered again under the next leader.
-func (w *cluster) keep(r *model.Heartbeat) {
+func (w *cluster) keep(r sentReport) {
 	if w.sim.Now() < w.rare.keepReports && len(w.rare.kept) < 200 {
 		w.rare.kept = append(w.rare.kept, r)
 	}
@@ -382,7 +385,8 @@
 			w.sim.After(soonAfter[i%len(soonAfter)]+w.sim.Between(0, 5*time.Millisecond), func() {
 				n.process.Enter(func() {
 					w.met[MetOldReport]++
-					n.node.HandleHeartbeat(n.Now(), r, func(workers.HeartbeatResult) {})
+					r.arrived()
+					n.node.HandleHeartbeat(n.Now(), r.heartbeat, func(workers.HeartbeatResult) {})
 				})
 			})
 		}
@@ -412,5 +416,5 @@
 func (m Met) String() string {
 	return [...]string{"another leader", "a fresh token", "an answer lost", "a late write", "a close look", "a cancellation at the end", "done against a cancellation",
 		"cancelled out of reach", "cancelled out of reach at a limit", "an old report", "a new machine while writes lag", "a busy machine mute", "a call to a mute machine",
-		"a zone's job lost a machine", "an odd request", "cancelled as work changes hands", "all away", "a busy zone cut off"}[m]
+		"a zone's job lost a machine", "an odd request", "cancelled as work changes hands", "all away", "a busy zone cut off", "a report of an earlier life", "one that outruns the present life", "one that outruns it and lacks a task"}[m]
 }
