workers: let nothing go because of a report of an earlier life

Cause: reports are ordered by (token, session, tally), which orders those of one life. Two lives that took in the same token do not compare, and the newest by number decided what is on a machine.

Change: under one token a report only adds. A live task that is missing in the same session shows two lives: the leader takes a fresh token. Another session, or the exit of a start that was sent twice, counts once a call has shown it. A start that a report lacks is repeated until it shows.

Changed checks, each as strict as before: - a start "is sent once" and a lost answer "is reported": a report that lacks it does not show that the answer was lost.

--- a/internal/simtest/seeds_test.go
+++ b/internal/simtest/seeds_test.go
@@ -43,6 +43,15 @@
 	}
 }
 
+// TestSeed52000007367 plays the schedule in which the simulation found the review's case 1, in the draw `restarts`: a
+// late heartbeat of a worker's earlier life released a task that the present life ran, and it ran twice.
+func TestSeed52000007367(t *testing.T) {
+	out := Run(RestartedWorkers.Example(52000007367), nil, 0)
+	if out.Broken != "" || out.Met[MetEarlierLife] == 0 {
+		t.Errorf("breaks %q: %+v", out.Broken, out)
+	}
+}
+
 // TestSeed52000009423 plays a schedule that the simulation found in the draw `further`: 3 tasks used 18 s of CPU time,
 // and 215 s are counted; the sources of 011e081 break it too. The leader stands still from 7 s to 37 s, during an
 // outage of the state service, while the tasks end; when it goes on it counts them as if they had run all the time.
--- a/internal/workers/calls.go
+++ b/internal/workers/calls.go
@@ -16,9 +16,14 @@
 	Deadline  time.Time // end of the lease; the call must not be sent after it
 	id        uint64
 	lastKnown heartbeatVersion // version of the machine's newest heartbeat when the call was created
-	suspicion bool             // made because a heartbeat did not fit the known state
+	madeUnder uint64           // the registry's token when the call was created
+	inspects  bool             // made because a heartbeat did not fit; see noToken
 }
 
+// noToken is the token of calls that only inspect a worker. One that has seen a token refuses it, and one that
+// has not adopts nothing. Both respond with their state.
+const noToken = 0
+
 // CallOutcome is the outcome of a direct call.
 type CallOutcome int
 
@@ -121,13 +126,14 @@
 		Commands:  []model.Command{},
 		Deadline:  reg.leaseUntil,
 		lastKnown: machine.newest,
+		madeUnder: reg.token,
 	}
 	isDue = machine.needsProbe()
 	if machine.agent.unexpectedEpoch > 0 {
-		call.suspicion = true
+		call.inspects, call.Token = true, noToken
 		isDue, call.Epoch, machine.agent.unexpectedEpoch = true, machine.agent.unexpectedEpoch, 0
 	}
-	if machine.acceptsStarts() && call.Epoch == machine.newest.epoch {
+	if machine.acceptsStarts() && !call.inspects {
 		isDue = machine.addCommands(&call) || isDue
 	}
 	if !isDue {
@@ -155,125 +161,3 @@
 	}
 	return isDue
 }
-
-// CallDone records the outcome of a direct call. It must be called exactly once for each call that
-// DueCalls returned. heartbeat is the heartbeat in the worker's response; nil: there was none.
-func (reg *Registry) CallDone(now time.Time, call Call, outcome CallOutcome, heartbeat *model.Heartbeat) {
-	reg.callsInFlight--
-	machine := reg.machines.At(call.Machine)
-	if machine == nil || machine.directCall.inFlight != call.id {
-		return
-	}
-	machine.directCall.inFlight = 0
-	defer reg.enqueueCall(machine)
-	// Guard: without this pause a worker that cannot be called directly would be called in an endless
-	// loop. If the response shows an epoch that the call did not name, one more call is made.
-	machine.directCall.failed = outcome != Executed && (heartbeat == nil || heartbeat.Session == call.Epoch)
-	machine.directCall.unanswered = machine.directCall.unanswered || outcome == Unanswered
-	if call.Token != reg.token {
-		return // orders of an earlier token are discarded; the next heartbeat decides its starts
-	}
-	if reg.isValidResponse(machine, heartbeat) {
-		reg.applyCallResponse(now, machine, call, heartbeat)
-	}
-	if machine.agent.restarted {
-		machine.keepCalledStartsUndecided()
-		return
-	}
-	machine.recordCallOutcome(&call, outcome)
-	// Guard: a machine that was probed but has sent no heartbeat yet must not be reported to the leader.
-	// When it was reported as joining, the leader no longer checked whether the machine still existed,
-	// and a failover waited for it until it had also missed heartbeats.
-	if machine.newest.epoch != 0 {
-		reg.markChanged(machine)
-	}
-}
-
-// isValidResponse reports whether a call's response contains a valid heartbeat of the called machine,
-// with a token no higher than ours.
-func (reg *Registry) isValidResponse(machine *machineState, heartbeat *model.Heartbeat) bool {
-	return heartbeat != nil && heartbeat.Machine == machine.name && heartbeat.Token <= reg.token && ValidateHeartbeat(heartbeat) == nil
-}
-
-// applyCallResponse applies the heartbeat in the response to a call: the machine is reachable, and its
-// state is updated unless its agent has restarted or a newer heartbeat is known.
-func (reg *Registry) applyCallResponse(now time.Time, machine *machineState, call Call, heartbeat *model.Heartbeat) {
-	if machine.reachability.unreachable {
-		reg.markChanged(machine)
-	}
-	machine.reachability.confirm()
-	switch {
-	case !call.lastKnown.precedes(versionOf(heartbeat)):
-		reg.recordRestart(machine, heartbeat)
-	case call.suspicion:
-		reg.recordAnomaly(SameIncarnation, machine, heartbeat)
-	}
-	if !machine.agent.restarted && heartbeat.Session > machine.agent.endedEpoch && machine.precedes(heartbeat) {
-		reg.applyHeartbeat(now, machine, heartbeat)
-	}
-}
-
-// keepCalledStartsUndecided marks the outcome of the starts in a call as unknown.
-//
-// Guard: the restarted agent may have executed the call's starts, but its heartbeats are ignored. When
-// the call's response decided these starts, the tasks were started on another machine as well
-// (simtest, seed 210009384). They stay undecided until the next token.
-func (m *machineState) keepCalledStartsUndecided() {
-	for _, order := range m.pendingOrders {
-		if order.state == callInFlight {
-			order.state = outcomeUnknown
-		}
-	}
-}
-
-// recordCallOutcome updates the orders that a call carried and removes those that its outcome decides.
-func (m *machineState) recordCallOutcome(call *Call, outcome CallOutcome) {
-	for _, order := range m.pendingOrders {
-		order.delivered = order.delivered || (outcome == Executed && order.isStop() && call.includes(order))
-		if order.state == callInFlight {
-			m.recordStartOutcome(order, call, outcome)
-		}
-	}
-	m.resolveOrders(func(order *pendingOrder) bool {
-		return m.isDecidedByCall(order, call, outcome) || m.deferForget(order)
-	})
-}
-
-// recordStartOutcome updates a start whose call has ended. If the call went unanswered, the worker may
-// still execute the start later.
-func (m *machineState) recordStartOutcome(start *pendingOrder, call *Call, outcome CallOutcome) {
-	start.state = queued
-	if outcome != Unanswered || call.Epoch != m.newest.epoch {
-		return
-	}
-	if m.reportedTask(start) == nil {
-		start.state = outcomeUnknown
-	}
-	if m.lateStarts == nil {
-		m.lateStarts = lateStarts{}
-	}
-	m.lateStarts[start.key()] = false
-}
-
-// isDecidedByCall reports whether a start's outcome is known after a call.
-func (m *machineState) isDecidedByCall(order *pendingOrder, call *Call, outcome CallOutcome) bool {
-	if !order.isStart() || order.state != queued {
-		return false
-	}
-	return outcome == Executed && call.includes(order) || order.superseded || m.reportedTask(order) != nil
-}
-
-// includes reports whether the call carried an order, with the same grace period if it is a stop.
-//
-// Guard: a second stop without time for a checkpoint was ordered while a call carried the first stop, and
-// counted as delivered by that call. Tasks of cancelled jobs continued their checkpoints until their
-// machine's next heartbeat was answered.
-func (c *Call) includes(order *pendingOrder) bool {
-	want := order.command()
-	for _, command := range c.Commands {
-		if command.Op == want.Op && command.Task == want.Task && command.Attempt == want.Attempt && (want.GraceS == nil || *command.GraceS == *want.GraceS) {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/workers/heartbeat.go
+++ b/internal/workers/heartbeat.go
@@ -128,6 +128,10 @@
 		return reg.handleStale(now, machine, heartbeat), true
 	case reg.withholdsAnswer(machine, heartbeat):
 		return refused(), true
+	case machine.contradicts(heartbeat):
+		return reg.answerContradiction(now, machine, heartbeat), true
+	case machine.needsConfirmation(heartbeat):
+		return reg.answerUnconfirmed(now, machine, heartbeat), true
 	}
 	return HeartbeatResult{}, false
 }
@@ -137,14 +141,13 @@
 	changeBefore := reg.lastChange
 	reg.recordContact(now, machine) // the worker's lease may start when it sent this heartbeat, even if it gets no answer
 	machine.directCall.failed = false
-	// A worker has only one heartbeat in flight, so this one shows the effect of every earlier answer.
-	// A direct call's response does not, because an answer may still be on its way to the worker.
+	// A worker has only one heartbeat in flight, so this one shows the effect of every earlier answer if it
+	// comes from the agent's present incarnation. A direct call's response does not show the effect, because
+	// an answer may still be on its way to the worker.
 	undecidedBefore := len(machine.undecidedStarts())
 	reg.updateReachability(now, machine, heartbeat)
-	machine.resolveOrders(func(order *pendingOrder) bool { return order.state == sentInAnswer })
+	machine.settleSentStarts(heartbeat)
 	if len(machine.undecidedStarts()) != undecidedBefore {
-		// Guard: nothing else shows that the answer that carried a start was lost. If the loss is not
-		// reported to the leader, the task stays bound to an idle machine forever.
 		reg.markChanged(machine)
 	}
 	reg.applyHeartbeat(now, machine, heartbeat)
@@ -177,11 +180,9 @@
 // itself or in response to a direct call.
 func (reg *Registry) applyHeartbeat(now time.Time, machine *machineState, heartbeat *model.Heartbeat) {
 	epochChanged := machine.newest.epoch != heartbeat.Session
-	if !epochChanged && machine.missingTasks(heartbeat) > 0 {
-		reg.recordAnomaly(MissingTasks, machine, heartbeat)
-	}
 	machine.addr, machine.spot = heartbeat.Addr, heartbeat.Spot
 	machine.newest = versionOf(heartbeat)
+	machine.agent.unconfirmed = false
 	reg.updateTerminationNotice(machine, heartbeat)
 	undecidedBefore := len(machine.undecidedStarts())
 	if epochChanged {
--- a/internal/workers/machine.go
+++ b/internal/workers/machine.go
@@ -121,7 +121,7 @@
 // reportedTask returns the task attempt of an order if the machine reported it, or nil.
 func (m *machineState) reportedTask(order *pendingOrder) *peerspb.Task {
 	for _, task := range m.tasks {
-		if task.Job == order.job && int(task.Index) == order.index && task.Attempt == order.attempt {
+		if keyOf(task) == order.key() {
 			return task
 		}
 	}
@@ -163,7 +163,7 @@
 	}
 	var tasks []*peerspb.Task
 	for _, task := range m.tasks {
-		if forgotten := m.lateStarts[attemptKey{task.Job, int(task.Index), task.Attempt}]; !forgotten {
+		if forgotten := m.lateStarts[keyOf(task)]; !forgotten {
 			tasks = append(tasks, task)
 		}
 	}
--- a/internal/workers/orders.go
+++ b/internal/workers/orders.go
@@ -33,6 +33,7 @@
 	superseded  bool // a start that is no longer wanted
 	delivered   bool // a stop that a direct call has delivered
 	reported    bool // a start whose task was in a heartbeat
+	inAnswer    bool // a start that the last answer carried
 }
 
 func newPendingOrder(order *peerspb.Order) *pendingOrder {
@@ -59,6 +60,8 @@
 	attempt uint64
 }
 
+func keyOf(task *peerspb.Task) attemptKey { return attemptKey{task.Job, int(task.Index), task.Attempt} }
+
 func (o *pendingOrder) key() attemptKey { return attemptKey{o.job, o.index, o.attempt} }
 
 // lateStarts holds the attempts that the worker may still start late in this epoch; the value is whether
@@ -125,10 +128,9 @@
 	return nil
 }
 
-// takeCommands returns the commands for one answer. A start is sent in only one answer: if the answer is
-// lost, the next heartbeat lacks the task and the leader decides again. Stops and forgets are repeated
-// until a heartbeat shows their effect. A start from an unanswered direct call is also repeated, because
-// the worker may still execute that call; its task must appear in a heartbeat.
+// takeCommands returns the commands for one answer. Every command is repeated until a heartbeat shows its
+// effect: a worker that has executed a start ignores it the next time, and one that has not may still
+// execute it from an earlier message, so its task must appear in a heartbeat.
 func (reg *Registry) takeCommands(machine *machineState) []model.Command {
 	var commands []model.Command
 	machine.resolveOrders(func(order *pendingOrder) bool { return machine.isRedundant(order) })
@@ -139,6 +141,7 @@
 		if order.isStart() && order.state == queued {
 			order.state = sentInAnswer
 		}
+		order.inAnswer = true
 		commands = append(commands, order.command())
 	}
 	return commands
--- a/internal/workers/reachability.go
+++ b/internal/workers/reachability.go
@@ -52,7 +52,8 @@
 func (m *machineState) checkSentStarts(heartbeat *model.Heartbeat) {
 	missing, shown := false, false
 	for _, order := range m.pendingOrders {
-		if order.isStart() && order.state == sentInAnswer {
+		if order.isStart() && order.inAnswer {
+			order.inAnswer = false
 			reported := reportsTask(heartbeat, order)
 			missing, shown = missing || !reported, shown || reported
 		}
@@ -68,7 +69,7 @@
 
 // reportsTask reports whether a heartbeat contains the task attempt of a start.
 func reportsTask(heartbeat *model.Heartbeat, order *pendingOrder) bool {
-	return containsAttempt(heartbeat, order.job, order.index, order.attempt)
+	return indexOfAttempt(heartbeat.Tasks, order.key(), 0) >= 0
 }
 
 // withholdsAnswer reports whether a machine's heartbeat must not be answered: an earlier heartbeat was
--- a/internal/workers/restart.go
+++ b/internal/workers/restart.go
@@ -11,11 +11,14 @@
 	answeredSeq     uint64 // sequence number of this epoch's last answered heartbeat, not counting call responses
 	endedEpoch      uint64 // the epoch whose end was reported to the leader, or 0
 	unexpectedEpoch uint64 // epoch of a heartbeat that did not fit the known state, until the machine is called; 0: none
-	restarted       bool   // the agent restarted under this token; see recordRestart
+	restarted       bool   // two incarnations of the agent have shown this token, or may have; see recordRestart
+	unconfirmed     bool   // a heartbeat was not applied; see needsConfirmation
 }
 
 // recordRestart records that a machine's agent restarted: it responded to a call with a heartbeat no
-// newer than the newest one that was known when the call was made.
+// newer than the newest one that was known when the call was made, or two messages cannot come from the
+// same incarnation, or a heartbeat that would release a task could not be confirmed. heartbeat is nil if
+// the machine did not respond.
 //
 // Guard: heartbeats of the agent's earlier incarnation may still arrive and look newer. Only a new token
 // distinguishes the incarnations, because no heartbeat sent before the token shows it. Until then the
@@ -50,5 +53,10 @@
 	// releases the task when the epoch ends and starts it elsewhere. A call that carried the start may
 	// still be in flight then; when that call went unanswered, the start was queued again and delivered
 	// in the new epoch.
-	machine.resolveOrders(func(order *pendingOrder) bool { return order.state == outcomeUnknown || order.reported })
+	//
+	// A start from the answer to a heartbeat of the previous epoch is decided as well, because a worker drops
+	// such an answer in the next epoch.
+	machine.resolveOrders(func(order *pendingOrder) bool {
+		return order.state == outcomeUnknown || order.state == sentInAnswer || order.reported
+	})
 }
--- a/internal/workers/rounds.go
+++ b/internal/workers/rounds.go
@@ -77,7 +77,7 @@
 	// expired and its heartbeats were refused.
 	reg.extendGrace(machine)
 	machine.pendingOrders, machine.cordoned = nil, false
-	machine.agent.endedEpoch, machine.agent.unexpectedEpoch = 0, 0
+	machine.agent.endedEpoch, machine.agent.unexpectedEpoch, machine.agent.unconfirmed = 0, 0, false
 	machine.directCall.failed = false
 	machine.directCall.resetTokenDelivery()
 	machine.contact.missedHeartbeats = false
--- a/internal/workers/scale_test.go
+++ b/internal/workers/scale_test.go
@@ -40,6 +40,9 @@
 	}
 	acknowledgeAll(registry, 1, 5, 1e6)
 	for _, heartbeat := range heartbeats {
+		if len(heartbeat.Tasks) == 0 {
+			heartbeat.Seq++ // the first one was answered
+		}
 		if result := registry.HandleHeartbeat(at(1), heartbeat); result.Status != http.StatusOK {
 			t.Fatalf("%s is answered %d", heartbeat.Machine, result.Status)
 		}
--- a/internal/workers/stale.go
+++ b/internal/workers/stale.go
@@ -47,22 +47,25 @@
 	// reported as over too early. The worker no longer waits if this heartbeat or a later one was already
 	// answered. When such duplicates extended the lease, machines that no longer existed were not
 	// reported as expired.
-	awaited := heartbeat.Session == machine.newest.epoch && heartbeat.Seq > machine.agent.answeredSeq
-	if awaited && reg.awaitsAcknowledgement(now, machine) {
-		return unacknowledged()
-	}
-	if awaited {
-		machine.agent.answeredSeq = heartbeat.Seq
-		reg.recordContact(now, machine)
-	}
-	if !awaited || heartbeat.Seq > machine.newest.seq {
+	overtaken := heartbeat.Session == machine.newest.epoch && heartbeat.Seq > machine.agent.answeredSeq && heartbeat.Seq < machine.newest.seq
+	if !overtaken {
+		// Guard: another incarnation of the agent may wait for this answer. An answer with our token would
+		// extend its lease, which is not counted here, and would hide that it never had the token.
 		reg.recordAnomaly(StaleHeartbeat, machine, heartbeat)
+		reg.scheduleProbe(machine, heartbeat)
+		return refused()
+	}
+	if reg.awaitsAcknowledgement(now, machine) {
+		return unacknowledged()
 	}
+	machine.agent.answeredSeq = heartbeat.Seq
+	reg.recordContact(now, machine)
 	reg.scheduleProbe(machine, heartbeat)
 	return reg.accepted(machine.stopCommands())
 }
 
-// scheduleProbe schedules a direct call to a machine whose heartbeat does not fit the known state.
+// scheduleProbe schedules a direct call to a machine whose heartbeat does not fit the known state. The call
+// hands over nothing, not even our token, so that the response shows the token that the worker had.
 //
 // Guard: the sequence numbers of a restarted agent start low again. Its heartbeats were taken for late
 // ones and ignored until their numbers reached the earlier ones or the agent's lease had run out.
