workers: a direct call's start may begin a lease of its own

What users would see: a task runs on two machines. A worker that began anew unnoticed executes the start of a direct call, and none of its reports arrives. Its lease runs from its own beginning; the owner counted it from the last report of the life before, called the machine expired, and the task was started elsewhere while it ran.

Change: while a call with a start is under way no lease counts as over, and if it was executed or nothing came back, the lease counts from its end, unless its response shows a task that was known, which proves the life. The detection of missed reports stays as it was.

--- a/internal/workers/call_outcomes.go
+++ b/internal/workers/call_outcomes.go
@@ -39,13 +39,20 @@
 // endless loop. If the response shows an epoch that the call did not name, one more call is made. A refusal is
 // the expected response to a call that only inspects.
 func (d *directCallState) recordOutcome(call *Call, outcome CallOutcome, heartbeat *model.Heartbeat) {
-	d.inFlight = 0
+	d.inFlight, d.startInFlight = 0, false
 	d.failed = outcome != Executed && (heartbeat == nil || heartbeat.Session == call.Epoch && !call.inspects)
 	d.unanswered = d.unanswered || outcome == Unanswered
 }
 
 // applyCallOutcome updates what is known of a machine and of its agent's incarnations from a call's outcome.
 func (reg *Registry) applyCallOutcome(now time.Time, machine *machineState, call *Call, outcome CallOutcome, heartbeat *model.Heartbeat) {
+	// Guard: the call may have delivered a start to an incarnation of the agent that began only after the last
+	// contact. A machine whose agent had restarted unnoticed was reported as expired one lease after the earlier
+	// incarnation's last heartbeat, while the task that the call had started was running
+	// (TestLeaseOfCalledIncarnation).
+	if call.carriesStart() && outcome != Refused && !machine.sharesLiveTask(heartbeat) {
+		machine.contact.startedFrom = now
+	}
 	switch {
 	case reg.isValidResponse(machine, heartbeat):
 		reg.applyCallResponse(now, machine, call, heartbeat)
@@ -131,6 +138,16 @@
 	m.lateStarts[start.key()] = false
 }
 
+// carriesStart reports whether the call carries a start.
+func (c *Call) carriesStart() bool {
+	for _, command := range c.Commands {
+		if command.Op == "start" {
+			return true
+		}
+	}
+	return false
+}
+
 // isDecidedByCall reports whether a start's outcome is known after a call.
 func (m *machineState) isDecidedByCall(order *pendingOrder, call *Call, outcome CallOutcome) bool {
 	if !order.isStart() || order.state != queued {
--- a/internal/workers/calls.go
+++ b/internal/workers/calls.go
@@ -41,10 +41,11 @@
 
 // directCallState is the state of a machine's direct calls.
 type directCallState struct {
-	inFlight   uint64 // id of the call in flight, or 0
-	failed     bool   // the last call failed: no further call before the next heartbeat
-	tokenSent  bool   // a heartbeat that did not carry our token was answered with our token
-	unanswered bool   // a call went unanswered since the machine last sent our token
+	inFlight      uint64 // id of the call in flight, or 0
+	startInFlight bool   // whether that call carries a start
+	failed        bool   // the last call failed: no further call before the next heartbeat
+	tokenSent     bool   // a heartbeat that did not carry our token was answered with our token
+	unanswered    bool   // a call went unanswered since the machine last sent our token
 }
 
 // tokenUndelivered reports whether an answer with our token and a direct call have both had no visible effect.
@@ -141,6 +142,7 @@
 	}
 	reg.lastCallID++
 	call.id, machine.directCall.inFlight = reg.lastCallID, reg.lastCallID
+	machine.directCall.startInFlight = call.carriesStart()
 	reg.callsInFlight++
 	return call, true
 }
--- a/internal/workers/continuity.go
+++ b/internal/workers/continuity.go
@@ -85,6 +85,20 @@
 	return false
 }
 
+// sharesLiveTask reports whether a message contains a live task that was known before. Then both come from
+// the same incarnation. heartbeat may be nil.
+func (m *machineState) sharesLiveTask(heartbeat *model.Heartbeat) bool {
+	if heartbeat == nil {
+		return false
+	}
+	for _, task := range m.tasks {
+		if task.State != string(model.TaskExited) && indexOfAttempt(heartbeat.Tasks, keyOf(task), 0) >= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // indexOfAttempt returns the index of an attempt among the tasks of a heartbeat, or -1. It is found at once if
 // it stands at the index where the search begins, as in heartbeats whose tasks have not changed.
 func indexOfAttempt(tasks []model.TaskStatus, key attemptKey, begin int) int {
--- a/internal/workers/continuity_test.go
+++ b/internal/workers/continuity_test.go
@@ -246,6 +246,19 @@
 	}
 }
 
+// The lease of an incarnation that a call with a start reached may run from the call, though the last
+// heartbeat came from an earlier incarnation long before.
+func TestLeaseOfCalledIncarnation(t *testing.T) {
+	registry, _, present := restartedWhileIdle()
+	startTask(registry, 9, present)
+	for s := 10.0; s < 19; s++ { // nothing reaches the owner; the lease is 10 s
+		checkTasksKept(t, registry, s, present)
+	}
+	if machine := reportedMachine(registry, 21); machine.Phase != string(Expired) {
+		t.Errorf("a lease and the margin after the call the owner reports %v", machine)
+	}
+}
+
 // A heartbeat that is no newer than the newest known one gets no answer that extends a lease or shows the
 // token, because nothing counts that lease: it may come from another incarnation. A call asks which token the
 // worker has, and does not bring ours.
--- a/internal/workers/expiry.go
+++ b/internal/workers/expiry.go
@@ -10,7 +10,8 @@
 	// The last time at which this machine's lease may have been extended, either by this controller or,
 	// before the machine had shown our token, by another one.
 	last             time.Time
-	missedHeartbeats bool // no contact for more than two heartbeat intervals plus a second
+	startedFrom      time.Time // a later time from which the lease of an incarnation that executed a start may run
+	missedHeartbeats bool      // no contact for more than two heartbeat intervals plus a second
 }
 
 // recordContact records that a machine's lease may have been extended now.
@@ -27,6 +28,14 @@
 	}
 }
 
+// leaseFrom returns the time from which the machine's lease may run.
+func (c *contactState) leaseFrom() time.Time {
+	if c.startedFrom.After(c.last) {
+		return c.startedFrom
+	}
+	return c.last
+}
+
 // expire marks machines that missed heartbeats, and those whose lease has certainly run out: a worker
 // ends its tasks one lease after it sent the last answered heartbeat, and its clock may run slower
 // than ours. contactList is ordered by last contact, so expire visits only the machines that have been
@@ -41,7 +50,8 @@
 			break
 		}
 		entry = entry.Next()
-		if machine.phase != Expired && silent > leaseOver {
+		mayStart := machine.directCall.startInFlight // see applyCallOutcome
+		if machine.phase != Expired && !mayStart && now.Sub(machine.contact.leaseFrom()) > leaseOver {
 			reg.setPhase(machine, Expired)
 		}
 		if missed := silent > missedAfter; missed != machine.contact.missedHeartbeats {
