workers: what sessions end while a call is under way, and machines no call reaches

A start that is being sent counts as sent when another session shows. - A worker that began anew on a machine that no call reaches was refused until its numbers had passed the known ones. Once a call has brought nothing, its report is answered, and that lease is counted: what an unnoticed life may do is safe by the rest. - A report of another session of a machine with a termination notice, which is not called any more, takes a fresh token at once. - Finding an attempt in a report needs no check of the name's form.

--- a/internal/workers/call_outcomes.go
+++ b/internal/workers/call_outcomes.go
@@ -42,6 +42,9 @@
 	d.inFlight, d.startInFlight = 0, false
 	d.failed = outcome != Executed && (heartbeat == nil || heartbeat.Session == call.Epoch && !call.inspects)
 	d.unanswered = d.unanswered || outcome == Unanswered
+	if call.inspects {
+		d.inspectionFailed = heartbeat == nil
+	}
 }
 
 // applyCallOutcome updates what is known of a machine and of its agent's incarnations from a call's outcome.
--- a/internal/workers/calls.go
+++ b/internal/workers/calls.go
@@ -41,18 +41,21 @@
 
 // directCallState is the state of a machine's direct calls.
 type directCallState struct {
-	inFlight      uint64 // id of the call in flight, or 0
-	startInFlight bool   // whether that call carries a start
-	failed        bool   // the last call failed: no further call before the next heartbeat
-	tokenSent     bool   // a heartbeat that did not carry our token was answered with our token
-	unanswered    bool   // a call went unanswered since the machine last sent our token
+	inFlight         uint64 // id of the call in flight, or 0
+	startInFlight    bool   // whether that call carries a start
+	failed           bool   // the last call failed: no further call before the next heartbeat
+	tokenSent        bool   // a heartbeat that did not carry our token was answered with our token
+	inspectionFailed bool   // the last call that only inspected the worker brought no heartbeat
+	unanswered       bool   // a call went unanswered since the machine last sent our token
 }
 
 // tokenUndelivered reports whether an answer with our token and a direct call have both had no visible effect.
 func (d *directCallState) tokenUndelivered() bool { return d.tokenSent && d.unanswered }
 
 // resetTokenDelivery forgets earlier attempts to bring our token to the machine.
-func (d *directCallState) resetTokenDelivery() { d.tokenSent, d.unanswered = false, false }
+func (d *directCallState) resetTokenDelivery() {
+	d.tokenSent, d.unanswered, d.inspectionFailed = false, false, false
+}
 
 // enqueueCall queues a machine for the next DueCalls if it needs a call. Every change after which a
 // call may become useful or possible must call it.
--- a/internal/workers/continuity.go
+++ b/internal/workers/continuity.go
@@ -1,6 +1,8 @@
 package workers
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/marlwood/marlwood/internal/model"
@@ -33,10 +35,10 @@
 	return m.endsRepeatedStart(heartbeat)
 }
 
-// hasDeliveredStart reports whether a start was sent whose task no message has shown.
+// hasDeliveredStart reports whether a start was sent, or is being sent, whose task no message has shown.
 func (m *machineState) hasDeliveredStart() bool {
 	for _, order := range m.pendingOrders {
-		if order.isStart() && (order.state == sentInAnswer || order.state == outcomeUnknown) {
+		if order.isStart() && order.state != queued {
 			return true
 		}
 	}
@@ -104,16 +106,24 @@
 func indexOfAttempt(tasks []model.TaskStatus, key attemptKey, begin int) int {
 	for i := range tasks {
 		at := (begin + i) % len(tasks)
-		if tasks[at].Attempt != key.attempt {
-			continue
-		}
-		if job, index, _ := model.SplitTask(tasks[at].Task); job == key.job && index == key.index {
+		if tasks[at].Attempt == key.attempt && key.isNamed(tasks[at].Task) {
 			return at
 		}
 	}
 	return -1
 }
 
+// isNamed reports whether a valid name of a task on the wire is that of the attempt's task. It does without the
+// checks of model.SplitTask, because it is called for each task of each heartbeat.
+func (k attemptKey) isNamed(name string) bool {
+	job, index, found := strings.Cut(name, "/")
+	if !found || job != k.job {
+		return false
+	}
+	number, err := strconv.Atoi(index)
+	return err == nil && number == k.index
+}
+
 // answerContradiction answers a heartbeat that another incarnation made than the newest known one. Which of
 // them is the present one is not known, so nothing is released until a new token separates them.
 //
@@ -136,6 +146,9 @@
 	machine.agent.unconfirmed = true
 	reg.recordContact(now, machine)
 	reg.scheduleProbe(machine, heartbeat)
+	if machine.hasTerminationNotice() { // it is no longer called
+		reg.recordRestart(machine, heartbeat)
+	}
 	return reg.accepted(machine.stopCommands())
 }
 
--- a/internal/workers/stale.go
+++ b/internal/workers/stale.go
@@ -49,11 +49,7 @@
 	// reported as expired.
 	overtaken := heartbeat.Session == machine.newest.epoch && heartbeat.Seq > machine.agent.answeredSeq && heartbeat.Seq < machine.newest.seq
 	if !overtaken {
-		// Guard: another incarnation of the agent may wait for this answer. An answer with our token would
-		// extend its lease, which is not counted here, and would hide that it never had the token.
-		reg.recordAnomaly(StaleHeartbeat, machine, heartbeat)
-		reg.scheduleProbe(machine, heartbeat)
-		return refused()
+		return reg.handleUnexpected(now, machine, heartbeat)
 	}
 	if reg.awaitsAcknowledgement(now, machine) {
 		return unacknowledged()
@@ -64,6 +60,23 @@
 	return reg.accepted(machine.stopCommands())
 }
 
+// handleUnexpected answers a heartbeat that is late, or of another incarnation of the agent. It is refused, and
+// the machine is called. A machine that can't be called is answered, so that an agent that restarted gets our
+// token.
+//
+// Guard: another incarnation may wait for this answer. An answer with our token extends its lease, and hides
+// that it never had the token. When such a lease was not counted here, the machine was reported as expired
+// while the next incarnation ran a task.
+func (reg *Registry) handleUnexpected(now time.Time, machine *machineState, heartbeat *model.Heartbeat) HeartbeatResult {
+	reg.recordAnomaly(StaleHeartbeat, machine, heartbeat)
+	reg.scheduleProbe(machine, heartbeat)
+	if heartbeat.Token >= machine.newest.token || !machine.directCall.inspectionFailed {
+		return refused()
+	}
+	reg.recordContact(now, machine)
+	return reg.accepted(machine.stopCommands())
+}
+
 // scheduleProbe schedules a direct call to a machine whose heartbeat does not fit the known state. The call
 // hands over nothing, not even our token, so that the response shows the token that the worker had.
 //
