workers: answers to doubtful reports wait for the leader's acknowledgement too

A report that is not applied, or one of a machine that no call reaches, was answered, and its lease extended, whether or not the leader had acknowledged the machine's tasks under the token.

--- a/internal/workers/continuity.go
+++ b/internal/workers/continuity.go
@@ -144,11 +144,14 @@
 func (reg *Registry) answerUnconfirmed(now time.Time, machine *machineState, heartbeat *model.Heartbeat) HeartbeatResult {
 	reg.recordAnomaly(Unconfirmed, machine, heartbeat)
 	machine.agent.unconfirmed = true
-	reg.recordContact(now, machine)
 	reg.scheduleProbe(machine, heartbeat)
 	if machine.hasTerminationNotice() { // it is no longer called
 		reg.recordRestart(machine, heartbeat)
 	}
+	if reg.awaitsAcknowledgement(now, machine) {
+		return unacknowledged()
+	}
+	reg.recordContact(now, machine)
 	return reg.accepted(machine.stopCommands())
 }
 
--- a/internal/workers/stale.go
+++ b/internal/workers/stale.go
@@ -73,6 +73,9 @@
 	if heartbeat.Token >= machine.newest.token || !machine.directCall.inspectionFailed {
 		return refused()
 	}
+	if reg.awaitsAcknowledgement(now, machine) {
+		return unacknowledged()
+	}
 	reg.recordContact(now, machine)
 	return reg.accepted(machine.stopCommands())
 }
