workers: a test of a late report after a takeover

A new owner hands its token out by a probe and by answers, so two lives of a worker may have it before either has shown it.

--- a/internal/workers/continuity_test.go
+++ b/internal/workers/continuity_test.go
@@ -158,6 +158,22 @@
 	}
 }
 
+// After a takeover both incarnations may have the new token: the earlier one adopted it from a call whose
+// response was lost. Its late heartbeat releases nothing either.
+func TestLateHeartbeatAfterTakeover(t *testing.T) {
+	registry, late, present := restartedWhileIdle()
+	registry.HandleRound(at(2), newRound(6, 100))
+	answerCalls(registry, 2.1, present) // the probe
+	registry.HandleRound(at(2.2), newRound(6, 100, newOrder(1, start, 1)))
+	answerCalls(registry, 2.3, present)
+	present.report(registry, 3)
+	late.Token = 6
+	registry.HandleHeartbeat(at(4), late)
+	if machine := checkTasksKept(t, registry, 4.1, present); !machine.Unsure || len(machine.Tasks) != 1 {
+		t.Errorf("the owner reports %v", machine)
+	}
+}
+
 // A late heartbeat of an earlier incarnation that arrives between an answer with a start and the next
 // heartbeat of the present one does not show that the answer was lost.
 func TestStartSentToNextIncarnation(t *testing.T) {
