--- a/internal/workers/registry.go
+++ b/internal/workers/registry.go
@@ -7,7 +7,8 @@
 //
 // Invariants: the registry answers heartbeats and returns direct calls only while the delegated lease is
 // valid, and always with the highest fencing token seen. It reports a machine as expired only after the
-// lease that its newest possible answer extended has run out.
+// lease that its newest possible answer extended has run out. Under one token it drops a task that may be on
+// a machine only for what the machine's present incarnation has shown; see continuity.go.
 package workers
 
 import (
