simtest: a cut may hold a call on a connection to a restarted worker

A controller's process that has called the worker's present life has a connection to it, and a call on it may be held and carried out after the cut, as to other workers.

--- a/internal/simtest/cluster.go
+++ b/internal/simtest/cluster.go
@@ -293,9 +293,12 @@
 	do()
 }
 
-// connectable reports whether a controller can open a connection to the worker now. An attempt that is given up does not
-// complete afterwards, so that a call to a restarted worker can be held up only on a connection to its present process.
+// connectable reports whether a controller has a connection to a restarted worker's present process, or can open one now.
+// An attempt that is given up does not complete afterwards, so that only a call on a connection can be held up by a cut.
 func (m *worker) connectable(n *node) bool {
+	if m.life == 0 || m.connected[n.process] == m.life {
+		return true
+	}
 	_, _, there := m.cluster.net.blocked(n.place, m.place)
 	_, _, back := m.cluster.net.blocked(m.place, n.place)
 	return !m.down && !there && !back
@@ -315,7 +318,7 @@
 			return 0, nil, httpwire.ErrNotSent
 		}
 		life := m.life // a connection ends when its worker process ends
-		if m.life > 0 && !m.connectable(n) {
+		if !m.connectable(n) {
 			n.process.Sleep(directCall)
 			return 0, nil, errNoAnswer
 		}
@@ -329,6 +332,7 @@
 					if m.life != life {
 						return
 					}
+					m.connected[n.process] = life
 					status, r := m.handleDirectCall(o)
 					reply(answer{status, r})
 				})
--- a/internal/simtest/machines.go
+++ b/internal/simtest/machines.go
@@ -7,6 +7,7 @@
 
 	"github.com/marlwood/marlwood/internal/autoscaler"
 	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/simulation"
 	"github.com/marlwood/marlwood/internal/workers"
 )
 
@@ -141,11 +142,12 @@
 	reportTo            int
 	sent                uint64 // number of the heartbeat that awaits an answer, 0: none
 	reports             uint64
-	due                 time.Duration // when the next heartbeat is due
-	mute                time.Duration // until then it reaches no controller, but direct calls reach it
-	resets              time.Duration // until then its connections to controllers are reset after it sent a heartbeat
-	shown               lifeProgress  // what controllers have received of its present life
-	reported            time.Duration // when the last heartbeat was sent
+	due                 time.Duration               // when the next heartbeat is due
+	mute                time.Duration               // until then it reaches no controller, but direct calls reach it
+	resets              time.Duration               // until then its connections to controllers are reset after it sent a heartbeat
+	shown               lifeProgress                // what controllers have received of its present life
+	connected           map[*simulation.Process]int // life of the worker that a controller's process called last
+	reported            time.Duration               // when the last heartbeat was sent
 }
 
 // taskAttempt is one attempt of a task on a machine.
@@ -166,7 +168,7 @@
 
 func newWorker(w *cluster, name string, pool model.Pool, spot bool) *worker {
 	return &worker{cluster: w, place: &place{name: name, zone: pool.Zone, role: workerRole}, name: name, pool: pool, spot: spot,
-		rented: w.sim.Now(), drift: (w.sim.Rand.Float64()*2 - 1) * 0.0005, reportTo: w.sim.Rand.IntN(len(w.nodes))}
+		connected: map[*simulation.Process]int{}, rented: w.sim.Now(), drift: (w.sim.Rand.Float64()*2 - 1) * 0.0005, reportTo: w.sim.Rand.IntN(len(w.nodes))}
 }
 
 // enter runs do on the machine now, or when the machine no longer hangs. A machine that has ended drops it.
