workers: a worker that no call reaches begins anew by a fresh token

Change: such a report is refused like every other that is no newer, and the machine counts as one whose worker began anew: the leader takes a fresh token, under which the worker is answered. Nothing counts as contact, and use is not counted in doubt.

--- a/internal/simtest/cmd/mutants_workers.go
+++ b/internal/simtest/cmd/mutants_workers.go
@@ -23,7 +23,7 @@
 		{"workers/reachability.go", "m.reachability.unreachable = m.reachability.unreachable || m.reachability.lostAnswers >= maxLostAnswers", ""}, {"placement/reachability.go", "h.cyclesControllers = !sameController && gap > minCycleGap", "h.cyclesControllers = false"}}},
 	{"a grant counts from its arrival", []edit{{"workers/rounds.go", "reg.clockStart.Add(time.Duration(request.GrantUntilNs)); until.After(reg.leaseUntil)", "now.Add(3 * time.Second); request.GrantUntilNs > 0 && until.After(reg.leaseUntil)"}}},
 	{"a report of an earlier life ends what the present one runs", []edit{{"workers/continuity.go", "return m.phase == Current && heartbeat.Session == m.newest.epoch && m.lacksLiveTask(heartbeat)", "return false"},
-		{"workers/stale.go", "if heartbeat.Token >= machine.newest.token || !machine.directCall.inspectionFailed {", "if false {"}, {"workers/calls.go", "call.inspects, call.Token = true, noToken", "call.inspects = true"}}},
+		{"workers/stale.go", "return refused()", "return reg.accepted(machine.stopCommands())"}, {"workers/calls.go", "call.inspects, call.Token = true, noToken", "call.inspects = true"}}},
 	{"a call starts no lease", []edit{{"workers/call_outcomes.go", "\t\tmachine.contact.startedFrom = now\n", ""}, {"workers/expiry.go", "mayStart := machine.directCall.startInFlight", "mayStart := false"}}},
 	{"a second stop does not replace the first", []edit{{"workers/orders.go", "machine.pendingOrders[i] = order\n", "machine.pendingOrders[i].id = order.id\n"}}},
 	{"a call has told any stop", []edit{{"workers/call_outcomes.go", " && (want.GraceS == nil || *command.GraceS == *want.GraceS)", ""}}},
--- a/internal/workers/continuity_test.go
+++ b/internal/workers/continuity_test.go
@@ -292,6 +292,25 @@
 	}
 }
 
+// An agent that restarted on a machine that no call reaches gets the next token, and its earlier incarnation's
+// lease is not extended by its heartbeats meanwhile.
+func TestRestartedAgentThatNoCallReaches(t *testing.T) {
+	registry, _, present := restartedWhileIdle()
+	for s := 2.0; s < 4; s++ {
+		if result := present.report(registry, s); result.Status == http.StatusOK {
+			t.Errorf("after %v s answered %+v", s, result)
+		}
+		completeCalls(registry, s, s+0.5, Unanswered, nil)
+	}
+	if machine := reportedMachine(registry, 4); !machine.Unsure || !machine.Quiet {
+		t.Errorf("the owner reports %v", machine)
+	}
+	registry.HandleRound(at(5), newRound(6, 100))
+	if present.report(registry, 5); present.token != 6 {
+		t.Errorf("the worker has token %d", present.token)
+	}
+}
+
 // A heartbeat that is no newer than the newest known one gets no answer that extends a lease or shows the
 // token, because nothing counts that lease: it may come from another incarnation. A call asks which token the
 // worker has, and does not bring ours.
--- a/internal/workers/stale.go
+++ b/internal/workers/stale.go
@@ -49,7 +49,7 @@
 	// reported as expired.
 	overtaken := heartbeat.Session == machine.newest.epoch && heartbeat.Seq > machine.agent.answeredSeq && heartbeat.Seq < machine.newest.seq
 	if !overtaken {
-		return reg.handleUnexpected(now, machine, heartbeat)
+		return reg.handleUnexpected(machine, heartbeat)
 	}
 	if reg.awaitsAcknowledgement(now, machine) {
 		return unacknowledged()
@@ -60,24 +60,20 @@
 	return reg.accepted(machine.stopCommands())
 }
 
-// handleUnexpected answers a heartbeat that is late, or of another incarnation of the agent. It is refused, and
-// the machine is called. A machine that can't be called is answered, so that an agent that restarted gets our
-// token.
+// handleUnexpected refuses a heartbeat that is late, or of another incarnation of the agent, and has the machine
+// called. If a call has brought nothing and the heartbeat shows a lower token than the known one, the agent may
+// have restarted, and only a new token can tell.
 //
-// Guard: another incarnation may wait for this answer. An answer with our token extends its lease, and hides
-// that it never had the token. When such a lease was not counted here, the machine was reported as expired
-// while the next incarnation ran a task.
-func (reg *Registry) handleUnexpected(now time.Time, machine *machineState, heartbeat *model.Heartbeat) HeartbeatResult {
+// Guard: another incarnation may wait for this answer. An answer with our token would extend its lease, which
+// is not counted here, and hide that it never had the token. The machine was reported as expired while the next
+// incarnation ran a task.
+func (reg *Registry) handleUnexpected(machine *machineState, heartbeat *model.Heartbeat) HeartbeatResult {
 	reg.recordAnomaly(StaleHeartbeat, machine, heartbeat)
 	reg.scheduleProbe(machine, heartbeat)
-	if heartbeat.Token >= machine.newest.token || !machine.directCall.inspectionFailed {
-		return refused()
+	if heartbeat.Token < machine.newest.token && machine.directCall.inspectionFailed {
+		reg.recordRestart(machine, heartbeat)
 	}
-	if reg.awaitsAcknowledgement(now, machine) {
-		return unacknowledged()
-	}
-	reg.recordContact(now, machine)
-	return reg.accepted(machine.stopCommands())
+	return refused()
 }
 
 // scheduleProbe schedules a direct call to a machine whose heartbeat does not fit the known state. The call
