workers: log and count why a machine with tasks is answered

Four reasons end in the same 200: the leader's acknowledgement, its word that it has no stop for the owner, the grace period of the earlier leader, and a leader that counts as slow.

Change: the owner counts each answer to a machine with tasks by its basis (marlwood_answers_with_tasks_total) and logs the first of each basis at debug level; the leader logs that an owner was restarted under its token, with the number of its machines that are not known yet and whether it gets a lease. No decision changes.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -153,6 +153,7 @@
 		MaxCalls:          sockets.Divide(c.cfg.MaxConns, c.fileSettings.Service.UserConnsShare).DirectCalls / 2,
 		Log:               c.log,
 		OnAnomaly:         func(kind workers.Anomaly) { c.metrics.UnexpectedReport(string(kind)) },
+		OnAnswer:          func(basis workers.AnswerBasis) { c.metrics.Answer(string(basis)) },
 	}
 }
 
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -9,6 +9,7 @@
 	"github.com/marlwood/marlwood/internal/model"
 	"github.com/marlwood/marlwood/internal/peers"
 	"github.com/marlwood/marlwood/internal/peers/peerspb"
+	"github.com/marlwood/marlwood/internal/placement"
 	"github.com/marlwood/marlwood/internal/workers"
 )
 
@@ -254,6 +255,21 @@
 	return true
 }
 
+// logRestartedOwner logs that an owner was restarted under the current token, and what the leader knows of its machines.
+func (t *leaderTerm) logRestartedOwner(peer *peerProgress, now time.Time) {
+	if !peer.restarted {
+		return
+	}
+	unseen := 0
+	for _, machine := range t.scheduler.UnreconciledMachines() {
+		if t.scheduler.Owners()[machine.Pool] == peer.member && machine.Phase != placement.Current {
+			unseen++
+		}
+	}
+	t.ctrl.log.Info("owner restarted under the token", "peer", peer.member, "token", t.token, "unseen_machines", unseen,
+		"may_keep_alive", t.mayKeepAlive(peer.member, now), "view_age", now.Sub(t.ctrl.elector.LastJobsView()))
+}
+
 // noteCancelled records, for a deleted job, the request time of the last view of the jobs that still showed it.
 func (t *leaderTerm) noteCancelled(job string) {
 	for known := range t.cancelledJobs {
@@ -285,6 +301,7 @@
 	peer.recordAnswer(now, response, now.Add(withClockDrift(t.ctrl.timing.DelegatedLease)))
 	if peer.bootID != response.Boot {
 		peer.recordBoot(now, response.Boot)
+		t.logRestartedOwner(peer, now)
 		if token == t.token {
 			peer.recordAcknowledgement(now)
 		}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -41,6 +41,7 @@
 	unusedReturns    prometheus.Counter
 	thrashedRequests prometheus.Counter
 	unexpected       *prometheus.CounterVec
+	answers          *prometheus.CounterVec
 	usage            *prometheus.GaugeVec
 }
 
@@ -69,7 +70,9 @@
 		Help: "CPU seconds that teams have used since accounts are kept, as far as they are stored; told by the leader alone."}, []string{"team", "class", "spot", "kind"})
 	set.unexpected = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "marlwood", Name: "unexpected_reports_total", ConstLabels: labels,
 		Help: "Messages of workers that do not follow from earlier ones: late, lacking tasks, or after a restart of the worker, by kind."}, []string{"kind"})
-	set.registry.MustRegister(set.unexpected, set.usage, set.unusedReturns, set.thrashedRequests, set.loopDelay, set.rounds, set.heartbeats, set.storeWait, set.takeover, &socketCollector{use: use,
+	set.answers = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "marlwood", Name: "answers_with_tasks_total", ConstLabels: labels,
+		Help: "Reports of machines that run tasks, by why their answer may extend the machine's lease; waits: it may not yet."}, []string{"basis"})
+	set.registry.MustRegister(set.answers, set.unexpected, set.usage, set.unusedReturns, set.thrashedRequests, set.loopDelay, set.rounds, set.heartbeats, set.storeWait, set.takeover, &socketCollector{use: use,
 		open:   prometheus.NewDesc("marlwood_sockets", "Accepted connections by duty.", []string{"duty"}, labels),
 		peak:   prometheus.NewDesc("marlwood_sockets_peak", "Most accepted connections at once by duty.", []string{"duty"}, labels),
 		closed: prometheus.NewDesc("marlwood_sockets_closed_total", "Connections closed to keep within the limits, by how.", []string{"how"}, labels)})
@@ -129,6 +132,13 @@
 	}
 }
 
+// Answer counts an answer to a worker that runs tasks.
+func (s *Set) Answer(basis string) {
+	if s != nil {
+		s.answers.WithLabelValues(basis).Inc()
+	}
+}
+
 // Store records how long a call to the store waited for its rate limit.
 func (s *Set) Store(budget string, d time.Duration) {
 	if s != nil {
--- a/internal/workers/acknowledge.go
+++ b/internal/workers/acknowledge.go
@@ -23,17 +23,18 @@
 // taskAcknowledgement is the state of the leader's acknowledgement of a machine's tasks under the
 // current token.
 type taskAcknowledgement struct {
-	complete     bool      // the leader has acknowledged a complete list of the tasks
-	listedChange uint64    // the registry's change that reports them to the leader; see awaitsAcknowledgement
-	waitSince    time.Time // start of the wait for the acknowledgement; zero: not waiting
-	waitRounds   uint64    // the registry's leaseRounds at waitSince
-	graceUntil   time.Time // heartbeats before this time need no acknowledgement; see extendGrace
-	waitingSeq   uint64    // sequence number of the heartbeat whose answer waits for the acknowledgement; 0: none
+	complete     bool        // the leader has acknowledged a complete list of the tasks
+	listedChange uint64      // the registry's change that reports them to the leader; see awaitsAcknowledgement
+	waitSince    time.Time   // start of the wait for the acknowledgement; zero: not waiting
+	waitRounds   uint64      // the registry's leaseRounds at waitSince
+	graceUntil   time.Time   // heartbeats before this time need no acknowledgement; see extendGrace
+	basis        AnswerBasis // of the last answer to live tasks under the current token
+	waitingSeq   uint64      // sequence number of the heartbeat whose answer waits for the acknowledgement; 0: none
 }
 
 // reset discards the acknowledgement of an earlier token. It keeps graceUntil, which outlasts a token.
 func (a *taskAcknowledgement) reset() {
-	a.complete, a.waitingSeq, a.waitSince = false, 0, time.Time{}
+	a.complete, a.waitingSeq, a.waitSince, a.basis = false, 0, time.Time{}, noAnswerRecorded
 }
 
 // isWaiting reports whether a heartbeat is the one whose answer waits for the acknowledgement.
@@ -62,17 +63,38 @@
 // partition and ran a task of the cancelled job. The task kept running for longer than cancel_s
 // (simtest, seed 7100019330).
 func (reg *Registry) awaitsAcknowledgement(now time.Time, machine *machineState) bool {
-	if machine.acknowledgement.complete {
+	if !machine.hasLiveTasks() {
+		machine.acknowledgement.complete = machine.acknowledgement.complete || machine.phase == Current
 		return false
 	}
-	if machine.hasLiveTasks() && reg.acknowledgedChange < machine.acknowledgement.listedChange {
-		return !now.Before(machine.acknowledgement.graceUntil) && !reg.leaderIsSlow(now, machine)
+	basis := reg.answerBasis(now, machine)
+	reg.recordBasis(machine, basis)
+	if basis != Acknowledged && basis != NoStopsForOwner {
+		return basis == AwaitingAnswer
 	}
 	// Until the worker reports our token, a start from an earlier leader may still reach it.
-	machine.acknowledgement.complete = machine.phase == Current
+	machine.acknowledgement.complete = machine.acknowledgement.complete || machine.phase == Current
 	return false
 }
 
+// answerBasis returns why a machine with live tasks may be answered.
+func (reg *Registry) answerBasis(now time.Time, machine *machineState) AnswerBasis {
+	wait := &machine.acknowledgement
+	switch {
+	case wait.complete:
+		return Acknowledged
+	case reg.acknowledgedChange == AllChangesSeen:
+		return NoStopsForOwner
+	case reg.acknowledgedChange >= wait.listedChange:
+		return Acknowledged
+	case now.Before(wait.graceUntil):
+		return WithinGrace
+	case reg.leaderIsSlow(now, machine):
+		return SlowLeader
+	}
+	return AwaitingAnswer
+}
+
 // leaderIsSlow reports whether the leader has sent further rounds since the wait began, but has not
 // acknowledged the machine's tasks within slowLeaderWait.
 //
--- a/internal/workers/continuity.go
+++ b/internal/workers/continuity.go
@@ -134,6 +134,7 @@
 	reg.recordAnomaly(MissingTasks, machine, heartbeat)
 	reg.recordRestart(machine, heartbeat)
 	reg.recordContact(now, machine)
+	reg.recordBasis(machine, UnknownAgent)
 	result := reg.accepted(machine.stopCommands())
 	result.NotifyLeader = true
 	return result
--- a/internal/workers/heartbeat.go
+++ b/internal/workers/heartbeat.go
@@ -121,6 +121,7 @@
 		return refused(), true
 	case machine.agent.restarted:
 		reg.recordContact(now, machine) // the heartbeat's content is ignored until the next token
+		reg.recordBasis(machine, UnknownAgent)
 		return reg.accepted(machine.stopCommands()), true
 	case machine.acknowledgement.isWaiting(machine.newest, heartbeat):
 		return reg.respond(now, machine, heartbeat), true // it was applied when it arrived
--- a/internal/workers/registry.go
+++ b/internal/workers/registry.go
@@ -22,14 +22,15 @@
 
 // Options configures a registry.
 type Options struct {
-	Member            string        // this controller's name
-	HeartbeatInterval time.Duration // time between two heartbeats of a worker
-	Lease             time.Duration // a worker ends its tasks this long after an answered heartbeat
-	Margin            time.Duration // added to a worker's lease before it counts as expired
-	CancelGrace       time.Duration // after a cancellation, answers may keep a task alive for this long
-	MaxCalls          int           // maximum number of direct calls in flight
-	Log               *slog.Logger  // nil: nothing is logged
-	OnAnomaly         func(Anomaly) // called for each anomaly; nil: they are not counted
+	Member            string            // this controller's name
+	HeartbeatInterval time.Duration     // time between two heartbeats of a worker
+	Lease             time.Duration     // a worker ends its tasks this long after an answered heartbeat
+	Margin            time.Duration     // added to a worker's lease before it counts as expired
+	CancelGrace       time.Duration     // after a cancellation, answers may keep a task alive for this long
+	MaxCalls          int               // maximum number of direct calls in flight
+	Log               *slog.Logger      // nil: nothing is logged
+	OnAnomaly         func(Anomaly)     // called for each anomaly; nil: they are not counted
+	OnAnswer          func(AnswerBasis) // called for each answer to a machine with live tasks; nil: they are not counted
 }
 
 // Registry holds the workers of one controller's pools and the leader's orders for them.
