simtest: draw controllers that restart one after the other

Faults of one schedule came from one to four kinds, restarts of all controllers in turn were no kind, a machine was absent for as long as a lease by chance only, and an outage that outlasts cancel_s was drawn in one of some hundred schedules.

Change: the draw "rolling" restarts two to four controllers in turn, makes machines unreachable for less than a lease from about some restart on, has users cancel what runs there, and fails the state service at some restart for up to 1.3 cancel_s. "all" draws it for every sixth seed. The command and Outcome count the tasks that ended with a lease and were not cancelled. Schedules of the other draws stay as they are.

--- a/internal/simtest/cluster.go
+++ b/internal/simtest/cluster.go
@@ -62,6 +62,7 @@
 	refused               int           // transactions rejected because of that limit
 	copies                time.Duration // until then some reports are also delivered a second time, later
 	rare                  rareFaults
+	leaseKilled           int                                   // see Outcome
 	workersUp             int                                   // number of machines that have come up
 	missed                int                                   // faults that found no target
 	met                   [MetKinds]int                         // number of observed events of each kind
--- a/internal/simtest/cmd/main.go
+++ b/internal/simtest/cmd/main.go
@@ -33,7 +33,7 @@
 	For     time.Duration `help:"How long to explore." default:"1m"`
 	Most    uint64        `help:"Most schedules; 0: no bound."`
 	Workers int           `help:"Schedules at once; 0: one a processor."`
-	Draw    string        `help:"What to draw: faults; those and meetings; those and further troubles, or priorities and saves; workers that restart; of the last three, priorities for every third seed and restarts for every sixth (all)." enum:"all,faults,meetings,further,preempting,restarts" default:"all"`
+	Draw    string        `help:"What to draw: faults; those and meetings; those and further troubles, or priorities and saves; workers that restart; controllers that restart one after the other; of the last four, priorities for every third seed, restarts and rolling for every sixth each (all)." enum:"all,faults,meetings,further,preempting,restarts,rolling" default:"all"`
 	Repeat  bool          `help:"Play the schedule of --seed alone and tell its story."`
 	Log     slog.Level    `help:"What controllers log is told from this level on: debug, info, warn, error." default:"error"`
 	Shrink  time.Duration `help:"How long to make a finding smaller." default:"30s"`
@@ -61,7 +61,7 @@
 	if workers == 0 {
 		workers = runtime.NumCPU()
 	}
-	var next, played, starts, found atomic.Uint64
+	var next, played, starts, leaseKilled, found atomic.Uint64
 	var met eventCounts
 	next.Store(c.Seed)
 	began := time.Now()
@@ -76,6 +76,7 @@
 				out := simtest.Run(c.plans(seed).Example(int(seed)), nil, 0)
 				played.Add(1)
 				starts.Add(uint64(out.Starts))
+				leaseKilled.Add(uint64(out.LeaseKilled))
 				met.add(out.Met)
 				if out.Broken != "" {
 					found.CompareAndSwap(0, seed)
@@ -97,8 +98,8 @@
 	group.Wait()
 	close(done)
 	took := time.Since(began)
-	fmt.Printf("%d schedules in %v on %d workers (%.0f a second), %d starts of tasks\n", played.Load(), took.Round(time.Millisecond), workers,
-		float64(played.Load())/took.Seconds(), starts.Load())
+	fmt.Printf("%d schedules in %v on %d workers (%.0f a second), %d starts of tasks, %d tasks ended with a lease\n", played.Load(), took.Round(time.Millisecond), workers,
+		float64(played.Load())/took.Seconds(), starts.Load(), leaseKilled.Load())
 	fmt.Println(met.String())
 	seed := found.Load()
 	if seed == 0 {
@@ -145,6 +146,8 @@
 		return "preempting"
 	case seed%6 == 1:
 		return "restarts"
+	case seed%6 == 5:
+		return "rolling"
 	}
 	return "further"
 }
@@ -152,7 +155,7 @@
 // plans returns the generator that draws the schedule of a seed.
 func (c *runCmd) plans(seed uint64) *rapid.Generator[simtest.Plan] {
 	return map[string]*rapid.Generator[simtest.Plan]{"faults": simtest.Plans, "meetings": simtest.OverlappingFaults, "further": simtest.RareFaults,
-		"preempting": simtest.Preempting, "restarts": simtest.RestartedWorkers}[c.drawn(seed)]
+		"preempting": simtest.Preempting, "restarts": simtest.RestartedWorkers, "rolling": simtest.RollingRestarts}[c.drawn(seed)]
 }
 
 // printStory prints a schedule's story.
--- a/internal/simtest/cmd/mutants.go
+++ b/internal/simtest/cmd/mutants.go
@@ -27,7 +27,7 @@
 
 type mutantsCmd struct {
 	For  time.Duration `help:"How long to explore each; 0: play the scripted rows alone." default:"1m"`
-	Draw string        `help:"What to draw; see run." enum:"all,faults,meetings,further,preempting,restarts" default:"all"`
+	Draw string        `help:"What to draw; see run." enum:"all,faults,meetings,further,preempting,restarts,rolling" default:"all"`
 	Only string        `help:"Only those whose names contain this."`
 
 	BuildOnly bool `help:"Only build each, and explore nothing."`
--- a/internal/simtest/machines.go
+++ b/internal/simtest/machines.go
@@ -202,6 +202,9 @@
 		m.cluster.sim.logf("%s kills its tasks: its lease is over", m.name)
 	}
 	for _, t := range m.tasks {
+		if t.on && !t.job.cancelRequested {
+			m.cluster.leaseKilled++
+		}
 		m.off(t)
 	}
 	m.tasks = nil
--- a/internal/simtest/plan.go
+++ b/internal/simtest/plan.go
@@ -281,6 +281,7 @@
 	// these tasks was gone.
 	Checkpoints, Caught int
 	CaughtStopTime      time.Duration
+	LeaseKilled         int           // number of tasks of jobs that nobody cancelled which ended with the lease of their machine
 	Missed              int           // faults that found no target
 	Met                 [MetKinds]int // number of observed events of each kind
 	Trace               uint64
@@ -332,6 +333,7 @@
 	}
 	out.Broken, out.Starts = w.sim.broken, w.starts
 	out.StopTime, out.Cancelled, out.Again, out.Missed, out.Met = w.stopTime, w.confirmedCancellations, w.firstStartAfterFaults, w.missed, w.met
+	out.LeaseKilled = w.leaseKilled
 	out.Checkpoints, out.Caught, out.CaughtStopTime = w.checkpoints, w.caught, w.caughtStopTime
 	return out
 }
@@ -477,6 +479,9 @@
 	}
 }
 
+// leaderIndex is the index of the controller that holds the leader key.
+const leaderIndex = 7
+
 // controller returns the i-th controller, or the holder of the leader key if i is out of range.
 func (w *cluster) controller(i int) *node {
 	if i < len(w.nodes) {
--- a/internal/simtest/rare_faults.go
+++ b/internal/simtest/rare_faults.go
@@ -103,7 +103,9 @@
 		x.badRequests = max(x.badRequests, until)
 		w.users.Spawn(func() { w.sendBadRequests(until) })
 	case "cancel now":
-		w.cancelNow(f)
+		w.cancelNow(f, func(*job) bool { return true })
+	case "cancel out of reach":
+		w.cancelNow(f, w.hasTaskOutOfReach)
 	case "mute machine":
 		if m != nil {
 			w.silence(m, until)
@@ -138,12 +140,12 @@
 	return false
 }
 
-// cancelNow makes users cancel up to three running jobs within a fifth of a second. With Hold, the machines of
+// cancelNow makes users cancel up to three of some running jobs within a fifth of a second. With Hold, the machines of
 // these jobs hang.
-func (w *cluster) cancelNow(f Fault) {
+func (w *cluster) cancelNow(f Fault, some func(j *job) bool) {
 	n := 0
 	for _, j := range w.all {
-		if n == 3 || !j.accepted || j.told.Final() || len(j.on) == 0 {
+		if n == 3 || !j.accepted || j.told.Final() || len(j.on) == 0 || !some(j) {
 			continue
 		}
 		n++
@@ -319,6 +321,16 @@
 	}
 }
 
+// hasTaskOutOfReach reports whether a task of a job is on a machine that is out of reach.
+func (w *cluster) hasTaskOutOfReach(j *job) bool {
+	for i := range j.finished {
+		if m := j.on[i]; m != nil && w.outOfReach(m) {
+			return true
+		}
+	}
+	return false
+}
+
 // outOfReach reports whether a machine hangs, is mute, or cannot exchange messages with the leader.
 func (w *cluster) outOfReach(m *worker) bool {
 	n := w.controller(len(w.nodes))
