--- a/internal/simtest/seeds_test.go
+++ b/internal/simtest/seeds_test.go
@@ -61,3 +61,12 @@
 		t.Errorf("breaks %s: %+v", out.Broken, out)
 	}
 }
+
+// TestSeed56100000698 plays the first schedule in which the simulation found review/2, in the draw `rolling`: a
+// restarted owner keeps a cancelled job's task alive while the state service is out (ran_cancelled).
+func TestSeed56100000698(t *testing.T) {
+	out := Run(RollingRestarts.Example(56100000698), nil, 0)
+	if out.Broken != "" {
+		t.Errorf("breaks %s: %+v", out.Broken, out)
+	}
+}
