--- a/internal/optimum/cmd/main.go
+++ b/internal/optimum/cmd/main.go
@@ -26,20 +26,41 @@
 	if err != nil {
 		return err
 	}
-	q := optimum.Question{First: c.First, Window: c.Window, Within: c.Within, CPUs: make([]float64, int(d.End/c.Window)+1)}
+	jobs, inTime := c.jobs(d)
+	q := optimum.Question{First: c.First, Window: c.Window, Within: c.Within, CPUs: c.capacity(d), Jobs: jobs}
+	a, err := optimum.Solve(q)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("at most %.2f of each class could have begun within %v\n", a.Share, c.Within)
+	for class, n := range a.Jobs {
+		fmt.Printf("%s: %d jobs, all tasks of %d of them had started by then\n", class, n, inTime[class])
+	}
+	return nil
+}
+
+// capacity returns the CPUs of a day's machines by window. A machine that was up for part of a window counts for the
+// whole window.
+func (c *cli) capacity(d *replay.Day) []float64 {
+	cpus := make([]float64, int(d.End/c.Window)+1)
 	for _, m := range d.Machines.All() {
 		gone := m.EndedAt
 		if gone < 0 {
 			gone = d.End
 		}
-		for w := range q.CPUs { // a machine that was up for part of a window counts for the whole window
+		for w := range cpus {
 			if at := time.Duration(w) * c.Window; m.Up >= 0 && m.Up < at+c.Window && gone > at {
-				q.CPUs[w] += d.Types[m.Pool.Type].Size.CPUs
+				cpus[w] += d.Types[m.Pool.Type].Size.CPUs
 			}
 		}
 	}
+	return cpus
+}
+
+// jobs returns a day's jobs that were not cancelled, and by class how many of them had started in time.
+func (c *cli) jobs(d *replay.Day) (jobs []optimum.Job, inTime map[string]int) {
 	runs := meanRuns(d)
-	inTime := map[string]int{}
+	inTime = map[string]int{}
 	for _, j := range d.Jobs.All() {
 		if j.Cancelled >= 0 || j.Submitted < 0 {
 			continue
@@ -48,20 +69,12 @@
 		if limit := d.Config.Teams[s.Team].Limit.CPUs; limit > 0 && s.Shape == model.Array {
 			tasks = min(tasks, model.Size{CPUs: s.Size.CPUs}.Slots(model.Size{CPUs: limit}))
 		}
-		q.Jobs = append(q.Jobs, optimum.Job{Class: s.Class, At: j.Submitted, Tasks: tasks, CPUs: s.Size.CPUs, Runs: runs[s.Class]})
+		jobs = append(jobs, optimum.Job{Class: s.Class, At: j.Submitted, Tasks: tasks, CPUs: s.Size.CPUs, Runs: runs[s.Class]})
 		if j.Started >= 0 && j.Started-j.Submitted <= c.Within {
 			inTime[s.Class]++
 		}
 	}
-	a, err := optimum.Solve(q)
-	if err != nil {
-		return err
-	}
-	fmt.Printf("at most %.2f of each class could have begun within %v\n", a.Share, c.Within)
-	for class, n := range a.Jobs {
-		fmt.Printf("%s: %d jobs, all tasks of %d of them had started by then\n", class, n, inTime[class])
-	}
-	return nil
+	return jobs, inTime
 }
 
 // meanRuns returns the mean run time of completed tasks by class.
--- a/internal/optimum/optimum.go
+++ b/internal/optimum/optimum.go
@@ -107,54 +107,80 @@
 			classes = append(classes, j.Class)
 		}
 	}
-	groups := problem.groups()
-	type column struct{ group, window int }
-	var columns []column
-	for g, x := range groups {
-		for w := x.window; w <= x.window+int(problem.Within/problem.Window) && w < len(problem.CPUs); w++ {
-			columns = append(columns, column{g, w})
-		}
+	share, err := newProgram(problem, classes, out.Jobs).maximise()
+	if err != nil {
+		return Answer{}, fmt.Errorf("bound: %w", err)
 	}
-	// The rows are CPUs by window, jobs by group, and classes. The columns are the shares of a group that start in a
-	// window, the share to maximise, and one slack variable per row. The slack variables are the initial basis.
-	rows := len(problem.CPUs) + len(groups) + len(classes)
-	share := len(columns)
-	a := mat.NewDense(rows, share+1+rows, nil)
-	b := make([]float64, rows)
-	for w, cpus := range problem.CPUs {
-		a.Set(w, share+1+w, 1)
-		b[w] = cpus
+	out.Share = share
+	return out, nil
+}
+
+// program is the linear program of a question. The rows are CPUs by window, jobs by group, and classes. The columns
+// are the shares of a group that start in a window, the share to maximise, and one slack variable per row. The slack
+// variables are the initial basis.
+type program struct {
+	matrix *mat.Dense
+	bounds []float64
+	share  int // column of the share to maximise
+}
+
+// startColumn is the column of the share of a group that starts in a window.
+type startColumn struct{ group, window int }
+
+// newProgram returns the linear program of a question without first classes. jobs is the number of jobs by class.
+func newProgram(problem Question, classes []string, jobs map[string]int) *program {
+	groups := problem.groups()
+	columns := startColumns(problem, groups)
+	windows := len(problem.CPUs)
+	rows := windows + len(groups) + len(classes)
+	p := &program{matrix: mat.NewDense(rows, len(columns)+1+rows, nil), bounds: make([]float64, rows), share: len(columns)}
+	for row := range rows {
+		p.matrix.Set(row, p.share+1+row, 1) // the slack variable
 	}
+	copy(p.bounds, problem.CPUs)
 	for i, c := range columns {
 		g := groups[c.group]
-		left := max(1e-3, g.Runs.Seconds()/problem.Window.Seconds()) // run time of a task in windows
-		for w := c.window; w < len(problem.CPUs) && left > 0; w++ {
-			a.Set(w, i, float64(g.jobs*g.Tasks)*g.CPUs*min(1, left))
-			left--
-		}
-		a.Set(len(problem.CPUs)+c.group, i, 1)
-		a.Set(len(problem.CPUs)+len(groups)+slices.Index(classes, g.Class), i, -float64(g.jobs)/float64(out.Jobs[g.Class]))
+		p.setUse(i, c.window, g, problem)
+		p.matrix.Set(windows+c.group, i, 1)
+		p.matrix.Set(windows+len(groups)+slices.Index(classes, g.Class), i, -float64(g.jobs)/float64(jobs[g.Class]))
 	}
 	for g := range groups {
-		row := len(problem.CPUs) + g
-		a.Set(row, share+1+row, 1)
-		b[row] = 1
+		p.bounds[windows+g] = 1
 	}
 	for k := range classes {
-		row := len(problem.CPUs) + len(groups) + k
-		a.Set(row, share, 1)
-		a.Set(row, share+1+row, 1)
+		p.matrix.Set(windows+len(groups)+k, p.share, 1)
 	}
-	goal := make([]float64, share+1+rows)
-	goal[share] = -1
+	return p
+}
+
+// startColumns returns a column for each group and each window in which it may start in time.
+func startColumns(problem Question, groups []group) (columns []startColumn) {
+	for g, x := range groups {
+		for w := x.window; w <= x.window+int(problem.Within/problem.Window) && w < len(problem.CPUs); w++ {
+			columns = append(columns, startColumn{g, w})
+		}
+	}
+	return columns
+}
+
+// setUse sets the CPUs that a group occupies in each window if it starts in the given one.
+func (p *program) setUse(column, window int, g group, problem Question) {
+	left := max(1e-3, g.Runs.Seconds()/problem.Window.Seconds()) // run time of a task in windows
+	for w := window; w < len(problem.CPUs) && left > 0; w++ {
+		p.matrix.Set(w, column, float64(g.jobs*g.Tasks)*g.CPUs*min(1, left))
+		left--
+	}
+}
+
+// maximise returns the largest share.
+func (p *program) maximise() (float64, error) {
+	rows := len(p.bounds)
+	goal := make([]float64, p.share+1+rows)
+	goal[p.share] = -1
 	basis := make([]int, rows)
 	for i := range basis {
-		basis[i] = share + 1 + i
+		basis[i] = p.share + 1 + i
 	}
-	opt, _, err := lp.Simplex(goal, a, b, 1e-9, basis)
-	if err != nil {
-		return Answer{}, fmt.Errorf("bound: %w", err)
-	}
-	out.Share = -opt
-	return out, nil
+	opt, _, err := lp.Simplex(goal, p.matrix, p.bounds, 1e-9, basis)
+	return -opt, err
 }
