--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -303,19 +303,25 @@
 	reply(w, 200, map[string]any{"pairs": pairs, "more": len(names) > len(pairs), "ledgerRev": s.rev})
 }
 
+// transaction is the body of a request to change keys under conditions.
+type transaction struct {
+	Guards []struct {
+		K     string `json:"k"`
+		Stamp uint64 `json:"stamp"`
+	} `json:"guards"`
+	Writes []keyWrite `json:"writes"`
+}
+
+// keyWrite sets or deletes one key.
+type keyWrite struct {
+	Set    string          `json:"set"`
+	Value  json.RawMessage `json:"value"`
+	Permit uint64          `json:"permit"`
+	Delete string          `json:"delete"`
+}
+
 func (s *State) txn(w http.ResponseWriter, r *http.Request) {
-	var t struct {
-		Guards []struct {
-			K     string `json:"k"`
-			Stamp uint64 `json:"stamp"`
-		} `json:"guards"`
-		Writes []struct {
-			Set    string          `json:"set"`
-			Value  json.RawMessage `json:"value"`
-			Permit uint64          `json:"permit"`
-			Delete string          `json:"delete"`
-		} `json:"writes"`
-	}
+	var t transaction
 	if json.NewDecoder(r.Body).Decode(&t) != nil {
 		reply(w, 400, map[string]string{"error": "malformed"})
 		return
@@ -323,46 +329,62 @@
 	s.writes.Add(int64(len(t.Writes)))
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, c := range t.Writes {
-		if c.Set != "" && c.Permit != 0 && s.leases[c.Permit] == nil {
-			reply(w, 400, map[string]string{"error": "no such lease"})
-			return
+	if problem := s.problemOf(&t); problem != "" {
+		reply(w, 400, map[string]string{"error": problem})
+		return
+	}
+	if failed := s.failedGuards(&t); len(failed) > 0 {
+		reply(w, 409, map[string]any{"failed": failed, "ledgerRev": s.rev})
+		return
+	}
+	if len(t.Writes) > 0 {
+		s.rev++
+	}
+	for _, write := range t.Writes {
+		s.apply(write)
+	}
+	reply(w, 200, map[string]uint64{"ledgerRev": s.rev})
+}
+
+// problemOf returns why a transaction is refused whatever its conditions, or "".
+func (s *State) problemOf(t *transaction) string {
+	for _, write := range t.Writes {
+		if write.Set != "" && write.Permit != 0 && s.leases[write.Permit] == nil {
+			return "no such lease"
 		}
 	}
 	tooLarge := s.maxOps > 0 && (len(t.Writes) > s.maxOps || len(t.Guards) > 4*s.maxOps)
-	for _, c := range t.Writes {
-		tooLarge = tooLarge || (s.maxValue > 0 && len(c.Value) > s.maxValue)
+	for _, write := range t.Writes {
+		tooLarge = tooLarge || (s.maxValue > 0 && len(write.Value) > s.maxValue)
 	}
 	if tooLarge {
-		reply(w, 400, map[string]string{"error": "above the limits"})
-		return
+		return "above the limits"
 	}
-	var failed []string
-	for _, g := range t.Guards {
-		if s.keys[g.K].revision != g.Stamp {
-			failed = append(failed, g.K)
+	return ""
+}
+
+// failedGuards returns the keys that do not have the revision which a transaction requires.
+func (s *State) failedGuards(t *transaction) (failed []string) {
+	for _, guard := range t.Guards {
+		if s.keys[guard.K].revision != guard.Stamp {
+			failed = append(failed, guard.K)
 		}
 	}
-	if len(failed) > 0 {
-		reply(w, 409, map[string]any{"failed": failed, "ledgerRev": s.rev})
+	return failed
+}
+
+// apply applies a write at the present revision.
+func (s *State) apply(write keyWrite) {
+	if write.Set == "" {
+		delete(s.keys, write.Delete)
+		s.record(change{Delete: write.Delete, Revision: s.rev})
 		return
 	}
-	if len(t.Writes) > 0 {
-		s.rev++
+	s.keys[write.Set] = entry{write.Value, s.rev, write.Permit}
+	if strings.HasPrefix(write.Set, "job") {
+		s.recordJob(write.Value)
 	}
-	for _, c := range t.Writes {
-		if c.Set != "" {
-			s.keys[c.Set] = entry{c.Value, s.rev, c.Permit}
-			if strings.HasPrefix(c.Set, "job") {
-				s.recordJob(c.Value)
-			}
-			s.record(change{Set: c.Set, Value: c.Value, Revision: s.rev})
-		} else {
-			delete(s.keys, c.Delete)
-			s.record(change{Delete: c.Delete, Revision: s.rev})
-		}
-	}
-	reply(w, 200, map[string]uint64{"ledgerRev": s.rev})
+	s.record(change{Set: write.Set, Value: write.Value, Revision: s.rev})
 }
 
 func (s *State) grantLease(w http.ResponseWriter, r *http.Request) {
