workers: an answer that cannot carry all of its stops is not given

What callers would see: on a machine with more than 200 tasks of cancelled jobs, the tasks beyond the 200th live on for a lease, and beyond cancel_s if the machine loses the network after that answer.

Cause: the stops of tasks whose jobs are not open were cut off at maxOrders, but the answer extends the lease of all tasks that the report shows.

Change: such a report waits; direct calls stop tasks meanwhile, and extend nothing. The stops come first among the commands of an answer, which are maxOrders in all, as they were before; merging them needs no function of its own.

Test: the row "more stops than an answer carries" of TestAwaitsAcknowledgement was answered with 200 before. Its rows for the list of open jobs share their steps now; each checks what it did.

--- a/internal/workers/acknowledge.go
+++ b/internal/workers/acknowledge.go
@@ -49,7 +49,7 @@
 // acknowledge records the last change of this registry that the leader has seen.
 //
 // Guard: a leader of an earlier version sends NoChangesWanted to a restarted owner, together with a lease, although it
-// may not know what runs on the owner's machines (TestRestartedOwnerStopsCancelledTasks).
+// may not know what runs on the owner's machines (TestAwaitsAcknowledgement).
 func (reg *Registry) acknowledge(change uint64) {
 	if change <= reg.lastChange {
 		reg.acknowledgedChange = max(reg.acknowledgedChange, change)
@@ -72,11 +72,8 @@
 	switch {
 	case !hasLiveTask(heartbeat):
 	case reg.openJobs.validAt(now, reg.options.CancelGrace):
-		if stops = reg.stopsOfClosedJobs(heartbeat); len(stops) > 0 {
-			basis = StopsCancelled
-		} else {
-			basis = JobsOpen
-		}
+		stops = reg.stopsOfClosedJobs(heartbeat)
+		basis = basisOfStops(len(stops))
 	case reg.isAcknowledged(machine, heartbeat):
 		basis = Acknowledged
 	default:
@@ -86,6 +83,20 @@
 	return stops, basis != AwaitsLeader
 }
 
+// basisOfStops returns the basis of an answer by the list of open jobs that must carry a number of stops.
+//
+// Guard: an answer extends the lease of every task that the heartbeat shows. One that left out some of the stops would
+// keep cancelled tasks alive (TestAwaitsAcknowledgement). Direct calls stop tasks meanwhile.
+func basisOfStops(stops int) AnswerBasis {
+	switch {
+	case stops == 0:
+		return JobsOpen
+	case stops <= maxOrders:
+		return StopsCancelled
+	}
+	return AwaitsLeader
+}
+
 // hasLiveTask reports whether a heartbeat shows a task that has not exited.
 func hasLiveTask(heartbeat *model.Heartbeat) bool {
 	for i := range heartbeat.Tasks {
@@ -106,7 +117,7 @@
 	for i := range heartbeat.Tasks {
 		task := &heartbeat.Tasks[i]
 		job, _, _ := strings.Cut(task.Task, "/")
-		if task.State == model.TaskExited || reg.openJobs.contains(job) || len(stops) >= maxOrders {
+		if task.State == model.TaskExited || reg.openJobs.contains(job) {
 			continue
 		}
 		noGrace := 0.0
--- a/internal/workers/acknowledge_test.go
+++ b/internal/workers/acknowledge_test.go
@@ -106,96 +106,74 @@
 
 // byOpenJobs holds the tests in which the leader sends its list of open jobs. It acknowledges nothing.
 var byOpenJobs = []acknowledgementTest{
-	{name: "all jobs are open", steps: func(registry *Registry) HeartbeatResult {
-		registry.HandleRound(at(0.5), openJobsRound(0.5, "i", "j"))
-		return registry.HandleHeartbeat(at(1), newHeartbeat(1, 1, 0, running("j/1"), running("i/0")))
-	}},
-	{name: "one job is not", answer: []string{"stop i/0"}, steps: func(registry *Registry) HeartbeatResult {
-		registry.HandleRound(at(0.5), openJobsRound(0.5, "j"))
-		return registry.HandleHeartbeat(at(1), newHeartbeat(1, 1, 0, running("j/1"), running("i/0"), inState("i/1", model.TaskExited)))
-	}},
-	{name: "one job was closed since", answer: []string{"stop j/1"}, steps: func(registry *Registry) HeartbeatResult {
-		registry.HandleRound(at(0.5), openJobsRound(0.5, "i", "j"))
-		round := newRound(5, 40)
-		round.OpenJobs = &peerspb.OpenJobs{List: 1, From: 2, To: 3, Closed: []string{"j"}, Complete: true, ViewedNs: 8e8}
-		registry.HandleRound(at(0.8), round)
-		return registry.HandleHeartbeat(at(1), newHeartbeat(1, 1, 0, running("j/1")))
+	{name: "all jobs are open", steps: reportAfter(openJobsRound(0.5, "i", "j").OpenJobs)},
+	{name: "one job is not", answer: []string{"stop j/1"}, steps: reportAfter(openJobsRound(0.5, "i").OpenJobs)},
+	{name: "one job was closed since", answer: []string{"stop j/1"}, steps: reportAfter(openJobsRound(0.5, "i", "j").OpenJobs, closing(2))},
+	{name: "an earlier message arrives after a later one", answer: []string{"stop j/1"}, steps: reportAfter(closing(0), openJobsRound(0.5, "j").OpenJobs)},
+	{name: "a rewritten list replaces the one before", answer: []string{"stop j/1"}, steps: reportAfter(openJobsRound(0.5, "i", "j").OpenJobs,
+		&peerspb.OpenJobs{List: 2, To: 1, Opened: []string{"i"}, Complete: true, ViewedNs: 8e8})},
+	{name: "a message before was lost", pending: true, steps: reportAfter(closing(1))},
+	{name: "the list is not complete", pending: true, steps: reportAfter(&peerspb.OpenJobs{List: 1, To: 2, Opened: []string{"i", "j"}, ViewedNs: 5e8})},
+	{name: "the time is not over that is left for answers after the view", steps: reportAfter(openJobsRound(-13.9, "i", "j").OpenJobs)},
+	{name: "that time is over", pending: true, steps: reportAfter(openJobsRound(-14.1, "i", "j").OpenJobs)},
+	{name: "more stops than an answer carries", pending: true, steps: func(registry *Registry) HeartbeatResult {
+		registry.HandleRound(at(0.5), openJobsRound(0.5, "i"))
+		return registry.HandleHeartbeat(at(1), newHeartbeat(1, 1, 0, slices.Repeat([]model.TaskStatus{running("j/1")}, maxOrders+1)...))
 	}},
 	{name: "the machine's tasks were acknowledged when their job was open", answer: []string{"stop j/1"}, steps: func(registry *Registry) HeartbeatResult {
-		registry.HandleHeartbeat(at(1), newHeartbeat(1, 1, 5, running("j/1")))
-		acknowledgeAll(registry, 1.1, 5, 10)
-		registry.HandleRound(at(1.2), openJobsRound(1.2))
-		return registry.HandleHeartbeat(at(1.3), newHeartbeat(1, 2, 5, running("j/1")))
+		acknowledgeTask(registry)
+		registry.HandleRound(at(1.3), openJobsRound(1.3))
+		return registry.HandleHeartbeat(at(1.5), newHeartbeat(1, 2, 5, running("j/1")))
 	}},
 	{name: "the leader has ordered the stop already", answer: []string{"stop j/1"}, steps: func(registry *Registry) HeartbeatResult {
-		registry.HandleHeartbeat(at(1), newHeartbeat(1, 1, 5, running("j/1")))
-		acknowledgeAll(registry, 1.1, 5, 10, newOrder(1, peerspb.Op_OP_STOP, 1))
-		registry.HandleRound(at(1.2), openJobsRound(1.2))
-		return registry.HandleHeartbeat(at(1.3), newHeartbeat(1, 2, 5, running("j/1")))
-	}},
-	{name: "until the time is over that is left for answers after the view", steps: func(registry *Registry) HeartbeatResult {
-		registry.HandleRound(at(0.5), openJobsRound(0.5, "j"))
-		return registry.HandleHeartbeat(at(15.4), newHeartbeat(1, 1, 0, running("j/1")))
-	}},
-	{name: "after that time", pending: true, steps: func(registry *Registry) HeartbeatResult {
-		registry.HandleRound(at(0.5), openJobsRound(0.5, "j"))
-		return registry.HandleHeartbeat(at(15.6), newHeartbeat(1, 1, 0, running("j/1")))
-	}},
-	{name: "the list is not complete", pending: true, steps: func(registry *Registry) HeartbeatResult {
-		round := openJobsRound(0.5, "j")
-		round.OpenJobs.Complete = false
-		registry.HandleRound(at(0.5), round)
-		return registry.HandleHeartbeat(at(1), newHeartbeat(1, 1, 0, running("j/1")))
-	}},
-	{name: "a message before was lost", pending: true, steps: func(registry *Registry) HeartbeatResult {
-		round := openJobsRound(0.5, "j")
-		round.OpenJobs.From, round.OpenJobs.To = 1, 2
-		registry.HandleRound(at(0.5), round)
-		return registry.HandleHeartbeat(at(1), newHeartbeat(1, 1, 0, running("j/1")))
-	}},
-	{name: "an earlier message arrives after a later one", answer: []string{"stop j/1"}, steps: func(registry *Registry) HeartbeatResult {
-		late := openJobsRound(0.5, "j")
-		round := newRound(5, 40)
-		round.OpenJobs = &peerspb.OpenJobs{List: 1, To: 2, Closed: []string{"j"}, Complete: true, ViewedNs: 8e8}
-		registry.HandleRound(at(0.8), round)
-		registry.HandleRound(at(0.9), late)
-		return registry.HandleHeartbeat(at(1), newHeartbeat(1, 1, 0, running("j/1")))
-	}},
-	{name: "a rewritten list replaces the one before", answer: []string{"stop j/1"}, steps: func(registry *Registry) HeartbeatResult {
-		registry.HandleRound(at(0.5), openJobsRound(0.5, "i", "j"))
-		round := openJobsRound(0.8, "i")
-		round.OpenJobs.List = 2
-		registry.HandleRound(at(0.8), round)
-		return registry.HandleHeartbeat(at(1), newHeartbeat(1, 1, 0, running("j/1")))
+		acknowledgeTask(registry, newOrder(1, peerspb.Op_OP_STOP, 1))
+		registry.HandleRound(at(1.3), openJobsRound(1.3))
+		return registry.HandleHeartbeat(at(1.5), newHeartbeat(1, 2, 5, running("j/1")))
 	}},
 	{name: "the agent restarted, and runs a task of a cancelled job", answer: []string{"stop i/0"}, steps: func(registry *Registry) HeartbeatResult {
-		restartAgent(registry)
+		acknowledgeTask(registry)
+		registry.HandleHeartbeat(at(1.5), newHeartbeat(1, 2, 5)) // of another incarnation
 		registry.HandleRound(at(1.6), openJobsRound(1.6, "j"))
 		return registry.HandleHeartbeat(at(2), newHeartbeat(1, 3, 5, running("j/1"), running("i/0")))
 	}},
 	{name: "the agent restarted, and runs a task that was not acknowledged", pending: true, steps: func(registry *Registry) HeartbeatResult {
-		restartAgent(registry)
+		acknowledgeTask(registry)
+		registry.HandleHeartbeat(at(1.5), newHeartbeat(1, 2, 5))
 		return registry.HandleHeartbeat(at(2), newHeartbeat(1, 3, 5, running("j/1"), running("i/0")))
 	}},
 	{name: "a contradiction shows a task of a cancelled job", answer: []string{"stop i/0"}, steps: func(registry *Registry) HeartbeatResult {
-		registry.HandleRound(at(0.5), openJobsRound(0.5, "j"))
-		registry.HandleHeartbeat(at(1), newHeartbeat(1, 1, 5, running("j/1")))
+		acknowledgeTask(registry)
+		registry.HandleRound(at(1.3), openJobsRound(1.3, "j"))
 		return registry.HandleHeartbeat(at(2), newHeartbeat(1, 2, 5, running("i/0")))
 	}},
 	{name: "a contradiction shows a task that was not acknowledged", pending: true, steps: func(registry *Registry) HeartbeatResult {
-		registry.HandleHeartbeat(at(1), newHeartbeat(1, 1, 5, running("j/1")))
-		acknowledgeAll(registry, 1.1, 5, 10)
-		registry.HandleHeartbeat(at(1.2), newHeartbeat(1, 1, 5, running("j/1")))
+		acknowledgeTask(registry)
 		return registry.HandleHeartbeat(at(2), newHeartbeat(1, 2, 5, running("i/0")))
 	}},
 }
 
-// restartAgent has a machine run an acknowledged task, and two incarnations of its agent show themselves.
-func restartAgent(registry *Registry) {
+// reportAfter returns steps in which some messages of open jobs come first, and then a heartbeat of tasks of jobs i and j.
+func reportAfter(messages ...*peerspb.OpenJobs) func(registry *Registry) HeartbeatResult {
+	return func(registry *Registry) HeartbeatResult {
+		for _, message := range messages {
+			round := newRound(5, 40)
+			round.OpenJobs = message
+			registry.HandleRound(at(0.9), round)
+		}
+		return registry.HandleHeartbeat(at(1), newHeartbeat(1, 1, 0, running("j/1"), running("i/0"), inState("k/1", model.TaskExited)))
+	}
+}
+
+// closing returns a message that opens job i and closes job j, after a number of changes.
+func closing(from uint64) *peerspb.OpenJobs {
+	return &peerspb.OpenJobs{List: 1, From: from, To: from + 2, Opened: []string{"i"}, Closed: []string{"j"}, Complete: true, ViewedNs: 8e8}
+}
+
+// acknowledgeTask has a machine run a task that the leader acknowledges, with some orders.
+func acknowledgeTask(registry *Registry, orders ...*peerspb.Order) {
 	registry.HandleHeartbeat(at(1), newHeartbeat(1, 1, 5, running("j/1")))
-	acknowledgeAll(registry, 1.1, 5, 10)
+	acknowledgeAll(registry, 1.1, 5, 10, orders...)
 	registry.HandleHeartbeat(at(1.2), newHeartbeat(1, 1, 5, running("j/1")))
-	registry.HandleHeartbeat(at(1.5), newHeartbeat(1, 2, 5))
 }
 
 // The heartbeat of a machine with tasks is answered under a new token only if the leader's list shows which of their
--- a/internal/workers/heartbeat.go
+++ b/internal/workers/heartbeat.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/marlwood/marlwood/internal/model"
@@ -169,12 +168,12 @@
 	machine.agent.answeredSeq = heartbeat.Seq
 	if heartbeat.Token != reg.token {
 		machine.directCall.tokenSent = true
-		return reg.accepted(mergeStops(machine.stopCommands(), stops))
+		return reg.accepted(machine.stopCommands(stops))
 	}
 	if heartbeat.Seq != machine.newest.seq { // a direct call has overtaken it while it waited
-		return reg.accepted(mergeStops(machine.stopCommands(), stops))
+		return reg.accepted(machine.stopCommands(stops))
 	}
-	return reg.accepted(mergeStops(reg.takeCommands(machine), stops))
+	return reg.accepted(reg.takeCommands(machine, stops))
 }
 
 // acceptStops answers a heartbeat that was not applied: the answer carries stops only. The result is pending if it is
@@ -185,22 +184,7 @@
 		return unacknowledged()
 	}
 	reg.recordContact(now, machine)
-	return reg.accepted(mergeStops(machine.stopCommands(), stops))
-}
-
-// mergeStops appends stops to the commands of an answer, except those of tasks that a command stops without time for
-// a checkpoint.
-func mergeStops(commands, stops []model.Command) []model.Command {
-	ordered := len(commands)
-	for _, stop := range stops {
-		stops := func(command model.Command) bool {
-			return command.Op == "stop" && command.Task == stop.Task && command.Attempt == stop.Attempt && *command.GraceS == 0
-		}
-		if !slices.ContainsFunc(commands[:ordered], stops) {
-			commands = append(commands, stop)
-		}
-	}
-	return commands
+	return reg.accepted(machine.stopCommands(stops))
 }
 
 // applyHeartbeat updates a machine's state from its newest heartbeat, which the worker sent either by
--- a/internal/workers/orders.go
+++ b/internal/workers/orders.go
@@ -1,6 +1,7 @@
 package workers
 
 import (
+	"slices"
 	"time"
 
 	"github.com/marlwood/marlwood/internal/model"
@@ -128,14 +129,13 @@
 	return nil
 }
 
-// takeCommands returns the commands for one answer. Every command is repeated until a heartbeat shows its
+// takeCommands returns the commands for one answer, which begins with some stops. Every command is repeated until a heartbeat shows its
 // effect: a worker that has executed a start ignores it the next time, and one that has not may still
 // execute it from an earlier message, so its task must appear in a heartbeat.
-func (reg *Registry) takeCommands(machine *machineState) []model.Command {
-	var commands []model.Command
+func (reg *Registry) takeCommands(machine *machineState, commands []model.Command) []model.Command {
 	machine.resolveOrders(func(order *pendingOrder) bool { return machine.isRedundant(order) })
 	for _, order := range machine.pendingOrders {
-		if len(commands) >= maxOrders || !machine.isDeliverable(order) {
+		if len(commands) >= maxOrders || !machine.isDeliverable(order) || order.isStopIn(commands) {
 			continue
 		}
 		if order.isStart() && order.state == queued {
@@ -155,18 +155,24 @@
 	return !m.mustKeepAttempt(order)
 }
 
-// stopCommands returns the pending stops, for an answer that must carry no starts. A stop names its
-// attempt, so it cannot stop anything else when it arrives late.
-func (m *machineState) stopCommands() []model.Command {
-	var commands []model.Command
+// stopCommands returns some stops and the pending ones, for an answer that must carry no starts. A stop names
+// its attempt, so it cannot stop anything else when it arrives late.
+func (m *machineState) stopCommands(commands []model.Command) []model.Command {
 	for _, order := range m.pendingOrders {
-		if order.isStop() && len(commands) < maxOrders && !m.isRedundant(order) {
+		if order.isStop() && len(commands) < maxOrders && !m.isRedundant(order) && !order.isStopIn(commands) {
 			commands = append(commands, order.command())
 		}
 	}
 	return commands
 }
 
+// isStopIn reports whether the order is a stop of an attempt that one of the commands stops.
+func (o *pendingOrder) isStopIn(commands []model.Command) bool {
+	return o.isStop() && slices.ContainsFunc(commands, func(command model.Command) bool {
+		return command.Op == "stop" && command.Attempt == o.attempt && o.key().isNamed(command.Task)
+	})
+}
+
 // isRedundant reports whether a stop or a forget has already taken effect.
 func (m *machineState) isRedundant(order *pendingOrder) bool {
 	task := m.reportedTask(order)
