placement: the list of open jobs is read from the jobs

The log kept a set of the open jobs beside the cluster state's own jobs, and whether a job is open was decided in four places. The log holds names only and a message says which of them are open when it is made; ClusterState.IsOpen decides for the log, the scheduler, the controller and stopUnwanted. Comments name the tests that show their guards.

--- a/internal/controller/job_watch.go
+++ b/internal/controller/job_watch.go
@@ -61,7 +61,7 @@
 // resyncJobs replaces the scheduler's jobs by a full list after changes were missed.
 func (t *leaderTerm) resyncJobs(jobs []store.Item) {
 	t.scheduler.ReplaceJobs(t.ctrl.env.Now(), jobs)
-	t.shardRevisions.retain(t.isOpen)
+	t.shardRevisions.retain(t.scheduler.IsOpen)
 	t.nextDependencyCheck = time.Time{}
 	t.startRoundSoon()
 }
@@ -82,9 +82,3 @@
 	t.nextDependencyCheck = time.Time{}
 	t.startRoundSoon()
 }
-
-// isOpen reports whether a job is known and has neither ended nor been cancelled.
-func (t *leaderTerm) isOpen(job string) bool {
-	state := t.scheduler.Jobs().At(job)
-	return state != nil && !state.Cancelled
-}
--- a/internal/controller/job_writes.go
+++ b/internal/controller/job_writes.go
@@ -85,10 +85,10 @@
 
 // jobWriteDone applies the result of a write to the scheduler. It runs on the event loop.
 func (t *leaderTerm) jobWriteDone(write *placement.JobWrite, done jobWriteResult) {
-	if done.partsRead && t.isOpen(write.ID) {
+	if done.partsRead && t.scheduler.IsOpen(write.ID) {
 		t.shardRevisions.reread(write, done.parts)
 	}
-	if done.stored && t.isOpen(write.ID) {
+	if done.stored && t.scheduler.IsOpen(write.ID) {
 		t.shardRevisions.written(write, done.revision)
 	}
 	t.scheduler.WriteDone(t.ctrl.env.Now(), write, t.jobWriteOutcome(write, done), done.revision, done.current)
--- a/internal/controller/loading.go
+++ b/internal/controller/loading.go
@@ -154,7 +154,7 @@
 		UsageMark:      records.watermark,
 	})
 	t.shardRevisions.load(records.parts)
-	t.shardRevisions.retain(t.isOpen)
+	t.shardRevisions.retain(t.scheduler.IsOpen)
 	t.loaded = true
 	t.assignInitialOwners(now)
 	t.rounds.next = now
--- a/internal/controller/open_jobs.go
+++ b/internal/controller/open_jobs.go
@@ -1,10 +1,6 @@
 package controller
 
-import (
-	"time"
-
-	"github.com/marlwood/marlwood/internal/peers/peerspb"
-)
+import "github.com/marlwood/marlwood/internal/peers/peerspb"
 
 // maxOpenJobChanges bounds the changes of the list of open jobs in one message, which gRPC limits to 4 MiB.
 const maxOpenJobChanges = 16384
@@ -16,7 +12,7 @@
 }
 
 // openJobsMessage returns the changes of the list of open jobs that a controller has not confirmed, or nil if the
-// controller does not use them. viewedAt is the request time of the last view of the jobs, on the controller's clock.
+// controller does not use them.
 func (t *leaderTerm) openJobsMessage(peer *peerProgress) *peerspb.OpenJobs {
 	if !peer.usesOpenJobs {
 		return nil
@@ -29,8 +25,7 @@
 // viewedAt returns the request time of the last view of the jobs, on a controller's own clock. It is not too late,
 // because the controller's clock was read before its answer arrived.
 func (t *leaderTerm) viewedAt(peer *peerProgress) int64 {
-	sinceAnswer := t.ctrl.elector.LastJobsView().Sub(peer.lastAnswer)
-	return peer.ownerClock + int64(sinceAnswer/time.Nanosecond)
+	return peer.ownerClock + int64(t.ctrl.elector.LastJobsView().Sub(peer.lastAnswer))
 }
 
 // recordOpenJobs records that a controller has the open jobs of the message that it answered, unless the token was
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -162,7 +162,7 @@
 	// which was made before the answer arrived here.
 	//
 	// Guard: a restarted owner has lost its stops. One of an earlier version would keep cancelled tasks alive
-	// (TestRestartedOwnerStopsCancelledTasks).
+	// (TestLeaseOfRestartedOwner).
 	if !peer.restarted || peer.usesOpenJobs {
 		request.GrantUntilNs = peer.ownerClock + int64(ctrl.timing.DelegatedLease)
 	}
--- a/internal/placement/cluster_state.go
+++ b/internal/placement/cluster_state.go
@@ -40,7 +40,7 @@
 
 	// Jobs and tasks.
 	jobs      *model.Table[string, *Job]
-	openJobs  *openJobLog
+	openJobs  openJobLog
 	upcoming  []*Job                       // jobs whose dependencies are about to be met
 	inherited map[string]InheritedPriority // by job
 	bindCount uint64                       // number of bindings since the term started
@@ -105,7 +105,7 @@
 		teams:           maps.Clone(teams),
 		configuredTeams: teams,
 		jobs:            model.NewTable[string, *Job](),
-		openJobs:        newOpenJobLog(),
+		openJobs:        openJobLog{list: 1},
 		machines:        model.NewTable[string, *Machine](),
 		unreconciled:    map[string]*Machine{},
 		misdirected:     map[string]*Machine{},
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -37,7 +37,7 @@
 		cs.splitJobParts(job)
 	}
 	cs.jobs.Put(id, job)
-	cs.openJobs.opened(id)
+	cs.logOpenChange(id)
 	cs.recordArrival(job)
 	cs.logJob(job)
 	cs.capacityEvents++
@@ -101,8 +101,8 @@
 // The record is also deleted when the job finishes, and the watch may report that before the response to the final
 // write arrives.
 func (cs *ClusterState) Cancel(id string) {
-	if job := cs.jobs.At(id); job != nil && !job.Cancelled {
-		cs.endJob(job)
+	if cs.IsOpen(id) {
+		cs.endJob(cs.jobs.At(id))
 	}
 }
 
@@ -117,7 +117,7 @@
 // their reports are no longer needed. The job is deleted once none of its tasks is bound.
 func (cs *ClusterState) endJob(job *Job) {
 	job.Cancelled = true
-	cs.openJobs.closed(job.Spec.ID)
+	cs.logOpenChange(job.Spec.ID)
 	cs.releaseClaim(job, job.firstSeen)
 	cs.clearFailures(job)
 	for _, task := range job.bound.All() {
--- a/internal/placement/machine_status.go
+++ b/internal/placement/machine_status.go
@@ -131,8 +131,7 @@
 // tasks is complete. The owner sends these stops in its response to the machine's heartbeat.
 func (cs *ClusterState) stopUnwanted(machine *Machine, tasks []*peerspb.Task) {
 	for _, reported := range tasks {
-		job := cs.jobs.At(reported.Job)
-		wanted := job != nil && !job.Cancelled && int(reported.Index) < job.Spec.Tasks
+		wanted := cs.IsOpen(reported.Job) && int(reported.Index) < cs.jobs.At(reported.Job).Spec.Tasks
 		if !wanted && reported.State != string(model.TaskExited) {
 			cs.sendStopReported(machine, reported)
 		}
--- a/internal/placement/open_jobs.go
+++ b/internal/placement/open_jobs.go
@@ -2,84 +2,59 @@
 
 import "github.com/marlwood/marlwood/internal/peers/peerspb"
 
-// openJobLog is the list of open jobs as a log of changes, so that each controller is sent only the changes that it
-// does not have. A controller decides by the list whether it may extend the lease of a machine with tasks.
+// openJobLog is the list of open jobs as a log of the jobs that were opened or closed, so that each controller is sent
+// only the changes that it does not have. A controller decides by the list whether it may extend the lease of a machine
+// with tasks. A job has the state that it has when a message is made, however often it changed before.
 type openJobLog struct {
-	number  uint64 // number of the list; it grows when the log is rewritten
-	changes []openJobChange
-	open    map[string]bool
+	list    uint64 // number of the list; it grows when the log is rewritten
+	changes []string
 }
 
-// openJobChange is one change of the list: a job was opened or closed.
-type openJobChange struct {
-	job    string
-	closed bool
-}
-
-// maxClosedChanges is how many changes the log may hold beyond those that list the open jobs, as a multiple of the
-// open jobs plus minLogChanges. Rewriting the log makes every controller read the whole list.
+// The log is rewritten when it holds more than minLoggedChanges and changesPerJob for each job. Every controller reads
+// the whole list then.
 const (
-	maxClosedChanges = 4
-	minLogChanges    = 4096
+	minLoggedChanges = 4096
+	changesPerJob    = 4
 )
 
-func newOpenJobLog() *openJobLog { return &openJobLog{number: 1, open: map[string]bool{}} }
-
-func (l *openJobLog) opened(job string) {
-	if !l.open[job] {
-		l.open[job] = true
-		l.append(openJobChange{job: job})
-	}
-}
-
-func (l *openJobLog) closed(job string) {
-	if l.open[job] {
-		delete(l.open, job)
-		l.append(openJobChange{job: job, closed: true})
-	}
+// IsOpen reports whether a job is known and has neither ended nor been cancelled.
+func (cs *ClusterState) IsOpen(id string) bool {
+	job := cs.jobs.At(id)
+	return job != nil && !job.Cancelled
 }
 
-func (l *openJobLog) append(change openJobChange) {
-	l.changes = append(l.changes, change)
-	if len(l.changes) > minLogChanges+maxClosedChanges*len(l.open) {
-		l.rewrite()
+// logOpenChange records that a job was opened or closed.
+func (cs *ClusterState) logOpenChange(id string) {
+	log := &cs.openJobs
+	log.changes = append(log.changes, id)
+	if len(log.changes) <= minLoggedChanges+changesPerJob*cs.jobs.Len() {
+		return
 	}
-}
-
-// rewrite begins a new list that contains only the open jobs, in the order in which they were opened.
-func (l *openJobLog) rewrite() {
-	l.number++
-	kept := make([]openJobChange, 0, len(l.open))
-	for _, change := range l.changes {
-		if !change.closed && l.open[change.job] {
-			kept = append(kept, change)
+	log.list++
+	log.changes = nil
+	for job := range cs.jobs.All() {
+		if cs.IsOpen(job) {
+			log.changes = append(log.changes, job)
 		}
 	}
-	l.changes = kept
 }
 
-// since returns the jobs in at most limit changes of the list after those that a controller has, each with its
-// latest state. A controller that has another list than the present one, or none, gets the present one from its
-// beginning.
-func (l *openJobLog) since(list, from uint64, limit int) *peerspb.OpenJobs {
-	if list != l.number {
+// OpenJobsSince returns the jobs in at most limit changes of the list of open jobs, after the first changes of a list
+// that a controller already has. If that is not the present list, it begins with the first change of the present one.
+func (cs *ClusterState) OpenJobsSince(list, from uint64, limit int) *peerspb.OpenJobs {
+	log := &cs.openJobs
+	if list != log.list {
 		from = 0
 	}
-	to := min(from+uint64(limit), uint64(len(l.changes)))
-	message := &peerspb.OpenJobs{List: l.number, From: from, To: to, Complete: to == uint64(len(l.changes))}
-	for _, change := range l.changes[from:to] {
-		switch {
-		case change.closed && !l.open[change.job]:
-			message.Closed = append(message.Closed, change.job)
-		case !change.closed && l.open[change.job]:
-			message.Opened = append(message.Opened, change.job)
+	end := uint64(len(log.changes))
+	message := &peerspb.OpenJobs{List: log.list, From: from, To: min(from+uint64(limit), end)}
+	message.Complete = message.To == end
+	for _, job := range log.changes[from:message.To] {
+		if cs.IsOpen(job) {
+			message.Opened = append(message.Opened, job)
+		} else {
+			message.Closed = append(message.Closed, job)
 		}
 	}
 	return message
 }
-
-// OpenJobsSince returns at most limit changes of the list of open jobs, after the first changes of a list that a
-// controller already has.
-func (cs *ClusterState) OpenJobsSince(list, from uint64, limit int) *peerspb.OpenJobs {
-	return cs.openJobs.since(list, from, limit)
-}
--- a/internal/placement/snapshot_import.go
+++ b/internal/placement/snapshot_import.go
@@ -31,11 +31,8 @@
 		cs.drains.Put(drain.Target(), &drain)
 	}
 	for _, job := range state.Jobs {
-		imported := cs.importJob(job)
-		cs.jobs.Put(job.Spec.ID, imported)
-		if !imported.Cancelled {
-			cs.openJobs.opened(job.Spec.ID)
-		}
+		cs.jobs.Put(job.Spec.ID, cs.importJob(job))
+		cs.logOpenChange(job.Spec.ID)
 	}
 	if err := cs.importMachines(state.Machines); err != nil {
 		return nil, err
--- a/internal/scheduler/apply.go
+++ b/internal/scheduler/apply.go
@@ -177,7 +177,7 @@
 // and passes the priorities of waiting jobs on to the jobs that they depend on.
 func (s *Scheduler) applyResolveDependencies(now time.Time, event *recordpb.Graph) []dag.Action {
 	if event.Check {
-		s.graph.MarkUnknownOutcomes(s.isOpen)
+		s.graph.MarkUnknownOutcomes(s.cluster.IsOpen)
 	}
 	actions := s.graph.Actions(now)
 	if priorities, changed := s.graph.InheritedPriorities(); changed {
@@ -197,9 +197,3 @@
 func (s *Scheduler) applyUsage(now time.Time) (*accounting.Ledger, accounting.Watermark) {
 	return s.cluster.Usage(now), s.cluster.UsageWatermark(now)
 }
-
-// isOpen reports whether the cluster state holds the job and it is not cancelled.
-func (s *Scheduler) isOpen(id string) bool {
-	job := s.cluster.Jobs().At(id)
-	return job != nil && !job.Cancelled
-}
--- a/internal/scheduler/queries.go
+++ b/internal/scheduler/queries.go
@@ -41,6 +41,9 @@
 // Owners returns the controller that owns each pool.
 func (s *Scheduler) Owners() map[model.Pool]string { return s.cluster.Owners() }
 
+// IsOpen reports whether a job is known and has neither ended nor been cancelled.
+func (s *Scheduler) IsOpen(id string) bool { return s.cluster.IsOpen(id) }
+
 // OpenJobsSince returns at most limit changes of the list of open jobs, after the first changes of
 // a list that a controller already has.
 func (s *Scheduler) OpenJobsSince(list, from uint64, limit int) *peerspb.OpenJobs {
