log: who leads under which token, what a call carried, what runs unwanted

The controllers' logs had no line about the task, the call, or the token that the machine held when its start was carried out again; only the workers' own records showed it.

Now an owner logs each token that it adopts and each other token that a read of the leader key shows, with the age of the read; a direct call's debug line names its token, session and commands; the leader logs a task that a machine reports though it is not wanted there, and where it is bound. The metric marlwood_fencing_token{role} shows under which token a controller leads and answers.

No decision changes.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -71,6 +71,7 @@
 
 	peersProbedAt     time.Time // when peers were last probed
 	electionState     leadership.State
+	leaderKeyToken    uint64              // token in the last successful read of the leader key
 	adoption          settingsAdoption    // of the settings that operators put in force
 	metrics           *metrics.Set        // nil if metrics are off
 	recorder          scheduler.Recorder  // receives a recording of all decisions; may be nil
--- a/internal/controller/direct_calls.go
+++ b/internal/controller/direct_calls.go
@@ -19,7 +19,8 @@
 			outcome, heartbeat := c.sendDirectCall(call)
 			c.post(func() {
 				doneAt := c.env.Now()
-				c.log.Debug("direct call done", "machine", call.Machine, "commands", len(call.Commands), "outcome", outcome.String(), "took", doneAt.Sub(now))
+				c.log.Debug("direct call done", "machine", call.Machine, "token", call.Token, "session", call.Epoch, "commands", call.Commands,
+					"outcome", outcome.String(), "took", doneAt.Sub(now))
 				c.registry.CallDone(doneAt, call, outcome, heartbeat)
 				c.makeDirectCalls(doneAt)
 				if c.term != nil {
--- a/internal/controller/election.go
+++ b/internal/controller/election.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/marlwood/marlwood/internal/leadership"
+	"github.com/marlwood/marlwood/internal/metrics"
 	"github.com/marlwood/marlwood/internal/store"
 )
 
@@ -28,9 +29,17 @@
 	c.leaseUntil.Store(until)
 }
 
+// publishTokens sets the metric of the tokens under which this controller acts.
+func (c *Controller) publishTokens() {
+	c.metrics.Token(metrics.LeaderRole, c.elector.Token())
+	_, token := c.registry.Leader()
+	c.metrics.Token(metrics.OwnerRole, token)
+}
+
 // followElection starts a term when this controller becomes leader and ends it when leadership is lost.
 func (c *Controller) followElection(now time.Time) {
 	c.publishLease()
+	c.publishTokens()
 	state := c.elector.State()
 	if state != c.electionState {
 		c.log.Info("leadership state changed", "from", c.electionState.String(), "to", state.String(), "token", c.elector.Token())
@@ -92,6 +101,7 @@
 		switch {
 		case err == nil:
 			c.noteStoreContact(now)
+			c.logLeaderKey(record, item.Revision, now.Sub(sentAt))
 			c.performActions(c.elector.KeyRead(now, sentAt, true, record, item.Revision))
 		case errors.Is(err, store.ErrNotFound):
 			c.noteStoreContact(now)
@@ -104,6 +114,15 @@
 	})
 }
 
+// logLeaderKey logs who holds the leader key and under which token, whenever a read shows another token than before.
+func (c *Controller) logLeaderKey(record leadership.LeaderRecord, token uint64, age time.Duration) {
+	if token == c.leaderKeyToken {
+		return
+	}
+	c.log.Info("leader key read", "leader", record.Member, "boot", record.Boot, "token", token, "before", c.leaderKeyToken, "age", age)
+	c.leaderKeyToken = token
+}
+
 func (c *Controller) grantKeyLease(ctx context.Context) {
 	lease, err := c.store.GrantLease(ctx, c.timing.KeyLease)
 	c.post(func() {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -43,6 +43,7 @@
 	unexpected       *prometheus.CounterVec
 	answers          *prometheus.CounterVec
 	usage            *prometheus.GaugeVec
+	token            *prometheus.GaugeVec
 }
 
 // durationBuckets are the histogram buckets of durations, from 0.1 ms to 26 s.
@@ -72,7 +73,9 @@
 		Help: "Messages of workers that do not follow from earlier ones: late, lacking tasks, or after a restart of the worker, by kind."}, []string{"kind"})
 	set.answers = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "marlwood", Name: "answers_with_tasks_total", ConstLabels: labels,
 		Help: "Reports of machines that run tasks, by why their answer may extend the machine's lease; waits: it may not yet."}, []string{"basis"})
-	set.registry.MustRegister(set.answers, set.unexpected, set.usage, set.unusedReturns, set.thrashedRequests, set.loopDelay, set.rounds, set.heartbeats, set.storeWait, set.takeover, &socketCollector{use: use,
+	set.token = prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: "marlwood", Name: "fencing_token", ConstLabels: labels,
+		Help: "Fencing token under which this controller leads (0: it does not), and under which it answers workers, by role."}, []string{"role"})
+	set.registry.MustRegister(set.token, set.answers, set.unexpected, set.usage, set.unusedReturns, set.thrashedRequests, set.loopDelay, set.rounds, set.heartbeats, set.storeWait, set.takeover, &socketCollector{use: use,
 		open:   prometheus.NewDesc("marlwood_sockets", "Accepted connections by duty.", []string{"duty"}, labels),
 		peak:   prometheus.NewDesc("marlwood_sockets_peak", "Most accepted connections at once by duty.", []string{"duty"}, labels),
 		closed: prometheus.NewDesc("marlwood_sockets_closed_total", "Connections closed to keep within the limits, by how.", []string{"how"}, labels)})
@@ -132,6 +135,22 @@
 	}
 }
 
+// Role is a controller's role under a fencing token. The values are labels of a metric.
+type Role string
+
+// The roles.
+const (
+	LeaderRole Role = "leader"
+	OwnerRole  Role = "owner"
+)
+
+// Token sets the fencing token under which this controller acts in a role.
+func (s *Set) Token(role Role, token uint64) {
+	if s != nil {
+		s.token.WithLabelValues(string(role)).Set(float64(token))
+	}
+}
+
 // Answer counts an answer to a worker that runs tasks.
 func (s *Set) Answer(basis string) {
 	if s != nil {
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -24,6 +24,7 @@
 	off.Report(time.Second)
 	off.Store("leader", time.Second)
 	off.Takeover(time.Second)
+	off.Token(LeaderRole, 7)
 
 	budget := sockets.New(sockets.Limits{Listener: 10, Workers: 5})
 	budget.Accepted()
@@ -33,6 +34,7 @@
 	s.Round(Place, 30*time.Millisecond)
 	s.Store("leader", 2*time.Second)
 	s.Takeover(5 * time.Second)
+	s.Token(OwnerRole, 7)
 
 	probe, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -62,6 +64,7 @@
 		`marlwood_round_seconds_bucket{controller="berth-0",part="place",le="0.0064"} 1`,
 		`marlwood_store_queue_seconds_sum{budget="leader",controller="berth-0"} 2`,
 		`marlwood_takeover_seconds_count{controller="berth-0"} 1`,
+		`marlwood_fencing_token{controller="berth-0",role="owner"} 7`,
 		`marlwood_sockets{controller="berth-0",duty="workers"} 1`,
 		`marlwood_sockets_closed_total{controller="berth-0",how="resting"} 0`,
 	} {
--- a/internal/model/wire.go
+++ b/internal/model/wire.go
@@ -1,5 +1,7 @@
 package model
 
+import "fmt"
+
 // This file defines the wire types of workers and of the cloud. The field names of the
 // protocol appear only in the struct tags.
 
@@ -36,6 +38,9 @@
 	GraceS  *float64 `json:"windDownS,omitempty"`
 }
 
+// String returns the command in the form that log lines use.
+func (c Command) String() string { return fmt.Sprintf("%s %s@%d", c.Op, c.Task, c.Attempt) }
+
 // HeartbeatResponse is the body of the response to an accepted heartbeat: the leader's
 // fencing token and the commands.
 type HeartbeatResponse struct {
--- a/internal/placement/reconcile.go
+++ b/internal/placement/reconcile.go
@@ -54,25 +54,46 @@
 		r.adopt(key.index, job, reported.Attempt, state)
 	default:
 		// A second copy of a bound task, or a copy of a finished one: it only uses up capacity.
-		r.orphan(reported)
+		r.orphan(reported, machineOf(task))
 	}
 }
 
+// machineOf returns the machine of a bound task, or nil if the task is not bound.
+func machineOf(task *Task) *Machine {
+	if task == nil {
+		return nil
+	}
+	return task.machine
+}
+
 // unknownJob handles a task of a job that is not open: it is finished, cancelled or unknown.
 func (r *reconciliation) unknownJob(reported *peerspb.Task, state model.TaskState) {
 	if state == model.TaskExited {
 		r.cs.sendForget(r.machine, reported)
 		return
 	}
-	r.orphan(reported)
+	r.orphan(reported, nil)
 }
 
-// orphan stops a reported task that is not wanted.
-func (r *reconciliation) orphan(reported *peerspb.Task) {
+// orphan stops a reported task that is not wanted. boundTo is the machine to which the task is bound; nil: none.
+func (r *reconciliation) orphan(reported *peerspb.Task, boundTo *Machine) {
 	r.orphans++
+	if r.orphans > r.machine.orphans { // otherwise it was logged at an earlier report
+		r.logOrphan(reported, boundTo)
+	}
 	r.cs.sendStopReported(r.machine, reported)
 }
 
+// logOrphan logs a reported task that is not wanted, and where the task is wanted instead.
+func (r *reconciliation) logOrphan(reported *peerspb.Task, boundTo *Machine) {
+	bound := ""
+	if boundTo != nil {
+		bound = boundTo.Name
+	}
+	r.cs.opt.Log.Info("unwanted task reported", "machine", r.machine.Name, "task", model.TaskName(reported.Job, int(reported.Index)),
+		"attempt", reported.Attempt, "state", reported.State, "bound", bound, "token", r.cs.token)
+}
+
 // boundTask handles a task that is bound to this machine.
 func (r *reconciliation) boundTask(task *Task, reported *peerspb.Task, state model.TaskState) {
 	if state == model.TaskExited {
--- a/internal/workers/rounds.go
+++ b/internal/workers/rounds.go
@@ -25,6 +25,7 @@
 		return response
 	}
 	if request.Token > reg.token {
+		reg.logAdoption(request)
 		reg.adoptToken(now, request.Token)
 	}
 	response.Token, reg.leader = reg.token, request.Leader
@@ -58,6 +59,13 @@
 // process and extend workers' leases that count as expired.
 func (reg *Registry) RejectTokensBelow(token uint64) { reg.token = max(reg.token, token) }
 
+// logAdoption logs that the registry is about to adopt the token of a round.
+func (reg *Registry) logAdoption(request *peerspb.RoundRequest) {
+	if reg.options.Log != nil {
+		reg.options.Log.Info("token adopted", "token", request.Token, "before", reg.token, "leader", request.Leader, "machines", reg.machines.Len())
+	}
+}
+
 // adoptToken switches to a new token. It discards all orders of the previous token and what the registry
 // knew about leases, because another owner may have held the pools in the meantime.
 func (reg *Registry) adoptToken(now time.Time, token uint64) {
