--- a/internal/simtest/cluster.go
+++ b/internal/simtest/cluster.go
@@ -61,6 +61,7 @@
 	writeBudgetAt         time.Duration // when spare was last updated
 	refused               int           // transactions rejected because of that limit
 	copies                time.Duration // until then some reports are also delivered a second time, later
+	lateCalls             time.Duration // until then some direct calls are also carried out a second time, later
 	rare                  rareFaults
 	leaseKilled           int                                   // see Outcome
 	workersUp             int                                   // number of machines that have come up
@@ -336,6 +337,9 @@
 					m.connected[n.process] = life
 					status, r := m.handleDirectCall(o)
 					reply(answer{status, r})
+					if status == 200 {
+						m.deliverLateCalls(o)
+					}
 				})
 			})
 		})
--- a/internal/simtest/cmd/main.go
+++ b/internal/simtest/cmd/main.go
@@ -33,7 +33,7 @@
 	For     time.Duration `help:"How long to explore." default:"1m"`
 	Most    uint64        `help:"Most schedules; 0: no bound."`
 	Workers int           `help:"Schedules at once; 0: one a processor."`
-	Draw    string        `help:"What to draw: faults; those and meetings; those and further troubles, or priorities and saves; workers that restart; controllers that restart one after the other; of the last four, priorities for every third seed, restarts and rolling for every sixth each (all)." enum:"all,faults,meetings,further,preempting,restarts,rolling" default:"all"`
+	Draw    string        `help:"What to draw: faults; those and meetings; those and further troubles, or priorities and saves; workers that restart; controllers that restart one after the other; of the last four, priorities for every third seed, restarts and rolling for every sixth each (all); calls that were answered and come again." enum:"all,faults,meetings,further,preempting,restarts,rolling,latecalls" default:"all"`
 	Repeat  bool          `help:"Play the schedule of --seed alone and tell its story."`
 	Log     slog.Level    `help:"What controllers log is told from this level on: debug, info, warn, error." default:"error"`
 	Shrink  time.Duration `help:"How long to make a finding smaller." default:"30s"`
@@ -155,7 +155,7 @@
 // plans returns the generator that draws the schedule of a seed.
 func (c *runCmd) plans(seed uint64) *rapid.Generator[simtest.Plan] {
 	return map[string]*rapid.Generator[simtest.Plan]{"faults": simtest.Plans, "meetings": simtest.OverlappingFaults, "further": simtest.RareFaults,
-		"preempting": simtest.Preempting, "restarts": simtest.RestartedWorkers, "rolling": simtest.RollingRestarts}[c.drawn(seed)]
+		"preempting": simtest.Preempting, "restarts": simtest.RestartedWorkers, "rolling": simtest.RollingRestarts, "latecalls": simtest.LateCalls}[c.drawn(seed)]
 }
 
 // printStory prints a schedule's story.
--- a/internal/simtest/machines.go
+++ b/internal/simtest/machines.go
@@ -148,6 +148,8 @@
 	shown               lifeProgress                // what controllers have received of its present life
 	connected           map[*simulation.Process]int // life of the worker that a controller's process called last
 	reported            time.Duration               // when the last heartbeat was sent
+	faulty              time.Duration               // until then its tasks fail
+	forgotten           map[attemptKey]bool         // attempts that it was told to forget in its session
 }
 
 // taskAttempt is one attempt of a task on a machine.
@@ -207,7 +209,7 @@
 		}
 		m.off(t)
 	}
-	m.tasks = nil
+	m.tasks, m.forgotten = nil, map[attemptKey]bool{}
 	m.session++
 	m.seq, m.leased, m.sent = 0, m.cluster.sim.Now(), 0
 	m.watchLease(m.session)
@@ -462,6 +464,7 @@
 			for i, x := range m.tasks {
 				if x == t && t.state == model.TaskExited {
 					m.tasks = append(m.tasks[:i:i], m.tasks[i+1:]...)
+					m.forgotten[attemptKey{c.Task, c.Attempt}] = true
 					break
 				}
 			}
@@ -528,6 +531,7 @@
 	t.state, t.ranAt, t.from = model.TaskRunning, m.cluster.sim.Now(), t.job.kept[t.progressKey()]
 	m.cluster.attempts[t.job.spec.Team]++
 	m.kick()
+	m.failTask(t)
 	if t.job.spec.Shape == model.Service {
 		return
 	}
--- a/internal/simtest/plan.go
+++ b/internal/simtest/plan.go
@@ -441,6 +441,12 @@
 		w.slowStore = max(w.slowStore, s.Now()+f.For)
 	case "late copies":
 		w.copies = max(w.copies, s.Now()+f.For)
+	case "late calls":
+		w.lateCalls = max(w.lateCalls, s.Now()+f.For)
+	case "faulty machine":
+		if m != nil {
+			m.faulty = max(m.faulty, s.Now()+f.For)
+		}
 	case "alone with workers":
 		between(a.place, func(p *place) bool { return p.role == controllerRole || p.role == storeRole })
 	case "crash back":
@@ -538,7 +544,7 @@
 		what = fmt.Sprintf("machine %d ends, back after %v", f.A, f.restartDelay())
 	case "store refuses node", "crash", "freeze":
 		what = fmt.Sprintf("%s %s", f.Kind, a.place.name)
-	case "hang machine", "stop machine", "mute machine", "reset machine":
+	case "hang machine", "stop machine", "mute machine", "reset machine", "faulty machine":
 		what = fmt.Sprintf("%s %d", f.Kind, f.A)
 	default:
 		what = f.Kind
--- a/internal/simtest/rare_faults.go
+++ b/internal/simtest/rare_faults.go
@@ -43,6 +43,9 @@
 	MetEarlierLife                     // a heartbeat of an earlier life of a worker reached a controller
 	MetEarlierLifeOutruns              // the same; it showed the token that the present life had shown, with larger numbers
 	MetEarlierLifeLacksTask            // the same, and it lacked a task that was on the machine
+	MetLateCall                        // a direct call that was carried out and answered reached its worker once more
+	MetLateCallForgotten               // the same; it carried the start of an attempt that the worker had forgotten
+	MetLateCallStarts                  // the same, and the worker carried it out
 	MetKinds
 )
 
@@ -428,5 +431,5 @@
 func (m Met) String() string {
 	return [...]string{"another leader", "a fresh token", "an answer lost", "a late write", "a close look", "a cancellation at the end", "done against a cancellation",
 		"cancelled out of reach", "cancelled out of reach at a limit", "an old report", "a new machine while writes lag", "a busy machine mute", "a call to a mute machine",
-		"a zone's job lost a machine", "an odd request", "cancelled as work changes hands", "all away", "a busy zone cut off", "a report of an earlier life", "one that outruns the present life", "one that outruns it and lacks a task"}[m]
+		"a zone's job lost a machine", "an odd request", "cancelled as work changes hands", "all away", "a busy zone cut off", "a report of an earlier life", "one that outruns the present life", "one that outruns it and lacks a task", "a late call", "a forgotten start in one", "one that was carried out"}[m]
 }
