workers: forget a called attempt only under a token above its call's

A task failed on one machine, started on another, and 4.3 s after its first start ran on the first again.

Cause: a right that had not lapsed. A direct call with a start was executed and answered; the owner counted it as spent. It was not: a worker executes /orders whenever it arrives while token and session match. Only that the worker knew the attempt kept a copy from starting it again, and `forget` removed that. Calls without an answer were guarded (lateStarts), answered ones were not: a check in one path and not in the other.

Fix: a forget travels only in an answer whose token is above that of every call that carried a start of the attempt; a worker that executed it refuses all of these. No fresh token is needed: tokens are revisions, and a leader's write that was guarded by its key at revision R shows that every later token is above R. So the leader sends R with its rounds (token_limit), and an owner may raise a machine's token up to it. Everything else goes by the leader's token as before, since tokens of the range are normalized on arrival. An owner that needs a higher limit says so (token_limit_wanted); the leader then writes the key `token-limit`, once a second at most, unless its other writes raised the limit. While nothing can be written, forgets wait and are hidden from the leader. This replaces the attempts that were never forgotten in a session after an unanswered call, so reports no longer grow with the length of a term. Under a leader of an earlier version, which sends no limit, a machine with more than 100 waiting forgets asks for a fresh token.

Metric marlwood_forgets_total{basis}, debug line `forget ordered`.

Changed checks: the row "executed, and a newer heartbeat arrived before the response" of TestOrders expected the forget under the call's own token, which is the fault; it now expects none, and then one under a higher token. The guard row "a call that carries a start is held until long after its job was cancelled" required that the worker would still carry the call out; the attempt is now forgotten under a higher token before it arrives, so the row counts that as well, and checks the same rules.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -155,6 +155,7 @@
 		Log:               c.log,
 		OnAnomaly:         func(kind workers.Anomaly) { c.metrics.UnexpectedReport(string(kind)) },
 		OnAnswer:          func(basis workers.AnswerBasis) { c.metrics.Answer(string(basis)) },
+		OnForget:          func(basis workers.ForgetBasis) { c.metrics.Forget(string(basis)) },
 	}
 }
 
--- a/internal/controller/leader_term.go
+++ b/internal/controller/leader_term.go
@@ -20,6 +20,7 @@
 	ctx       context.Context // bounds all goroutines of the term; cancelled when the term ends
 	end       context.CancelFunc
 	token     uint64 // the current fencing token
+	limit     tokenLimit
 	began     time.Time
 	scheduler *scheduler.Scheduler
 
@@ -67,6 +68,7 @@
 		Recorder: ctrl.recorder,
 		Log:      ctrl.log,
 	})
+	t.limit.raise(token)
 	t.quotas = newQuotaExchange(t, now)
 	// An earlier leader may have acted for a whole leader lease after its last check of the leader key, and
 	// the last lease that it delegated may begin only at the end of that time.
@@ -86,6 +88,7 @@
 func (t *leaderTerm) tokenRenewed(token uint64, now time.Time) {
 	t.ctrl.log.Info("token renewed", "old", t.token, "new", token)
 	t.token = token
+	t.limit.raise(token)
 	t.renewalRequestedAt = time.Time{}
 	t.rounds.current = nil
 	t.scheduler.TokenRenewed(now, token)
@@ -112,6 +115,7 @@
 	t.writeJobs(now)
 	t.resolveDependencies(now)
 	t.writeMachineRecords(now)
+	t.raiseTokenLimit(now)
 	t.flushAccounts(now)
 	t.exchangeQuotas(now)
 	if !now.Before(t.nextAutoscaling) {
--- a/internal/controller/peer_progress.go
+++ b/internal/controller/peer_progress.go
@@ -39,6 +39,7 @@
 	sizes          sentSizes
 	usesOpenJobs   bool // whether it decides on answers by the list of open jobs; an earlier version does not
 	openJobs       openJobsProgress
+	limitWanted    uint64 // token limit that it needs; see tokenLimit
 	settingsNumber uint64 // number of the settings that it has adopted
 	recordFormat   uint32 // highest format of stored records that it reads
 }
@@ -68,6 +69,7 @@
 	p.acknowledged = false
 	p.restarted = false
 	p.lastChange = 0
+	p.limitWanted = 0
 	p.sizes.reset()
 	p.openJobs = openJobsProgress{}
 }
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -144,12 +144,13 @@
 func (t *leaderTerm) roundRequest(peer *peerProgress, now time.Time, wants []*peerspb.Want) *peerspb.RoundRequest {
 	ctrl := t.ctrl
 	request := &peerspb.RoundRequest{
-		Token:    t.token,
-		Leader:   ctrl.cfg.Member,
-		Boot:     peer.bootID,
-		Seen:     peer.lastChange,
-		StoreOk:  now.Sub(ctrl.elector.LastCheck()) < storeCheckAge,
-		Settings: ctrl.adoption.number,
+		Token:      t.token,
+		TokenLimit: t.limit.highest.Load(),
+		Leader:     ctrl.cfg.Member,
+		Boot:       peer.bootID,
+		Seen:       peer.lastChange,
+		StoreOk:    now.Sub(ctrl.elector.LastCheck()) < storeCheckAge,
+		Settings:   ctrl.adoption.number,
 	}
 	if !t.loaded {
 		request.Seen = 0
@@ -291,6 +292,7 @@
 		return
 	}
 	peer.recordAcknowledgement(now)
+	peer.limitWanted = response.TokenLimitWanted
 	t.applyRoundResponse(peer, now, sentAt, response)
 }
 
--- a/internal/controller/transactions.go
+++ b/internal/controller/transactions.go
@@ -25,5 +25,9 @@
 	if !t.ctrl.holdsLease() {
 		return store.TxnResult{}, fmt.Errorf("%w: %w", store.ErrRefused, errLeaseExpired)
 	}
-	return t.ctrl.store.Commit(t.ctx, txn)
+	result, err := t.ctrl.store.Commit(t.ctx, txn)
+	if err == nil && result.Succeeded() {
+		t.limit.observe(txn, result.Revision)
+	}
+	return result, err
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -42,6 +42,7 @@
 	thrashedRequests prometheus.Counter
 	unexpected       *prometheus.CounterVec
 	answers          *prometheus.CounterVec
+	forgets          *prometheus.CounterVec
 	usage            *prometheus.GaugeVec
 	token            *prometheus.GaugeVec
 }
@@ -75,7 +76,9 @@
 		Help: "Reports of machines that run tasks, by why their answer may extend the machine's lease; waits: it may not yet."}, []string{"basis"})
 	set.token = prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: "marlwood", Name: "fencing_token", ConstLabels: labels,
 		Help: "Fencing token under which this controller leads (0: it does not), and under which it answers workers, by role."}, []string{"role"})
-	set.registry.MustRegister(set.token, set.answers, set.unexpected, set.usage, set.unusedReturns, set.thrashedRequests, set.loopDelay, set.rounds, set.heartbeats, set.storeWait, set.takeover, &socketCollector{use: use,
+	set.forgets = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "marlwood", Name: "forgets_total", ConstLabels: labels,
+		Help: "Orders to forget an ended attempt, by why a copy of its start can do no harm; deferred: it waits for a higher token."}, []string{"basis"})
+	set.registry.MustRegister(set.token, set.forgets, set.answers, set.unexpected, set.usage, set.unusedReturns, set.thrashedRequests, set.loopDelay, set.rounds, set.heartbeats, set.storeWait, set.takeover, &socketCollector{use: use,
 		open:   prometheus.NewDesc("marlwood_sockets", "Accepted connections by duty.", []string{"duty"}, labels),
 		peak:   prometheus.NewDesc("marlwood_sockets_peak", "Most accepted connections at once by duty.", []string{"duty"}, labels),
 		closed: prometheus.NewDesc("marlwood_sockets_closed_total", "Connections closed to keep within the limits, by how.", []string{"how"}, labels)})
@@ -135,6 +138,13 @@
 	}
 }
 
+// Forget counts an order to forget an ended attempt.
+func (s *Set) Forget(basis string) {
+	if s != nil {
+		s.forgets.WithLabelValues(basis).Inc()
+	}
+}
+
 // Role is a controller's role under a fencing token. The values are labels of a metric.
 type Role string
 
--- a/internal/simtest/guards_test.go
+++ b/internal/simtest/guards_test.go
@@ -98,6 +98,17 @@
 	return 0
 }
 
+// takesOrForgot returns 1 if a machine would now carry out the commands of a direct call, or refuses them only because it
+// was told under a higher token to forget an attempt that they start.
+func (m *worker) takesOrForgot(o model.DirectCommands) int {
+	for _, command := range o.Commands {
+		if m.session == o.Session && m.token > o.Token && command.Op == "start" && m.forgotten[attemptKey{command.Task, command.Attempt}] {
+			return 1
+		}
+	}
+	return m.takes(o)
+}
+
 // submitNow makes a user submit another job now.
 func (w *cluster) submitNow(s Submission) {
 	w.plan.Jobs = append(w.plan.Jobs, s)
@@ -179,7 +190,7 @@
 					return 0
 				}
 				met["held"]++
-				m.cluster.sim.After(p.Cancel+25*sec, func() { met["late"] += m.takes(o) })
+				m.cluster.sim.After(p.Cancel+25*sec, func() { met["late"] += m.takesOrForgot(o) })
 				return p.Cancel + 25*sec
 			}
 			p.script = func(w *cluster) {
--- a/internal/workers/call_outcomes.go
+++ b/internal/workers/call_outcomes.go
@@ -10,6 +10,7 @@
 // DueCalls returned. heartbeat is the heartbeat in the worker's response; nil: there was none.
 func (reg *Registry) CallDone(now time.Time, call Call, outcome CallOutcome, heartbeat *model.Heartbeat) {
 	reg.callsInFlight--
+	heartbeat = reg.normalize(heartbeat)
 	machine := reg.machines.At(call.Machine)
 	if machine == nil || machine.directCall.inFlight != call.id {
 		return
@@ -24,7 +25,7 @@
 		machine.keepCalledStartsUndecided()
 		return
 	}
-	machine.recordCallOutcome(&call, outcome)
+	reg.recordCallOutcome(machine, &call, outcome)
 	// Guard: a machine that was probed but has sent no heartbeat yet must not be reported to the leader.
 	// When it was reported as joining, the leader no longer checked whether the machine still existed,
 	// and a failover waited for it until it had also missed heartbeats.
@@ -106,15 +107,15 @@
 }
 
 // recordCallOutcome updates the orders that a call carried and removes those that its outcome decides.
-func (m *machineState) recordCallOutcome(call *Call, outcome CallOutcome) {
-	for _, order := range m.pendingOrders {
+func (reg *Registry) recordCallOutcome(machine *machineState, call *Call, outcome CallOutcome) {
+	for _, order := range machine.pendingOrders {
 		order.delivered = order.delivered || (outcome == Executed && order.isStop() && call.includes(order))
 		if order.state == callInFlight {
-			m.recordStartOutcome(order, call, outcome)
+			machine.recordStartOutcome(order, call, outcome)
 		}
 	}
-	m.resolveOrders(func(order *pendingOrder) bool {
-		return m.isDecidedByCall(order, call, outcome) || m.deferForget(order)
+	machine.resolveOrders(func(order *pendingOrder) bool {
+		return machine.isDecidedByCall(order, call, outcome) || reg.deferForget(machine, order)
 	})
 }
 
@@ -125,20 +126,17 @@
 	if outcome != Unanswered || call.Epoch != m.newest.epoch {
 		return
 	}
-	m.markOutcomeUnknown(start)
+	m.markOutcomeUnknown(start, call.Token)
 	if m.reportedTask(start) != nil {
 		start.state = queued
 	}
 }
 
-// markOutcomeUnknown records that a start was sent and that the worker may still execute it, or has executed
-// it without having shown its task.
-func (m *machineState) markOutcomeUnknown(start *pendingOrder) {
+// markOutcomeUnknown records that a start was sent with a token, and that the worker may still execute it, or has
+// executed it without having shown its task.
+func (m *machineState) markOutcomeUnknown(start *pendingOrder, token uint64) {
 	start.state = outcomeUnknown
-	if m.lateStarts == nil {
-		m.lateStarts = lateStarts{}
-	}
-	m.lateStarts[start.key()] = false
+	m.recordSentStart(start.key(), token).repeated = true
 }
 
 // carriesStart reports whether the call carries a start.
--- a/internal/workers/calls.go
+++ b/internal/workers/calls.go
@@ -125,7 +125,7 @@
 	call = Call{
 		Machine:   machine.name,
 		Addr:      machine.addr,
-		Token:     reg.token,
+		Token:     reg.messageToken(machine),
 		Epoch:     machine.newest.epoch,
 		Commands:  []model.Command{},
 		Deadline:  reg.leaseUntil,
@@ -153,12 +153,13 @@
 // addCommands adds the queued orders to a call and reports whether one of them makes the call due.
 func (m *machineState) addCommands(call *Call) (isDue bool) {
 	for _, order := range m.pendingOrders {
-		if order.state != queued || len(call.Commands) >= maxOrders || m.mustKeepAttempt(order) {
+		if order.state != queued || len(call.Commands) >= maxOrders || m.mustKeepAttempt(order, call.Token) {
 			continue
 		}
 		switch {
 		case order.isStart():
 			isDue, order.state = true, callInFlight
+			m.recordSentStart(order.key(), call.Token)
 		case order.isStop() && !order.delivered && m.reportedTask(order) != nil:
 			isDue = true
 		}
--- a/internal/workers/continuity.go
+++ b/internal/workers/continuity.go
@@ -48,13 +48,16 @@
 // endsRepeatedStart reports whether a heartbeat shows the exit of an attempt that was sent more than once
 // and that is not known to have exited.
 func (m *machineState) endsRepeatedStart(heartbeat *model.Heartbeat) bool {
-	if len(m.lateStarts) == 0 {
+	if len(m.sentStarts) == 0 {
 		return false
 	}
 	for _, status := range heartbeat.Tasks {
+		if status.State != model.TaskExited {
+			continue
+		}
 		job, index, _ := model.SplitTask(status.Task)
 		key := attemptKey{job, index, status.Attempt}
-		if _, repeated := m.lateStarts[key]; repeated && status.State == model.TaskExited && !m.hasExited(key) {
+		if sent := m.sentStarts[key]; sent != nil && sent.repeated && !m.hasExited(key) {
 			return true
 		}
 	}
@@ -164,7 +167,7 @@
 		if reportsTask(heartbeat, order) {
 			return true
 		}
-		m.markOutcomeUnknown(order)
+		m.markOutcomeUnknown(order, m.token)
 		return false
 	})
 }
--- a/internal/workers/heartbeat.go
+++ b/internal/workers/heartbeat.go
@@ -46,8 +46,8 @@
 }
 
 // accepted is an answer that extends a worker's lease.
-func (reg *Registry) accepted(commands []model.Command) HeartbeatResult {
-	return HeartbeatResult{Status: http.StatusOK, Token: reg.token, Commands: commands}
+func (reg *Registry) accepted(machine *machineState, commands []model.Command) HeartbeatResult {
+	return HeartbeatResult{Status: http.StatusOK, Token: reg.messageToken(machine), Commands: commands}
 }
 
 // ValidateHeartbeat checks a heartbeat's fields; the error is a HeartbeatError.
@@ -83,6 +83,7 @@
 
 // HandleHeartbeat handles one heartbeat of a worker and returns the answer to send.
 func (reg *Registry) HandleHeartbeat(now time.Time, heartbeat *model.Heartbeat) HeartbeatResult {
+	heartbeat = reg.normalize(heartbeat)
 	// Guard: without a valid lease this controller must not act, even if its lease ended only
 	// a moment ago.
 	if !reg.HoldsLease(now) || heartbeat.Token > reg.token {
@@ -168,12 +169,12 @@
 	machine.agent.answeredSeq = heartbeat.Seq
 	if heartbeat.Token != reg.token {
 		machine.directCall.tokenSent = true
-		return reg.accepted(machine.stopCommands(stops))
+		return reg.accepted(machine, machine.stopCommands(stops))
 	}
 	if heartbeat.Seq != machine.newest.seq { // a direct call has overtaken it while it waited
-		return reg.accepted(machine.stopCommands(stops))
+		return reg.accepted(machine, machine.stopCommands(stops))
 	}
-	return reg.accepted(reg.takeCommands(machine, stops))
+	return reg.accepted(machine, reg.takeCommands(machine, stops))
 }
 
 // acceptStops answers a heartbeat that was not applied: the answer carries stops only. The result is pending if it is
@@ -184,7 +185,7 @@
 		return unacknowledged()
 	}
 	reg.recordContact(now, machine)
-	return reg.accepted(machine.stopCommands(stops))
+	return reg.accepted(machine, machine.stopCommands(stops))
 }
 
 // applyHeartbeat updates a machine's state from its newest heartbeat, which the worker sent either by
@@ -236,7 +237,7 @@
 		return
 	}
 	if phase == Current {
-		machine.lateStarts = nil
+		machine.sentStarts = nil
 		// Guard: until the worker adopted our token, another owner may have answered it without this
 		// registry knowing; from then on no other owner can. Without this line, a registry that had
 		// owned the machine earlier counted the lease from its own last answer of that time. It
--- a/internal/workers/machine.go
+++ b/internal/workers/machine.go
@@ -39,9 +39,12 @@
 	reachability    reachability
 
 	pendingOrders []*pendingOrder
-	lateStarts    lateStarts
+	sentStarts    sentStarts
 	directCall    directCallState
 
+	token          uint64 // of the messages to the worker; see messageToken
+	forgetsOverdue bool   // too many attempts wait to be forgotten; see maxWaitingForgets
+
 	change    uint64 // number of the registry's last change to this machine
 	occupancy occupancyCache
 	entries   listEntries
@@ -59,7 +62,7 @@
 	if phase == Expired {
 		// Its lease has run out: no task runs there, queued orders are never delivered, and the worker's
 		// next epoch refuses late calls.
-		machine.pendingOrders, machine.tasks, machine.lateStarts = nil, nil, nil
+		machine.pendingOrders, machine.tasks, machine.sentStarts = nil, nil, nil
 		machine.agent.endedEpoch = machine.newest.epoch
 	}
 	if phase == Joining || phase == Current {
@@ -83,6 +86,7 @@
 
 // add registers a new machine.
 func (reg *Registry) add(machine *machineState) *machineState {
+	machine.token = reg.token
 	reg.machines.Put(machine.name, machine)
 	reg.enqueueCall(machine)
 	return machine
@@ -156,14 +160,14 @@
 }
 
 // tasksForLeader returns the machine's tasks without those that the leader asked to forget but that the
-// worker still keeps; see lateStarts.
+// worker still keeps; see deferForget.
 func (m *machineState) tasksForLeader() []*peerspb.Task {
-	if len(m.lateStarts) == 0 {
+	if m.waitingForgets() == 0 {
 		return m.tasks
 	}
 	var tasks []*peerspb.Task
 	for _, task := range m.tasks {
-		if forgotten := m.lateStarts[keyOf(task)]; !forgotten {
+		if sent := m.sentStarts[keyOf(task)]; sent == nil || !sent.forget {
 			tasks = append(tasks, task)
 		}
 	}
@@ -171,9 +175,10 @@
 }
 
 // isUncertain reports whether the leader can't rely on the machine's list of tasks under this token
-// because its agent restarted or because the worker may still execute a start that is no longer wanted.
+// because its agent restarted or because the worker may still execute a start that is no longer wanted, or needs a
+// fresh token because it could not be told to forget its attempts.
 func (m *machineState) isUncertain() bool {
-	uncertain := m.agent.restarted
+	uncertain := m.agent.restarted || m.forgetsOverdue
 	for _, order := range m.pendingOrders {
 		uncertain = uncertain || (order.state == outcomeUnknown && order.superseded)
 	}
--- a/internal/workers/orders.go
+++ b/internal/workers/orders.go
@@ -65,11 +65,6 @@
 
 func (o *pendingOrder) key() attemptKey { return attemptKey{o.job, o.index, o.attempt} }
 
-// lateStarts holds the attempts that the worker may still start late in this epoch; the value is whether
-// the leader asked to forget the attempt. A worker ignores a start of an attempt that it knows, so a
-// forget for these attempts is not sent until the epoch or the token has changed.
-type lateStarts map[attemptKey]bool
-
 // command returns the order as the command that is sent to the worker.
 func (o *pendingOrder) command() model.Command {
 	command := model.Command{Task: model.TaskName(o.job, o.index), Attempt: o.attempt}
@@ -133,26 +128,45 @@
 // effect: a worker that has executed a start ignores it the next time, and one that has not may still
 // execute it from an earlier message, so its task must appear in a heartbeat.
 func (reg *Registry) takeCommands(machine *machineState, commands []model.Command) []model.Command {
-	machine.resolveOrders(func(order *pendingOrder) bool { return machine.isRedundant(order) })
+	reg.resumeForgets(machine)
+	machine.resolveOrders(machine.dropIfRedundant)
+	raisable := reg.raisableToken(machine)
 	for _, order := range machine.pendingOrders {
-		if len(commands) >= maxOrders || !machine.isDeliverable(order) || order.isStopIn(commands) {
+		if len(commands) >= maxOrders || !machine.isDeliverable(order, raisable) || order.isStopIn(commands) {
 			continue
 		}
 		if order.isStart() && order.state == queued {
 			order.state = sentInAnswer
 		}
+		if order.isStart() {
+			machine.recordRepeatedStart(order.key(), raisable)
+		}
+		if order.isForget() && !machine.mayForget(order.key(), reg.messageToken(machine)) {
+			machine.token = raisable
+		}
 		order.inAnswer = true
 		commands = append(commands, order.command())
 	}
 	return commands
 }
 
-// isDeliverable reports whether an order may go into the answer to a heartbeat.
-func (m *machineState) isDeliverable(order *pendingOrder) bool {
+// dropIfRedundant reports whether an order has already taken effect. Of an attempt that the worker has forgotten, it
+// drops the sent start as well.
+func (m *machineState) dropIfRedundant(order *pendingOrder) bool {
+	redundant := m.isRedundant(order)
+	if redundant && order.isForget() {
+		delete(m.sentStarts, order.key())
+	}
+	return redundant
+}
+
+// isDeliverable reports whether an order may go into the answer to a heartbeat whose token is raised to the given one
+// if needed.
+func (m *machineState) isDeliverable(order *pendingOrder, raisable uint64) bool {
 	if order.state == callInFlight || (order.state == outcomeUnknown && order.superseded) {
 		return false
 	}
-	return !m.mustKeepAttempt(order)
+	return !m.mustKeepAttempt(order, raisable)
 }
 
 // stopCommands returns some stops and the pending ones, for an answer that must carry no starts. A stop names
@@ -188,23 +202,13 @@
 	return false
 }
 
-// mustKeepAttempt reports whether an order is a forget of an attempt that the worker may still start.
-func (m *machineState) mustKeepAttempt(order *pendingOrder) bool {
+// mustKeepAttempt reports whether an order is a forget of an attempt that the worker may still start, or could start
+// again after a message with the given token.
+func (m *machineState) mustKeepAttempt(order *pendingOrder, token uint64) bool {
 	if !order.isForget() {
 		return false
 	}
-	_, mayStartLate := m.lateStarts[order.key()]
-	return mayStartLate || m.undecidedStart(order.key()) != nil
-}
-
-// deferForget replaces a forget of an attempt that may still be started late: it hides the attempt from
-// the leader instead. It reports whether it did so.
-func (m *machineState) deferForget(order *pendingOrder) bool {
-	if _, mayStartLate := m.lateStarts[order.key()]; !mayStartLate || !order.isForget() {
-		return false
-	}
-	m.lateStarts[order.key()] = true
-	return true
+	return !m.mayForget(order.key(), token) || m.undecidedStart(order.key()) != nil
 }
 
 // applyOrder applies one order from the leader.
@@ -257,13 +261,12 @@
 		reg.markChanged(machine) // not accepted, so its outcome is known: report it
 		return
 	}
-	if forgotten, late := machine.lateStarts[order.key()]; late && order.isForget() {
-		// Guard: if the worker forgot the attempt, a call that is still in flight could start it again.
-		// The attempt is only hidden from the leader.
-		if !forgotten {
-			machine.lateStarts[order.key()] = true
-			reg.markChanged(machine)
-		}
+	if order.isForget() {
+		reg.recordForget(machine, order)
+	}
+	// Guard: a worker that forgot the attempt could start it again from a copy of the call that started it, which runs
+	// the task twice (TestLateCopyOfAnsweredCall).
+	if reg.deferForget(machine, order) {
 		return
 	}
 	if !reg.mergeOrder(machine, order) {
--- a/internal/workers/orders_test.go
+++ b/internal/workers/orders_test.go
@@ -13,12 +13,14 @@
 // heartbeat.
 type orderStep struct {
 	orders    []*peerspb.Order
+	limit     uint64           // token limit in the round with the orders; 0: none
 	call      []string         // commands of the direct calls that are due
 	outcome   CallOutcome      // of that call
 	inCall    *model.Heartbeat // arrives while the call is in flight
 	response  *model.Heartbeat // of the call
 	heartbeat *model.Heartbeat // arrives after the call
 	answer    []string         // commands in the answer to heartbeat
+	token     uint64           // token of that answer; 0: not checked
 	undecided []uint64         // starts reported to the leader as undecided
 	unsure    bool
 }
@@ -152,9 +154,38 @@
 		},
 		{
 			orders:    []*peerspb.Order{newOrder(2, forget, 1)},
-			heartbeat: newHeartbeat(1, 10, 5, exitedTask), answer: []string{"forget j/1"},
+			heartbeat: newHeartbeat(1, 10, 5, exitedTask), // not under the token of the call
 		},
-		{heartbeat: newHeartbeat(1, 11, 5)},
+		{limit: 7, heartbeat: newHeartbeat(1, 11, 5, exitedTask), answer: []string{"forget j/1"}, token: 7},
+		{heartbeat: newHeartbeat(1, 12, 7), token: 7},
+	}},
+	{name: "called and executed, forgotten under a higher token at once", direct: true, steps: []orderStep{
+		firstHeartbeat,
+		{
+			orders: []*peerspb.Order{newOrder(1, start, 1)}, limit: 6,
+			call: []string{"start j/1"}, response: newHeartbeat(1, 2, 5, runningTask),
+			heartbeat: newHeartbeat(1, 3, 5, exitedTask), token: 5,
+		},
+		{
+			orders:    []*peerspb.Order{newOrder(2, forget, 1)},
+			heartbeat: newHeartbeat(1, 4, 5, exitedTask), answer: []string{"forget j/1"}, token: 6,
+		},
+		{heartbeat: newHeartbeat(1, 5, 6), token: 6},
+	}},
+	{name: "unanswered, then executed, forgotten under a higher token", direct: true, steps: []orderStep{
+		firstHeartbeat,
+		{
+			orders: []*peerspb.Order{newOrder(1, start, 1)},
+			call:   []string{"start j/1"}, outcome: Unanswered,
+			heartbeat: newHeartbeat(1, 2, 5, runningTask), undecided: nil,
+		},
+		{heartbeat: newHeartbeat(1, 3, 5, exitedTask)}, // the exit is to be confirmed
+		{
+			outcome: Refused, response: newHeartbeat(1, 4, 5, exitedTask),
+			orders: []*peerspb.Order{newOrder(2, forget, 1)}, limit: 9,
+			heartbeat: newHeartbeat(1, 5, 5, exitedTask), answer: []string{"forget j/1"}, token: 9,
+		},
+		{heartbeat: newHeartbeat(1, 6, 9), token: 9},
 	}},
 	{name: "refused, then sent in an answer", direct: true, steps: []orderStep{
 		firstHeartbeat,
@@ -219,7 +250,7 @@
 			seen := uint64(0) // last change that the leader has seen
 			for i, step := range test.steps {
 				round := newRound(5, 10, step.orders...)
-				round.Seen = seen
+				round.Seen, round.TokenLimit = seen, step.limit
 				registry.HandleRound(at(0.1), round)
 				if test.direct {
 					if got := completeStepCalls(t, registry, step); !reflect.DeepEqual(got, step.call) {
@@ -231,6 +262,9 @@
 					if got := commandTexts(result.Commands); !reflect.DeepEqual(got, step.answer) {
 						t.Errorf("step %d: answers %v, want %v", i, got, step.answer)
 					}
+					if step.token != 0 && result.Token != step.token {
+						t.Errorf("step %d: token %d in the answer, want %d", i, result.Token, step.token)
+					}
 				}
 				response := registry.HandleRound(at(0.3), newRound(5, 10))
 				seen = response.Change
--- a/internal/workers/registry.go
+++ b/internal/workers/registry.go
@@ -31,6 +31,7 @@
 	Log               *slog.Logger      // nil: nothing is logged
 	OnAnomaly         func(Anomaly)     // called for each anomaly; nil: they are not counted
 	OnAnswer          func(AnswerBasis) // called for each answer to a machine with live tasks; nil: they are not counted
+	OnForget          func(ForgetBasis) // called for each order to forget an attempt; nil: they are not counted
 }
 
 // Registry holds the workers of one controller's pools and the leader's orders for them.
@@ -43,6 +44,9 @@
 
 	// State from the leader's newest rounds.
 	token              uint64
+	tokenLimit         uint64 // highest token that messages to workers may carry; at least token
+	limitKnown         bool   // whether the leader sends the limit; one of an earlier version does not
+	limitWanted        uint64 // token limit that some machine needs
 	leader             string
 	leaseUntil         time.Time // end of the lease that the leader delegated
 	storeReachedAt     time.Time
--- a/internal/workers/restart.go
+++ b/internal/workers/restart.go
@@ -48,7 +48,7 @@
 	// Guard: an epoch's lease runs from its beginning, which is not later than now. When the lease was
 	// counted from the last heartbeat, it ended too early on machines that only direct calls reached.
 	reg.recordContact(now, machine)
-	machine.lateStarts = nil
+	machine.sentStarts = nil
 	// Guard: once a heartbeat has shown a start's task, the leader considers the start decided. It
 	// releases the task when the epoch ends and starts it elsewhere. A call that carried the start may
 	// still be in flight then; when that call went unanswered, the start was queued again and delivered
--- a/internal/workers/rounds.go
+++ b/internal/workers/rounds.go
@@ -24,10 +24,12 @@
 		response.Token = reg.token
 		return response
 	}
+	tokenBefore := reg.token
 	if request.Token > reg.token {
-		reg.logAdoption(request)
 		reg.adoptToken(now, request.Token)
+		reg.logAdoption(request, tokenBefore)
 	}
+	reg.applyTokenLimit(request.TokenLimit)
 	response.Token, reg.leader = reg.token, request.Leader
 	if request.StoreOk {
 		reg.storeReachedAt = now
@@ -38,6 +40,7 @@
 	}
 	reg.expire(now)
 	response.Applied, response.Change = reg.lastOrder, reg.lastChange
+	response.TokenLimitWanted = reg.wantedLimit()
 	if !forThisProcess {
 		return response
 	}
@@ -59,17 +62,17 @@
 // process and extend workers' leases that count as expired.
 func (reg *Registry) RejectTokensBelow(token uint64) { reg.token = max(reg.token, token) }
 
-// logAdoption logs that the registry is about to adopt the token of a round.
-func (reg *Registry) logAdoption(request *peerspb.RoundRequest) {
+// logAdoption logs that the registry has adopted the token of a round.
+func (reg *Registry) logAdoption(request *peerspb.RoundRequest, before uint64) {
 	if reg.options.Log != nil {
-		reg.options.Log.Info("token adopted", "token", request.Token, "before", reg.token, "leader", request.Leader, "machines", reg.machines.Len())
+		reg.options.Log.Info("token adopted", "token", request.Token, "before", before, "leader", request.Leader, "machines", reg.machines.Len())
 	}
 }
 
 // adoptToken switches to a new token. It discards all orders of the previous token and what the registry
 // knew about leases, because another owner may have held the pools in the meantime.
 func (reg *Registry) adoptToken(now time.Time, token uint64) {
-	reg.token = token
+	reg.token, reg.tokenLimit, reg.limitWanted = token, token, 0
 	reg.leaseUntil = time.Time{}
 	reg.lastOrder, reg.acknowledgedChange = 0, 0
 	reg.openJobs = openJobs{}
@@ -85,6 +88,7 @@
 	// counted from the last heartbeat that this registry had received, a live machine was reported as
 	// expired and its heartbeats were refused.
 	machine.pendingOrders, machine.cordoned = nil, false
+	machine.token, machine.forgetsOverdue = reg.token, false
 	machine.agent.endedEpoch, machine.agent.unexpectedEpoch, machine.agent.unconfirmed = 0, 0, false
 	machine.directCall.failed = false
 	machine.directCall.resetTokenDelivery()
