--- a/cmd/marlwood/lab.go
+++ b/cmd/marlwood/lab.go
@@ -142,15 +142,15 @@
 		}
 	}
 	c := l.Counts()
-	return fmt.Sprintf("%d jobs submitted, %d accepted, %d done, %d cancelled; %d tasks run on %d machines, %d started, %v of CPU time lost; rules broken: %d; down: %s",
-		c.Submitted, c.Accepted, c.Done, c.Cancelled, c.Running, c.Machines, c.Started, c.WastedCPUTime.Round(time.Second), len(l.Broken()), orDefault(strings.Join(down, ", "), "none"))
+	return fmt.Sprintf("%d jobs submitted, %d accepted, %d done, %d cancelled; %d tasks run on %d machines, %d started, %v of CPU time lost; %d calls repeated; rules broken: %d; down: %s",
+		c.Submitted, c.Accepted, c.Done, c.Cancelled, c.Running, c.Machines, c.Started, c.WastedCPUTime.Round(time.Second), c.RepeatedCalls, len(l.Broken()), orDefault(strings.Join(down, ", "), "none"))
 }
 
 type labFaultCmd struct {
-	Op      string        `arg:"" help:"kill, start, freeze, cut, heal, refuse, serve, hang or recall."`
+	Op      string        `arg:"" help:"kill, start, freeze, cut, heal, refuse, serve, hang, recall or repeat."`
 	Name    string        `arg:"" optional:"" help:"A controller (berth-1 to berth-3) or a machine."`
 	To      string        `arg:"" optional:"" help:"Of a cut: another controller, store or cloud; without it all of them."`
-	For     time.Duration `default:"10s" help:"How long it stands still, hangs, or is warned."`
+	For     time.Duration `default:"10s" help:"How long it stands still, hangs, is warned, or calls are repeated."`
 	Control string        `default:"127.0.0.1:7399" placeholder:"ADDR" help:"The lab's address for faults."`
 }
 
--- a/internal/lab/fault.go
+++ b/internal/lab/fault.go
@@ -13,7 +13,7 @@
 	Op   string        `json:"op"`   // one of FaultOps
 	Name string        `json:"name"` // a controller or a machine
 	To   string        `json:"to"`   // other end of a cut: a controller, "store" or "cloud"; empty for all of them
-	For  time.Duration `json:"for"`  // how long a machine hangs or a controller is frozen, or the notice of a recall
+	For  time.Duration `json:"for"`  // how long a machine hangs, a controller is frozen or calls are repeated, or the notice of a recall
 }
 
 // FaultOps lists the operations with a description of each.
@@ -27,6 +27,7 @@
 	{"serve", "have the store serve again"},
 	{"hang", "have a machine hang for a while"},
 	{"recall", "have the cloud take a machine away after a notice"},
+	{"repeat", "for a while, have direct calls that were answered reach their machines twice more, later"},
 }
 
 // Fault injects a fault.
@@ -41,6 +42,9 @@
 		return nil
 	case "hang", "recall":
 		return l.machineFault(fault)
+	case "repeat":
+		l.cloud.RepeatCalls(max(fault.For, time.Second))
+		return nil
 	}
 	return fmt.Errorf("no fault %q", fault.Op)
 }
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -277,6 +277,7 @@
 func (l *Lab) Counts() Counts {
 	c := l.users.counts()
 	c.Started, c.Running, c.Machines, c.WastedCPUTime = l.cloud.Started(), l.cloud.Running(), len(l.cloud.Machines()), l.cloud.WastedCPUTime()
+	c.RepeatedCalls, _ = l.cloud.RepeatedCalls()
 	return c
 }
 
@@ -284,6 +285,7 @@
 type Counts struct {
 	Submitted, Accepted, Done, Cancelled int
 	Started, Running, Machines           int
+	RepeatedCalls                        int           // direct calls that arrived once more after they were answered
 	WastedCPUTime                        time.Duration // CPU time of tasks that ended neither done nor checkpointed
 }
 
--- a/internal/scale/region.go
+++ b/internal/scale/region.go
@@ -55,8 +55,9 @@
 	Workers          []WorkerRate
 }
 
-// WorkerRate is one worker's traffic per second: bytes sent, bytes received and requests.
-type WorkerRate struct{ Sent, Received, Requests float64 }
+// WorkerRate is one worker's traffic per second: bytes sent, bytes received, requests and heartbeats. Exited is the mean
+// number of exited tasks in a heartbeat, ExitedMost the largest.
+type WorkerRate struct{ Sent, Received, Requests, Heartbeats, Exited, ExitedMost float64 }
 
 // ServeRegion simulates a region's external systems. It reads a RegionConfig and then Commands from in,
 // and writes Addresses and then Snapshots to out. It returns after the plan's length, or when in or ctx ends.
@@ -234,8 +235,14 @@
 		if !there || seconds <= 0 {
 			continue
 		}
-		f.Workers = append(f.Workers, WorkerRate{float64(to.Sent-from.Sent) / seconds, float64(to.Received-from.Received) / seconds,
-			float64(to.Requests-from.Requests) / seconds})
+		f.Workers = append(f.Workers, WorkerRate{
+			Sent:       float64(to.Sent-from.Sent) / seconds,
+			Received:   float64(to.Received-from.Received) / seconds,
+			Requests:   float64(to.Requests-from.Requests) / seconds,
+			Heartbeats: float64(to.Heartbeats-from.Heartbeats) / seconds,
+			Exited:     float64(to.Exited-from.Exited) / max(1, float64(to.Heartbeats-from.Heartbeats)),
+			ExitedMost: float64(to.ExitedMost),
+		})
 	}
 	r.users.mu.Lock()
 	defer r.users.mu.Unlock()
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -31,6 +31,9 @@
 	WorkerSent   Spread
 	WorkerHeard  Spread
 	WorkerAsked  Spread
+	Heartbeats   Spread // of a worker
+	Exited       Spread // exited tasks in a heartbeat: the mean of each worker
+	ExitedMost   Spread // the most in one heartbeat of each worker
 	Controllers  []ControllerReport
 	StateAsked   Rate // requests, over all regions together
 	StateWrote   Rate
@@ -137,6 +140,9 @@
 	out.WorkerSent = spread(rates, func(w WorkerRate) float64 { return w.Sent })
 	out.WorkerHeard = spread(rates, func(w WorkerRate) float64 { return w.Received })
 	out.WorkerAsked = spread(rates, func(w WorkerRate) float64 { return w.Requests })
+	out.Heartbeats = spread(rates, func(w WorkerRate) float64 { return w.Heartbeats })
+	out.Exited = spread(rates, func(w WorkerRate) float64 { return w.Exited })
+	out.ExitedMost = spread(rates, func(w WorkerRate) float64 { return w.ExitedMost })
 	return out
 }
 
@@ -244,6 +250,9 @@
 		{"jobs", fmt.Sprintf("%d accepted", r.Jobs.Accepted), fmt.Sprintf("%d done", r.Jobs.Done), fmt.Sprintf("%d refused", r.Jobs.Refused)},
 		{"worker, bytes sent a second", fmt.Sprintf("mean %.0f", r.WorkerSent.Mean), fmt.Sprintf("p99 %.0f", r.WorkerSent.P99), ""},
 		{"worker, bytes received a second", fmt.Sprintf("mean %.0f", r.WorkerHeard.Mean), fmt.Sprintf("p99 %.0f", r.WorkerHeard.P99), ""},
+		{"worker, heartbeats a second", fmt.Sprintf("mean %.2f", r.Heartbeats.Mean), fmt.Sprintf("p99 %.2f", r.Heartbeats.P99), ""},
+		{"exited tasks in a heartbeat", fmt.Sprintf("mean %.3f", r.Exited.Mean), fmt.Sprintf("p99 of workers %.3f", r.Exited.P99), ""},
+		{"exited tasks, most in a heartbeat", fmt.Sprintf("mean %.2f", r.ExitedMost.Mean), fmt.Sprintf("p99 of workers %.0f", r.ExitedMost.P99), ""},
 		{"worker, requests a second", fmt.Sprintf("mean %.2f", r.WorkerAsked.Mean), fmt.Sprintf("p99 %.2f", r.WorkerAsked.P99), ""},
 		{"state services, requests a second", fmt.Sprintf("p50 %.0f", r.StateAsked.P50), fmt.Sprintf("most %.0f", r.StateAsked.Most), ""},
 		{"state services, writes a second", fmt.Sprintf("p50 %.0f", r.StateWrote.P50), fmt.Sprintf("most %.0f", r.StateWrote.Most), ""},
--- a/internal/simtest/cmd/main.go
+++ b/internal/simtest/cmd/main.go
@@ -33,7 +33,7 @@
 	For     time.Duration `help:"How long to explore." default:"1m"`
 	Most    uint64        `help:"Most schedules; 0: no bound."`
 	Workers int           `help:"Schedules at once; 0: one a processor."`
-	Draw    string        `help:"What to draw: faults; those and meetings; those and further troubles, or priorities and saves; workers that restart; controllers that restart one after the other; of the last four, priorities for every third seed, restarts and rolling for every sixth each (all); calls that were answered and come again." enum:"all,faults,meetings,further,preempting,restarts,rolling,latecalls" default:"all"`
+	Draw    string        `help:"What to draw: faults; those and meetings; those and further troubles, or priorities and saves; workers that restart; controllers that restart one after the other; calls that were answered and arrive again; of the last five, priorities for every third seed, restarts and rolling for every sixth each, such calls for every twelfth (all)." enum:"all,faults,meetings,further,preempting,restarts,rolling,latecalls" default:"all"`
 	Repeat  bool          `help:"Play the schedule of --seed alone and tell its story."`
 	Log     slog.Level    `help:"What controllers log is told from this level on: debug, info, warn, error." default:"error"`
 	Shrink  time.Duration `help:"How long to make a finding smaller." default:"30s"`
@@ -148,6 +148,8 @@
 		return "restarts"
 	case seed%6 == 5:
 		return "rolling"
+	case seed%12 == 4:
+		return "latecalls"
 	}
 	return "further"
 }
--- a/internal/simtest/late_calls_test.go
+++ b/internal/simtest/late_calls_test.go
@@ -90,13 +90,7 @@
 	if r.shape == model.Service {
 		p.Jobs[1].Cancel = 120 * sec
 	}
-	var calls []answeredCall
-	p.calls = func(m *worker, o model.DirectCommands) time.Duration {
-		if m.cluster.sim.Now() < taskEndsAt && m.takes(o) == 1 && (starts(o, "req-1/0") || starts(o, "req-1/1")) {
-			calls = append(calls, answeredCall{m, o})
-		}
-		return 0
-	}
+	calls := p.keepCalls()
 	p.script = func(w *cluster) {
 		w.sim.At(taskEndsAt, func() {
 			if m := w.on(1, 0); m != nil && r.end != nil {
@@ -105,7 +99,7 @@
 		})
 		for at := troubleAt; at < lateCallsUntil; at += lateCallsEvery {
 			w.sim.At(at, func() {
-				for _, late := range calls {
+				for _, late := range *calls {
 					late.to.enter(func() { late.to.receiveLateCall(late.call) })
 				}
 			})
@@ -114,6 +108,18 @@
 	return p
 }
 
+// keepCalls returns the direct calls that will have been carried out and start a task of req-1, until the task ends.
+func (p *Plan) keepCalls() *[]answeredCall {
+	calls := &[]answeredCall{}
+	p.calls = func(m *worker, o model.DirectCommands) time.Duration {
+		if m.cluster.sim.Now() < taskEndsAt && m.takes(o) == 1 && (starts(o, "req-1/0") || starts(o, "req-1/1")) {
+			*calls = append(*calls, answeredCall{m, o})
+		}
+		return 0
+	}
+	return calls
+}
+
 // A direct call that was carried out and answered starts no task again when it arrives once more, however the task ended.
 func TestLateCopyOfAnsweredCall(t *testing.T) {
 	for _, row := range lateCallRows {
@@ -123,7 +129,7 @@
 				for seed := range uint64(3) {
 					out := Run(row.plan(d, seed+1), nil, 0)
 					if out.Broken != "" || out.Met[MetLateCallStarts] > 0 {
-						t.Errorf("%s, seed %d: breaks %q, %d tasks started by late calls", x.name, seed+1, out.Broken, out.Met[MetLateCallStarts])
+						t.Errorf("%s, %s, seed %d: breaks %q, %d tasks started by late calls", row.name, x.name, seed+1, out.Broken, out.Met[MetLateCallStarts])
 					}
 					copies += out.Met[MetLateCallForgotten]
 					if row.stays {
@@ -138,6 +144,47 @@
 	}
 }
 
+// An agent that is back within a second has seen no token and is in its first session again, so a copy of a call that
+// reaches it before any controller does is carried out. The controllers stop the task in time, and give the agent a token
+// under which it refuses the next copies.
+func TestLateCopyReachesRestartedAgentFirst(t *testing.T) {
+	const backAt, fencedAt = taskEndsAt + 12*sec, taskEndsAt + 20*sec
+	for d, x := range deployments {
+		for seed := range uint64(4) {
+			p := lateCallRow{}.plan(d, seed+1)
+			p.Jobs[1].Takes, p.Jobs[1].Cancel, p.idle = 60*sec, taskEndsAt-p.Jobs[1].At, time.Minute
+			calls, first, later := p.keepCalls(), 0, 0
+			deliver := func(count *int) {
+				for _, late := range *calls {
+					if status, _ := late.to.handleDirectCall(late.call); status == 200 {
+						*count++
+					}
+				}
+			}
+			p.script = func(w *cluster) {
+				w.sim.At(backAt, func() {
+					for _, late := range *calls {
+						late.to.restart(500 * time.Millisecond)
+					}
+				})
+				w.sim.At(backAt+500*time.Millisecond, func() { w.sim.After(time.Microsecond, func() { deliver(&first) }) })
+				for at := time.Duration(fencedAt); at < lateCallsUntil; at += lateCallsEvery {
+					w.sim.At(at, func() { deliver(&later) })
+				}
+			}
+			out := Run(p, nil, 0)
+			switch {
+			case first == 0:
+				t.Errorf("%s, seed %d: no restarted agent carried a copy out: it shows nothing", x.name, seed+1)
+			case out.Broken != "" || later > 0:
+				t.Errorf("%s, seed %d: breaks %q, %d copies carried out under a fresh token", x.name, seed+1, out.Broken, later)
+			case out.StopTime > x.cancel-margin:
+				t.Errorf("%s, seed %d: the cancelled task is gone only after %v", x.name, seed+1, out.StopTime)
+			}
+		}
+	}
+}
+
 // TestSeed59000000029 plays the schedule in which the simulation found that a copy of an answered call starts a task again,
 // and it runs twice.
 func TestSeed59000000029(t *testing.T) {
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -94,6 +94,9 @@
 	started        int
 	killed         int           // tasks that ended because their machine's lease expired
 	wastedCPUTime  time.Duration // run time times CPUs of tasks that ended without being completed or saved
+
+	repeatCallsUntil               time.Time
+	repeatedCalls, reexecutedCalls int // see RepeatCalls
 }
 
 // offer is a kind of machine whose number the cloud limits.
@@ -432,12 +435,8 @@
 
 // orders handles the direct calls of controllers.
 func (m *machine) orders(w http.ResponseWriter, r *http.Request) {
-	var q struct {
-		Token    *uint64         `json:"baton"`
-		Session  *uint64         `json:"shift"`
-		Commands []model.Command `json:"orders"`
-	}
-	if json.NewDecoder(r.Body).Decode(&q) != nil || q.Token == nil || q.Session == nil {
+	var call directCall
+	if json.NewDecoder(r.Body).Decode(&call) != nil || call.Token == nil || call.Session == nil {
 		reply(w, 400, map[string]string{"error": "malformed"})
 		return
 	}
@@ -459,10 +458,9 @@
 	}
 	c.now = time.Now()
 	status := 409
-	if *q.Token >= m.token && *q.Session == m.session {
+	if m.carryOut(call) {
 		status = 200
-		m.observeToken(*q.Token)
-		m.execute(q.Commands, time.Now())
+		m.repeatLater(call)
 	}
 	reply(w, status, m.report(r.Host))
 }
@@ -487,7 +485,9 @@
 		c.now = time.Now()
 		hung := time.Until(m.hungUntil)
 		sent, session := time.Now(), m.session
-		body, _ := json.Marshal(m.report(addr))
+		heartbeat := m.report(addr)
+		m.traffic.countHeartbeat(heartbeat)
+		body, _ := json.Marshal(heartbeat)
 		c.mu.Unlock()
 		if hung > 0 {
 			wait = hung
--- a/internal/standin/traffic.go
+++ b/internal/standin/traffic.go
@@ -4,20 +4,38 @@
 	"context"
 	"net"
 	"sync/atomic"
+
+	"github.com/marlwood/marlwood/internal/model"
 )
 
-// Traffic counts the bytes that a machine's worker sends and receives, and its requests. The
-// bytes include HTTP with its headers, but not the headers of TCP and IP.
+// Traffic counts the bytes that a machine's worker sends and receives, its requests, and its heartbeats
+// with the exited tasks in them. The bytes include HTTP with its headers, but not the headers of TCP
+// and IP.
 type Traffic struct {
 	sent, received, requests atomic.Int64
+	heartbeats, exited       atomic.Int64
+	exitedMost               atomic.Int64
 }
 
-// Counts are the totals of a machine so far: bytes sent and received, and requests in both
-// directions.
-type Counts struct{ Sent, Received, Requests int64 }
+// Counts are the totals of a machine so far: bytes sent and received, requests in both directions,
+// heartbeats, the exited tasks in them, and the most of these in one heartbeat.
+type Counts struct{ Sent, Received, Requests, Heartbeats, Exited, ExitedMost int64 }
 
 func (t *Traffic) counts() Counts {
-	return Counts{t.sent.Load(), t.received.Load(), t.requests.Load()}
+	return Counts{t.sent.Load(), t.received.Load(), t.requests.Load(), t.heartbeats.Load(), t.exited.Load(), t.exitedMost.Load()}
+}
+
+// countHeartbeat counts a heartbeat and its exited tasks. The machine sends one heartbeat at a time.
+func (t *Traffic) countHeartbeat(heartbeat model.Heartbeat) {
+	exited := int64(0)
+	for _, task := range heartbeat.Tasks {
+		if task.State == model.TaskExited {
+			exited++
+		}
+	}
+	t.heartbeats.Add(1)
+	t.exited.Add(exited)
+	t.exitedMost.Store(max(t.exitedMost.Load(), exited))
 }
 
 // dial opens a connection whose bytes are counted.
