workers: a restarted owner never answers below a worker's raised token

The owner answers its machines with the leader's token, their workers hold a higher one of its range and drop the answers, and tasks end with their leases.

Cause: to which token a machine's messages had been raised was known only to the process that raised it. A process that had not yet had a round also turned such workers away at once, as if another leader had their token.

Fix: a token that a worker shows, in a report or in a call's answer, is the least that its next message carries, as far as it is within the limit, which the leader's first round brings; until then such a report waits like others. Forgets that raise the token also wait for calls without a start, so that stops on their way are not refused.

--- a/internal/simtest/restarted_owner_test.go
+++ b/internal/simtest/restarted_owner_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/marlwood/marlwood/internal/leadership"
 	"github.com/marlwood/marlwood/internal/model"
 )
 
@@ -78,3 +79,43 @@
 		}
 	}
 }
+
+// A controller restarts, and the state service fails before the leader gets a fresh token, after the owner had raised the
+// tokens of its machines. Their workers drop every answer with a lower one, and no task may end with a lease for it.
+func TestRestartedOwnerOfRaisedTokens(t *testing.T) {
+	const ownerDownAt = 29 * sec
+	for _, x := range deployments {
+		for seed := range uint64(4) {
+			raised := 0
+			for owner, zone := range zones {
+				p := Plan{Seed: seed + 1, Machines: 2, Report: x.report, Lease: x.lease, Cancel: x.cancel, idle: time.Minute,
+					Jobs: []Submission{array(sec, 4, zone, 3*sec), array(14*sec, 2, zone, 2*sec), array(15*sec, 2, zone, 130*sec)}}
+				p.Faults = []Fault{
+					{Kind: "store refuses node", At: 0, For: 4 * sec, A: owner}, // so another controller leads
+					{Kind: "crash back", At: ownerDownAt, For: sec, A: owner},   // back after 200 ms
+					{Kind: "outage", At: ownerDownAt + 400*time.Millisecond, For: 33 * sec},
+				}
+				p.script = func(w *cluster) {
+					w.sim.At(ownerDownAt-sec, func() { raised += w.raisedTokens(zone) })
+				}
+				if out := Run(p, nil, 0); out.Broken != "" || out.LeaseKilled > 0 {
+					t.Errorf("%s, seed %d, owner %d: breaks %q, %d tasks ended with their machine's lease", x.name, seed+1, owner, out.Broken, out.LeaseKilled)
+				}
+			}
+			if raised == 0 {
+				t.Errorf("%s, seed %d: no machine with tasks had a raised token: it shows nothing", x.name, seed+1)
+			}
+		}
+	}
+}
+
+// raisedTokens returns the number of machines of a zone that have tasks and a higher token than the leader key.
+func (w *cluster) raisedTokens(zone string) (raised int) {
+	key, err := w.store.Get(leadership.Key)
+	for _, m := range w.cloud.machines {
+		if err == nil && !m.terminated && m.pool.Zone == zone && m.busy() && m.token > key.Revision {
+			raised++
+		}
+	}
+	return raised
+}
--- a/internal/workers/call_outcomes.go
+++ b/internal/workers/call_outcomes.go
@@ -10,11 +10,14 @@
 // DueCalls returned. heartbeat is the heartbeat in the worker's response; nil: there was none.
 func (reg *Registry) CallDone(now time.Time, call Call, outcome CallOutcome, heartbeat *model.Heartbeat) {
 	reg.callsInFlight--
-	heartbeat = reg.normalize(heartbeat)
 	machine := reg.machines.At(call.Machine)
 	if machine == nil || machine.directCall.inFlight != call.id {
 		return
 	}
+	if heartbeat != nil && heartbeat.Machine == machine.name {
+		reg.observeToken(machine, heartbeat.Token)
+	}
+	heartbeat = reg.normalize(heartbeat)
 	defer reg.enqueueCall(machine)
 	machine.directCall.recordOutcome(&call, outcome, heartbeat)
 	if call.madeUnder != reg.token {
--- a/internal/workers/heartbeat.go
+++ b/internal/workers/heartbeat.go
@@ -83,12 +83,13 @@
 
 // HandleHeartbeat handles one heartbeat of a worker and returns the answer to send.
 func (reg *Registry) HandleHeartbeat(now time.Time, heartbeat *model.Heartbeat) HeartbeatResult {
+	shown := heartbeat.Token
 	heartbeat = reg.normalize(heartbeat)
 	// Guard: without a valid lease this controller must not act, even if its lease ended only
 	// a moment ago.
 	if !reg.HoldsLease(now) || heartbeat.Token > reg.token {
 		result := refused()
-		result.AwaitsLeader = heartbeat.Token <= reg.token
+		result.AwaitsLeader = heartbeat.Token <= reg.token || reg.leader == "" // the token limit may be higher
 		return result
 	}
 	pool := model.Pool{Type: heartbeat.Type, Zone: heartbeat.Zone}
@@ -105,7 +106,9 @@
 	machine := reg.machines.At(heartbeat.Machine)
 	if machine == nil {
 		machine = reg.add(&machineState{name: heartbeat.Machine, pool: pool, terminationNotice: noTermination})
-	} else if result, done := reg.answerWithoutApplying(now, machine, heartbeat); done {
+	}
+	reg.observeToken(machine, shown)
+	if result, done := reg.answerWithoutApplying(now, machine, heartbeat); done {
 		return result
 	}
 	return reg.acceptHeartbeat(now, machine, heartbeat)
--- a/internal/workers/sent_starts_test.go
+++ b/internal/workers/sent_starts_test.go
@@ -1,8 +1,10 @@
 package workers
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/marlwood/marlwood/internal/model"
 	"github.com/marlwood/marlwood/internal/peers/peerspb"
@@ -95,3 +97,21 @@
 		t.Error("a fresh token is wanted under the fresh token")
 	}
 }
+
+// A restarted owner answers a worker whose token its earlier process had raised, and not with a lower token.
+func TestRestartedOwnerOfRaisedToken(t *testing.T) {
+	options := newTestRegistry().options
+	registry := NewRegistry(options, "boot", testStart, rand.New(rand.NewPCG(1, 2)))
+	registry.RejectTokensBelow(5) // as the leader key shows
+	agent := &testAgent{epoch: 1, seq: 20, token: 7, tasks: []model.TaskStatus{running("j/1")}}
+	if result := agent.report(registry, 1); !result.AwaitsLeader {
+		t.Errorf("before the first round answered %+v", result)
+	}
+	round := roundWithLimit(8)
+	round.OpenJobs = &peerspb.OpenJobs{List: 1, To: 1, Opened: []string{"j"}, Complete: true, ViewedNs: int64(1e9)}
+	registry.options.CancelGrace = time.Minute
+	registry.HandleRound(at(1.1), round)
+	if result := agent.report(registry, 1.2); result.Status != http.StatusOK || result.Token != 7 {
+		t.Errorf("answered %+v", result)
+	}
+}
--- a/internal/workers/tokens.go
+++ b/internal/workers/tokens.go
@@ -37,12 +37,22 @@
 // which the worker may have adopted.
 func (reg *Registry) messageToken(machine *machineState) uint64 { return max(reg.token, machine.token) }
 
+// observeToken records a token that a worker has shown.
+//
+// Guard: a restarted owner does not know to which token its earlier process had raised a machine's messages. The worker
+// would drop its answers, and the machine's lease would expire (TestRestartedOwnerOfRaisedToken).
+func (reg *Registry) observeToken(machine *machineState, shown uint64) {
+	if shown <= reg.tokenLimit {
+		machine.token = max(machine.token, shown)
+	}
+}
+
 // raisableToken returns the highest token that an answer to a machine may carry now.
 //
 // Guard: a call in flight carries the present token. A worker that adopted a higher one before the call arrived would
-// refuse its starts, which would wait for the next heartbeat.
+// refuse its commands, which would wait for the next heartbeat.
 func (reg *Registry) raisableToken(machine *machineState) uint64 {
-	if machine.directCall.startInFlight {
+	if machine.directCall.inFlight != 0 {
 		return reg.messageToken(machine)
 	}
 	return max(reg.tokenLimit, reg.messageToken(machine))
