--- a/internal/workers/rounds_test.go
+++ b/internal/workers/rounds_test.go
@@ -43,3 +43,28 @@
 		})
 	}
 }
+
+// A round that was answered and arrives once more, also after the orders of later ones, repeats no order, extends no grant
+// and lowers no limit.
+func TestAnsweredRoundArrivesAgain(t *testing.T) {
+	registry, agent := startedByCall(t)
+	first := roundWithLimit(6, newOrder(2, stop, 1))
+	first.GrantUntilNs = int64(20e9)
+	registry.HandleRound(at(2), first)
+	agent.report(registry, 2.1)
+	agent.tasks[0].State = model.TaskExited
+	agent.report(registry, 2.6)
+	registry.HandleRound(at(3), roundWithLimit(9, newOrder(3, forget, 1)))
+	if result := agent.report(registry, 3.1); len(result.Commands) != 1 || result.Token != 9 {
+		t.Fatalf("answered %+v", result)
+	}
+	agent.tasks = nil
+	agent.report(registry, 3.6)
+	registry.HandleRound(at(4), first)
+	if result := agent.report(registry, 4.1); len(result.Commands) != 0 || result.Token != 9 || registry.tokenLimit != 9 {
+		t.Errorf("after the copy answered %+v, limit %d", result, registry.tokenLimit)
+	}
+	if calls := registry.DueCalls(at(4.2)); len(calls) != 0 {
+		t.Errorf("after the copy calls %+v", calls)
+	}
+}
