--- a/internal/simtest/late_calls_test.go
+++ b/internal/simtest/late_calls_test.go
@@ -168,7 +168,7 @@
 					}
 				})
 				w.sim.At(backAt+500*time.Millisecond, func() { w.sim.After(time.Microsecond, func() { deliver(&first) }) })
-				for at := time.Duration(fencedAt); at < lateCallsUntil; at += lateCallsEvery {
+				for at := fencedAt; at < lateCallsUntil; at += lateCallsEvery {
 					w.sim.At(at, func() { deliver(&later) })
 				}
 			}
