--- a/internal/controller/scale_test.go
+++ b/internal/controller/scale_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"reflect"
 	"strings"
 	"testing"
@@ -13,6 +14,7 @@
 
 	"github.com/marlwood/marlwood/internal/httpwire"
 	"github.com/marlwood/marlwood/internal/model"
+	"github.com/marlwood/marlwood/internal/peers/peerspb"
 	"github.com/marlwood/marlwood/internal/workers"
 )
 
@@ -51,6 +53,7 @@
 				strings.Join(pieces, ",") + `]}`
 			term, _, _ := newLeadingTerm(b)
 			ctrl := term.ctrl
+			ctrl.registry.HandleRound(ctrl.startedAt, answeringRound(ctrl))
 			b.ReportAllocs()
 			seq := 0
 			for b.Loop() {
@@ -65,12 +68,28 @@
 				if err != nil {
 					b.Fatal(err)
 				}
-				ctrl.HandleHeartbeat(time.Now(), heartbeat, func(v workers.HeartbeatResult) { heartbeatAnswer(v).Append(nil) })
+				ctrl.HandleHeartbeat(time.Now(), heartbeat, func(v workers.HeartbeatResult) {
+					if heartbeatAnswer(v).Append(nil); v.Status != http.StatusOK {
+						b.Fatal(v.Status)
+					}
+				})
 			}
 		})
 	}
 }
 
+// answeringRound returns a round under which a controller answers the heartbeats of BenchmarkReport.
+func answeringRound(ctrl *Controller) *peerspb.RoundRequest {
+	return &peerspb.RoundRequest{
+		Token:        7,
+		Leader:       "n1",
+		Boot:         ctrl.bootID,
+		GrantUntilNs: int64(time.Hour),
+		Owners:       []*peerspb.KindOwner{{Kind: &peerspb.Kind{Type: "big", Zone: "a"}, Member: ctrl.cfg.Member}},
+		OpenJobs:     &peerspb.OpenJobs{List: 1, To: 1, Opened: []string{"req-000412"}, Complete: true, ViewedNs: int64(time.Hour)},
+	}
+}
+
 // TestDecodeHeartbeat checks that a heartbeat with unknown fields is decoded in full, and that malformed
 // heartbeats are rejected.
 func TestDecodeHeartbeat(t *testing.T) {
