--- a/internal/workers/orders.go
+++ b/internal/workers/orders.go
@@ -129,6 +129,9 @@
 // execute it from an earlier message, so its task must appear in a heartbeat.
 func (reg *Registry) takeCommands(machine *machineState, commands []model.Command) []model.Command {
 	reg.resumeForgets(machine)
+	if len(machine.pendingOrders) == 0 {
+		return commands
+	}
 	machine.resolveOrders(machine.dropIfRedundant)
 	raisable := reg.raisableToken(machine)
 	for _, order := range machine.pendingOrders {
