workers: a start in a refused call needs no higher token to be forgotten

A machine that calls never reach gets its starts in answers, after a call that was refused or never sent. That call counted as one whose copy may start the attempt again: each forget there raised the token, and the record of a start that was withdrawn stayed for the session. A copy of a refused call is refused as well: its token or session is past, and where the worker began anew the starts stay undecided until the fresh token, as before.

Row of TestOrders; before, its forget waited for a limit.

--- a/internal/workers/call_outcomes.go
+++ b/internal/workers/call_outcomes.go
@@ -126,6 +126,9 @@
 // still execute the start later.
 func (m *machineState) recordStartOutcome(start *pendingOrder, call *Call, outcome CallOutcome) {
 	start.state = queued
+	if outcome == Refused {
+		m.dropRefusedStart(start.key(), call.Token)
+	}
 	if outcome != Unanswered || call.Epoch != m.newest.epoch {
 		return
 	}
--- a/internal/workers/orders_test.go
+++ b/internal/workers/orders_test.go
@@ -172,6 +172,19 @@
 		},
 		{heartbeat: newHeartbeat(1, 5, 6), token: 6},
 	}},
+	{name: "refused, then sent in an answer, forgotten without a higher token", direct: true, steps: []orderStep{
+		firstHeartbeat,
+		{
+			orders: []*peerspb.Order{newOrder(1, start, 1)},
+			call:   []string{"start j/1"}, outcome: Refused,
+			heartbeat: newHeartbeat(1, 2, 5), answer: []string{"start j/1"}, undecided: []uint64{1},
+		},
+		{heartbeat: newHeartbeat(1, 3, 5, exitedTask)},
+		{
+			orders:    []*peerspb.Order{newOrder(2, forget, 1)},
+			heartbeat: newHeartbeat(1, 4, 5, exitedTask), answer: []string{"forget j/1"}, token: 5,
+		},
+	}},
 	{name: "unanswered, then executed, forgotten under a higher token", direct: true, steps: []orderStep{
 		firstHeartbeat,
 		{
--- a/internal/workers/sent_starts.go
+++ b/internal/workers/sent_starts.go
@@ -54,6 +54,14 @@
 	}
 }
 
+// dropRefusedStart drops a start that was sent only in a call that its worker refused, or that was never sent: a copy of
+// the call is refused as well.
+func (m *machineState) dropRefusedStart(key attemptKey, token uint64) {
+	if sent := m.sentStarts[key]; sent != nil && !sent.repeated && sent.token == token {
+		delete(m.sentStarts, key)
+	}
+}
+
 // mayForget reports whether a message with the given token may forget an attempt.
 func (m *machineState) mayForget(key attemptKey, token uint64) bool {
 	sent := m.sentStarts[key]
