--- a/internal/simtest/worker_tasks.go
+++ b/internal/simtest/worker_tasks.go
@@ -60,6 +60,7 @@
 				return
 			}
 			m.tasks = append(m.tasks, t)
+			delete(m.forgotten, attemptKey{c.Task, c.Attempt})
 			m.cluster.startedOn(m, c.Task, c.Attempt)
 			m.cluster.sim.logf("%s is told to start %s, attempt %x", m.name, c.Task, c.Attempt)
 			switch {
