--- /dev/null
+++ b/review/second/large_gang.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Times of the case.
+const (
+	forgottenAfter = 75 * time.Second  // a job about which no question is answered for this long counts as forgotten
+	meshWatched    = 104 * time.Second // the case ends this long after its start
+	pollEvery      = 2 * time.Second   // users poll roughly every 5 s; here more often, so that few answers are missed
+)
+
+func largeGangSite() site { return planimetra() }
+
+// meshJob returns the gang that is submitted: as meant, or with the mistake. Both need 40 CPUs and 40 GB in all.
+func meshJob(mistake bool) job {
+	mesh := job{id: "req-000900", class: "mesh-fuse", team: "ricerca", shape: "gang", rank: "normal", pieces: 40, cpus: 1, memory: 1,
+		guess: 20, image: "mesh-1", imageGB: 1, together: true}
+	if mistake {
+		mesh.pieces, mesh.cpus, mesh.memory = 40000, 0.001, 0.001
+	}
+	return mesh
+}
+
+// follower is a user who asks for a job again and again.
+type follower struct {
+	id       string
+	answered time.Time // when a question about the job was last answered
+	over     bool
+}
+
+// follow asks for the job until the end, or until it is over.
+func (f *follower) follow(w *world, first int, end time.Time) {
+	for i := first; time.Now().Before(end) && !f.over; i++ {
+		if status, stage := w.ask(f.id, i); status == http.StatusOK {
+			f.answered, f.over = time.Now(), stage == "done"
+		}
+		time.Sleep(pollEvery)
+	}
+}
+
+// largeGang has a user submit a gang of very many pieces, each of them very small, for one zone, beside solves of 15 s. Users go on asking for
+// their jobs.
+func largeGang(w *world, trouble bool) error {
+	end := time.Now().Add(meshWatched)
+	jobs := []job{}
+	for i := range 4 {
+		jobs = append(jobs, job{id: fmt.Sprintf("req-%06d", i), class: "pianta-solve", team: w.site.teams[i%2].name, shape: "gang", rank: "high",
+			pieces: 1, cpus: 4, memory: 20, guess: 15, image: "solve-1", imageGB: 1})
+	}
+	jobs = append(jobs, meshJob(trouble))
+	var followers []*follower
+	var users sync.WaitGroup
+	for i, j := range jobs {
+		if !w.submit(j, i) {
+			return fmt.Errorf("%s was not accepted", j.id)
+		}
+		f := &follower{id: j.id, answered: time.Now()}
+		followers = append(followers, f)
+		users.Add(1)
+		go func() {
+			defer users.Done()
+			f.follow(w, i, end)
+		}()
+	}
+	users.Wait()
+	for _, n := range w.nodes {
+		status, _, text := w.request(n, http.MethodGet, "/up", nil, time.Second)
+		w.logf("GET /up at %s: %d %s", n.name, status, text)
+	}
+	for _, f := range followers {
+		silent := time.Since(f.answered)
+		w.logf("%s: over %v, last answered %.1f s ago", f.id, f.over, silent.Seconds())
+		if !f.over && silent >= forgottenAfter {
+			w.breaks("forgotten", "no question about %s has been answered for %.0f s, at any of the controllers; all processes, machines and networks were well",
+				f.id, silent.Seconds())
+		}
+	}
+	return nil
+}
