--- a/review/second/main.go
+++ b/review/second/main.go
@@ -27,6 +27,7 @@
 }
 
 var plays = map[string]play{
+	"held-drain":      {heldDrainSite, heldDrain},
 	"large-gang":      {largeGangSite, largeGang},
 	"small-tasks":     {smallTasksSite, smallTasks},
 	"broken-settings": {brokenSettingsSite, brokenSettings},
--- a/review/second/world.go
+++ b/review/second/world.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -18,6 +17,7 @@
 	"sync"
 	"time"
 
+	"github.com/marlwood/marlwood/internal/loopback"
 	"github.com/marlwood/marlwood/internal/model"
 	"github.com/marlwood/marlwood/internal/standin"
 )
@@ -52,6 +52,9 @@
 	cloud  *standin.Cloud
 	nodes  []*node
 
+	links        map[[2]string]*standin.Link // between controllers, by caller and callee
+	reservations []*loopback.Reservation
+
 	mu     sync.Mutex
 	on     map[string]standin.Event // tasks on machines, by machine and task
 	told   map[string]time.Time     // when a user was told that the job is cancelled
@@ -91,14 +94,14 @@
 	w.line("RULE BROKEN  %s", text)
 }
 
-// freeAddr returns a loopback address that was free a moment ago.
-func freeAddr() (string, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+// reserve returns a free loopback address, which no other program takes until the case ends.
+func (w *world) reserve() (string, error) {
+	reservation, err := loopback.Reserve(0)
 	if err != nil {
 		return "", err
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	w.reservations = append(w.reservations, reservation)
+	return reservation.Addr(), nil
 }
 
 // runCommand returns the words of run in deploy/service.toml.
@@ -116,7 +119,8 @@
 
 // start starts the stand-ins and the controllers.
 func start(s site, root string, record *os.File) (w *world, err error) {
-	w = &world{site: s, root: root, began: time.Now(), record: record, on: map[string]standin.Event{}, told: map[string]time.Time{}, done: map[string]int{}}
+	w = &world{site: s, root: root, began: time.Now(), record: record, on: map[string]standin.Event{}, told: map[string]time.Time{}, done: map[string]int{},
+		links: map[[2]string]*standin.Link{}}
 	if w.dir, err = os.MkdirTemp("", "marlwood-review-"); err != nil {
 		return w, err
 	}
@@ -125,7 +129,7 @@
 	for i := range 3 {
 		n := &node{name: fmt.Sprintf("berth-%d", i), zone: s.zones[i%len(s.zones)]}
 		for _, a := range []*string{&n.listen, &n.peer, &n.operators} {
-			if *a, err = freeAddr(); err != nil {
+			if *a, err = w.reserve(); err != nil {
 				return w, err
 			}
 		}
@@ -171,7 +175,12 @@
 	var siblings []sibling
 	for _, o := range w.nodes {
 		if o != n {
-			siblings = append(siblings, sibling{o.name, o.zone, o.peer})
+			k, err := standin.NewLink("127.0.0.1:0", o.peer)
+			if err != nil {
+				return err
+			}
+			w.links[[2]string{n.name, o.name}] = k
+			siblings = append(siblings, sibling{o.name, o.zone, k.Addr().String()})
 		}
 	}
 	teams := []map[string]any{}
@@ -248,6 +257,9 @@
 			<-n.ended
 		}
 	}
+	for _, k := range w.links {
+		_ = k.Close()
+	}
 	if w.cloud != nil {
 		w.cloud.Close()
 	}
@@ -255,6 +267,9 @@
 		w.state.CloseClientConnections()
 		w.state.Close()
 	}
+	for _, reservation := range w.reservations {
+		_ = reservation.Close()
+	}
 	if keep := os.Getenv("KEEP_LOGS"); keep != "" {
 		for _, n := range w.nodes {
 			if text, err := os.ReadFile(w.path(n, "log")); err == nil {
@@ -349,6 +364,7 @@
 	awaits                       []string
 	together, spot               bool
 	due                          float64
+	yard                         string // "": any
 }
 
 func (j job) body() []byte {
@@ -358,6 +374,9 @@
 	if j.due > 0 {
 		m["dueS"] = j.due
 	}
+	if j.yard != "" {
+		m["yard"] = j.yard
+	}
 	if len(j.awaits) > 0 {
 		m["awaits"] = j.awaits
 	}
