Review case 4: one of 25 jobs has the mistake, as the site's share says

Cause: one job of five was above the site's share of broken jobs, 0.04.

Change: 24 solves beside the gang, and questions every 5 s, as users ask.

--- a/review/second/large_gang.go
+++ b/review/second/large_gang.go
@@ -12,7 +12,8 @@
 	forgottenAfter = 75 * time.Second  // a job about which no question is answered for this long counts as forgotten
 	meshCancelled  = 27 * time.Second  // the user calls the gang off this long after the submission
 	meshWatched    = 109 * time.Second // the case ends this long after its start
-	pollEvery      = 2 * time.Second   // users poll roughly every 5 s; here more often, so that few answers are missed
+	pollEvery      = 5 * time.Second   // users poll roughly every 5 s
+	meshSolves     = 24                // other jobs, so that one in 25 (0.04) has a mistake
 )
 
 func largeGangSite() site { return planimetra() }
@@ -49,9 +50,9 @@
 func largeGang(w *world, trouble bool) error {
 	end := time.Now().Add(meshWatched)
 	jobs := []job{}
-	for i := range 4 {
-		jobs = append(jobs, job{id: fmt.Sprintf("req-%06d", i), class: "pianta-solve", team: w.site.teams[i%2].name, shape: "gang", rank: "high",
-			pieces: 1, cpus: 4, memory: 20, guess: 15, image: "solve-1", imageGB: 1})
+	for i := range meshSolves {
+		jobs = append(jobs, job{id: fmt.Sprintf("req-%06d", i), class: "pianta-solve", team: w.site.teams[i%len(w.site.teams)].name, shape: "gang", rank: "high",
+			pieces: 1, cpus: 2, memory: 10, guess: 15, image: "solve-1", imageGB: 1})
 	}
 	mesh := meshJob(trouble)
 	jobs = append(jobs, mesh)
